--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
+
+.PHONY: setup demo test lint format
+
+setup: $(VENV)/.stamp
+
+$(VENV)/.stamp: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt setuptools wheel black ruff nose2 hypothesis tomli-w trustme
+	$(BIN)/pip install --quiet --no-build-isolation -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m marigoldarch_fakes.demo
+
+test: setup
+	$(BIN)/python tools/run_tests.py
+
+lint: setup
+	$(BIN)/black --check --quiet packages tools
+	$(BIN)/ruff check packages tools
+
+format: setup
+	$(BIN)/ruff check --fix packages tools
+	$(BIN)/black --quiet packages tools
--- /dev/null
+++ b/packages/marigoldarch-cli/marigoldarch_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of marigoldarch operators."""
--- /dev/null
+++ b/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
@@ -0,0 +1,75 @@
+"""The command `marigoldarch`: parse flags and delegate to the commands."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import fire
+from expression import Result
+
+from marigoldarch.codec import encode_json
+from marigoldarch.exceptions import MarigoldarchError
+from marigoldarch_cli.client import NodeClient
+from marigoldarch_cli.commands import apply as apply_command
+
+EXIT_FAILURE = 1
+
+
+class Commands:
+    """Operate a marigoldarch installation."""
+
+    def apply(
+        self,
+        path: str,
+        node: str = "",
+        operator: str = "operator",
+        base: int | None = None,
+        change_id: str = "",
+        key: str = "",
+    ) -> None:
+        """Apply the declaration at PATH and wait until it is in force."""
+        client = NodeClient(node, key)
+        _finish(apply_command.apply(client, Path(path), operator, base, change_id))
+
+    def status(self, node: str = "", key: str = "") -> None:
+        """Show the state of a node."""
+        _show(NodeClient(node, key), "GET", "/v1/operator/status")
+
+    def get(self, node: str = "", key: str = "") -> None:
+        """Show the declarations and assignments that a node acts on."""
+        _show(NodeClient(node, key), "GET", "/v1/operator/view")
+
+    def directory(self, node: str = "", key: str = "") -> None:
+        """Show which addresses a caller should use."""
+        _show(NodeClient(node, key), "GET", "/v1/directory")
+
+    def timeline(self, node: str = "", key: str = "") -> None:
+        """Show a node's time line."""
+        _show(NodeClient(node, key), "GET", "/v1/operator/timeline")
+
+    def drain(self, node: str = "", key: str = "") -> None:
+        """Stop a node gracefully."""
+        _show(NodeClient(node, key), "POST", "/v1/operator/drain")
+
+
+def _show(client: NodeClient, method: str, path: str) -> None:
+    _finish(client.request(method, path).map(lambda answer: encode_json(answer.body).decode()))
+
+
+def _finish(result: Result[str, MarigoldarchError]) -> None:
+    match result:
+        case Result(tag="ok", ok=text):
+            print(text)
+        case Result(error=problem):
+            print(f"marigoldarch: {problem}", file=sys.stderr)
+            sys.exit(EXIT_FAILURE)
+
+
+def main() -> None:
+    """Enter from the command line."""
+    fire.Fire(Commands, name="marigoldarch")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/marigoldarch-cli/marigoldarch_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for targets and callers, for tests and measurements."""
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/config/__init__.py
@@ -0,0 +1,1 @@
+"""Declared options of the node and their validation."""
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/config/node.py
@@ -0,0 +1,155 @@
+"""The options of a node, and the settings that result from them."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from expression import Error, Ok, Result
+
+from marigoldarch.exceptions import ConfigurationError
+from marigoldarch.identifiers import NodeAddress
+from marigoldarch.settings import CoreSettings, EntrySettings
+from marigoldarch_node.config.options import (
+    Address,
+    Choice,
+    Folder,
+    Name,
+    Names,
+    Number,
+    Option,
+    Peers,
+    Secret,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from pathlib import Path
+
+_RUN_ID_BYTES = 8
+
+
+class NodeOptions:
+    """Every option of `marigoldarchd`."""
+
+    node = Name("Name of this node.", is_required=True)
+    data_centre = Name("Data centre of this node.", is_required=True)
+    caller_address = Address("IP:PORT for callers, targets and operators.", is_required=True)
+    peer_address = Address("IP:PORT for the other nodes.", is_required=True)
+    voters = Names("Nodes that hold the replicated log.", is_required=True)
+    peers = Peers("All nodes, this one included.", is_required=True)
+    data_folder = Folder("Folder of the replicated log; needed on voters.", None)
+    log_format = Choice("Format of the log.", "text", ("text", "json"))
+    log_level = Choice("Least level to log.", "info", ("debug", "info", "warning", "error"))
+    timeline_file = Folder("File that time line events are appended to.", None)
+    directory_ttl_ms = Number("Time-to-live of directory answers, ms.", 2000, 100, 60_000)
+    operator_key = Secret("Key that operators present.", "")
+    peer_key = Secret("Key that nodes present to each other.", "")
+    target_key = Secret("Key that targets present.", "")
+
+
+def declared_options() -> dict[str, Option[Any]]:
+    """Return the options by name, in their declared order."""
+    return {name: item for name, item in vars(NodeOptions).items() if isinstance(item, Option)}
+
+
+class NodeSettings:
+    """The validated settings of a node."""
+
+    def __init__(self, values: dict[str, Any]) -> None:
+        self._values = values
+        self._core = _core_settings(values)
+
+    @property
+    def core(self) -> CoreSettings:
+        """Return the settings of the core."""
+        return self._core
+
+    @property
+    def data_folder(self) -> Path | None:
+        """Return the folder of the replicated log."""
+        return self._values["data_folder"]
+
+    @property
+    def timeline_file(self) -> Path | None:
+        """Return the file of time line events."""
+        return self._values["timeline_file"]
+
+    @property
+    def log_format(self) -> str:
+        """Return the format of the log."""
+        return self._values["log_format"]
+
+    @property
+    def log_level(self) -> str:
+        """Return the least level to log."""
+        return self._values["log_level"]
+
+    @property
+    def operator_key(self) -> str:
+        """Return the key that operators present; empty when none is asked for."""
+        return self._values["operator_key"]
+
+    @property
+    def peer_key(self) -> str:
+        """Return the key that nodes present to each other."""
+        return self._values["peer_key"]
+
+    @property
+    def target_key(self) -> str:
+        """Return the key that targets present."""
+        return self._values["target_key"]
+
+
+def load_settings(
+    flags: Mapping[str, Any], environment: Mapping[str, str]
+) -> Result[NodeSettings, ConfigurationError]:
+    """Validate flags, which go before environment variables."""
+    options = declared_options()
+    unknown = sorted(set(flags) - set(options))
+    if unknown:
+        remedy = "see --help for the flags that exist"
+        return Error(ConfigurationError(f"--{unknown[0].replace('_', '-')}: unknown; {remedy}"))
+    values: dict[str, Any] = {}
+    try:
+        for name, option in options.items():
+            values[name] = _read(option, flags, environment)
+        _check_together(values)
+    except ConfigurationError as error:
+        return Error(error)
+    return Ok(NodeSettings(values))
+
+
+def _read(option: Option[Any], flags: Mapping[str, Any], environment: Mapping[str, str]) -> Any:
+    if option.name in flags:
+        return option.parse(flags[option.name])
+    if option.variable in environment:
+        return option.parse(environment[option.variable])
+    if option.is_required:
+        raise option.fail("required; set the flag or the environment variable")
+    return option.default
+
+
+def _check_together(values: dict[str, Any]) -> None:
+    peers = {peer.node for peer in values["peers"]}
+    if values["node"] not in peers:
+        raise NodeOptions.peers.fail(f"add this node, {values['node']}")
+    missing = sorted(set(values["voters"]) - peers)
+    if missing:
+        raise NodeOptions.voters.fail(f"add {missing[0]} to --peers or remove it here")
+    if values["node"] in values["voters"] and values["data_folder"] is None:
+        raise NodeOptions.data_folder.fail("required on a voter; name a folder on a disk")
+
+
+def _core_settings(values: dict[str, Any]) -> CoreSettings:
+    address = NodeAddress(
+        values["node"], values["data_centre"], values["caller_address"], values["peer_address"]
+    )
+    return CoreSettings(
+        address,
+        values["voters"],
+        values["peers"],
+        secrets.token_hex(_RUN_ID_BYTES),
+        secrets.randbits(32),
+        entry=EntrySettings(directory_ttl_ms=values["directory_ttl_ms"]),
+    )
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/config/options.py
@@ -0,0 +1,170 @@
+"""Typed options: each parses and validates one flag or environment variable."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import Any, Generic, TypeVar
+
+from marigoldarch.exceptions import ConfigurationError
+from marigoldarch.identifiers import NodeAddress
+
+T = TypeVar("T")
+
+ENVIRONMENT_PREFIX = "MARIGOLDARCH_"
+
+_NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$")
+_ADDRESS = re.compile(r"^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$")
+
+
+class Option(Generic[T]):
+    """A declared option with a default and a help text; without a default it is required."""
+
+    def __init__(self, help_text: str, default: T | None = None, *, is_required: bool = False):
+        self.help_text = help_text
+        self.default = default
+        self.is_required = is_required
+        self.name = ""
+
+    def __set_name__(self, owner: type, name: str) -> None:
+        self.name = name
+
+    @property
+    def flag(self) -> str:
+        """Return the command-line flag."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """Return the environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+    def parse(self, raw: Any) -> T:
+        """Return the validated value; raise `ConfigurationError` naming option and remedy."""
+        raise NotImplementedError
+
+    def fail(self, remedy: str) -> ConfigurationError:
+        """Return the error of an invalid value."""
+        return ConfigurationError(f"{self.flag} ({self.variable}): {remedy}")
+
+
+class Name(Option[str]):
+    """A short name of a node or data centre."""
+
+    def parse(self, raw: Any) -> str:
+        """Return the name."""
+        if not _NAME.match(str(raw)):
+            raise self.fail("use 1 to 64 of a-z, 0-9, '.', '_' and '-'")
+        return str(raw)
+
+
+class Names(Option[tuple[str, ...]]):
+    """A comma-separated list of names."""
+
+    def parse(self, raw: Any) -> tuple[str, ...]:
+        """Return the names."""
+        items = raw if isinstance(raw, list | tuple) else str(raw).split(",")
+        names = tuple(str(item) for item in items)
+        if not all(_NAME.match(name) for name in names):
+            raise self.fail("use a comma-separated list of names, for example n1,n2,n3")
+        return names
+
+
+class Address(Option[str]):
+    """An IP address and port."""
+
+    def parse(self, raw: Any) -> str:
+        """Return the address."""
+        if not is_address(str(raw)):
+            raise self.fail("use IP:PORT, for example 127.0.0.1:7000")
+        return str(raw)
+
+
+class Peers(Option[tuple[NodeAddress, ...]]):
+    """A comma-separated list of peers as NAME@DATA_CENTRE=CALLER_ADDRESS/PEER_ADDRESS."""
+
+    def parse(self, raw: Any) -> tuple[NodeAddress, ...]:
+        """Return the peers."""
+        items = raw if isinstance(raw, list | tuple) else str(raw).split(",")
+        return tuple(self._parse_one(str(item)) for item in items)
+
+    def _parse_one(self, item: str) -> NodeAddress:
+        name, _, addresses = item.partition("=")
+        node, _, data_centre = name.partition("@")
+        caller, _, peer = addresses.partition("/")
+        is_valid = _NAME.match(node) and _NAME.match(data_centre)
+        if not is_valid or not is_address(caller) or not is_address(peer):
+            raise self.fail("use NAME@DATA_CENTRE=IP:PORT/IP:PORT, separated by commas")
+        return NodeAddress(node, data_centre, caller, peer)
+
+
+class Folder(Option[Path]):
+    """A folder path; empty means none."""
+
+    def parse(self, raw: Any) -> Path | None:
+        """Return the path."""
+        return Path(str(raw)) if str(raw) else None
+
+
+class Choice(Option[str]):
+    """One of a fixed set of words."""
+
+    def __init__(self, help_text: str, default: str, choices: tuple[str, ...]) -> None:
+        super().__init__(help_text, default)
+        self.choices = choices
+
+    def parse(self, raw: Any) -> str:
+        """Return the word."""
+        if str(raw) not in self.choices:
+            raise self.fail(f"use one of {', '.join(self.choices)}")
+        return str(raw)
+
+
+class Number(Option[float]):
+    """A number within bounds."""
+
+    def __init__(self, help_text: str, default: float, low: float, high: float) -> None:
+        super().__init__(help_text, default)
+        self.low = low
+        self.high = high
+
+    def parse(self, raw: Any) -> float:
+        """Return the number."""
+        try:
+            value = float(raw)
+        except (TypeError, ValueError):
+            value = float("nan")
+        if not self.low <= value <= self.high:
+            raise self.fail(f"use a number from {self.low:g} to {self.high:g}")
+        return value
+
+
+class Secret(Option[str]):
+    """A credential; its value is never shown."""
+
+    def parse(self, raw: Any) -> str:
+        """Return the credential."""
+        if raw and len(str(raw)) < 8:
+            raise self.fail("use at least 8 characters")
+        return str(raw or "")
+
+
+class Switch(Option[bool]):
+    """A yes-or-no option."""
+
+    def parse(self, raw: Any) -> bool:
+        """Return the value."""
+        words = {"true": True, "1": True, "yes": True, "false": False, "0": False, "no": False}
+        value = words.get(str(raw).lower())
+        if value is None:
+            raise self.fail("use true or false")
+        return value
+
+
+def is_address(text: str) -> bool:
+    """Return whether the text is an IPv4 address and a port."""
+    found = _ADDRESS.match(text)
+    if not found:
+        return False
+    octets = [int(part) for part in found.group(1).split(".")]
+    return max(octets) <= 255 and 0 < int(found.group(2)) <= 65_535
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The interfaces to callers, operators, targets and peers."""
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
@@ -0,0 +1,146 @@
+"""The interface to operators: declarations, status, drain and the time line."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import aioprometheus
+import msgspec
+import trio
+from expression import Result
+
+from marigoldarch.declarations import loader
+from marigoldarch.events import DeclareRequested, DrainRequested
+from marigoldarch_node.edge.http import HttpError, HttpRequest, Route
+
+if TYPE_CHECKING:
+    from marigoldarch_node.runtime import Runtime
+
+MAX_DECLARATION_BYTES = 4 * 1024 * 1024
+DEFAULT_WAIT_MS = 10_000.0
+
+
+class ApplyBody(msgspec.Struct, forbid_unknown_fields=True):
+    """A change of one team's subtree, made from `base_revision`."""
+
+    change_id: str
+    operator: str
+    base_revision: int
+    declaration: dict[str, Any]
+    wait_ms: float = DEFAULT_WAIT_MS
+
+
+class OperatorRoutes:
+    """Serve operators, and the health and metrics that they watch."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._runtime = runtime
+
+    @property
+    def routes(self) -> list[Route]:
+        """Return the routes for operators."""
+        return [
+            Route("POST", "/v1/operator/apply", self._serve_apply),
+            Route("GET", "/v1/operator/view", self._serve_view),
+            Route("GET", "/v1/operator/status", self._serve_status),
+            Route("GET", "/v1/operator/timeline", self._serve_timeline),
+            Route("POST", "/v1/operator/drain", self._serve_drain),
+            Route("GET", "/healthz", self._serve_health),
+            Route("GET", "/readyz", self._serve_ready),
+            Route("GET", "/metrics", self._serve_metrics),
+        ]
+
+    async def _serve_apply(self, request: HttpRequest) -> None:
+        self._check_key(request)
+        body = await self._read_apply(request)
+        request_id = f"op-{uuid.uuid4().hex}"
+        sender, receiver = trio.open_memory_channel[dict[str, Any]](1)
+        self._runtime.operator_replies[request_id] = sender
+        self._runtime.submit(
+            DeclareRequested(
+                self._runtime.clock.monotonic_ms(),
+                request_id,
+                body.change_id,
+                body.operator,
+                body.declaration["team"],
+                body.base_revision,
+                body.declaration,
+                body.wait_ms,
+            )
+        )
+        answer = await receiver.receive()
+        status = {"in_force": 200, "committed": 202, "conflict": 409}.get(answer["status"], 504)
+        await request.send_json(status, answer)
+
+    async def _read_apply(self, request: HttpRequest) -> ApplyBody:
+        plain = await request.read_json(MAX_DECLARATION_BYTES)
+        try:
+            body = msgspec.convert(plain, ApplyBody)
+        except msgspec.ValidationError as error:
+            raise HttpError(400, "invalid_change", str(error)) from error
+        match loader.from_plain(body.declaration):
+            case Result(tag="error", error=problem):
+                raise HttpError(400, "invalid_declaration", str(problem))
+        return body
+
+    async def _serve_view(self, request: HttpRequest) -> None:
+        self._check_key(request)
+        await request.send_json(200, self._runtime.state.control.member.view.to_plain())
+
+    async def _serve_status(self, request: HttpRequest) -> None:
+        self._check_key(request)
+        state = self._runtime.state
+        member = state.control.member
+        now_ms = self._runtime.clock.monotonic_ms()
+        replica = state.control.replica
+        body = {
+            "node": state.settings.node,
+            "revision": member.view.revision,
+            "has_lease": member.has_lease(now_ms),
+            "leader": member.leader,
+            "role": str(replica.role) if replica else "member",
+            "is_leaving": state.is_leaving,
+            "active": state.active,
+            "nodes": sorted(member.nodes),
+            "pools": {
+                str(pool): assignment._asdict()
+                for pool, assignment in member.view.assignments.items()
+            },
+            "targets": {
+                str(pool): sorted(scheduler.targets)
+                for pool, scheduler in state.pools.schedulers.items()
+            },
+        }
+        await request.send_json(200, body)
+
+    async def _serve_timeline(self, request: HttpRequest) -> None:
+        self._check_key(request)
+        events = [msgspec.to_builtins(event) for event in self._runtime.recorder.events]
+        await request.send_json(200, {"events": events})
+
+    async def _serve_drain(self, request: HttpRequest) -> None:
+        self._check_key(request)
+        self._runtime.submit(DrainRequested(self._runtime.clock.monotonic_ms()))
+        await request.send_json(202, {"status": "draining"})
+
+    async def _serve_health(self, request: HttpRequest) -> None:
+        await request.send_json(200, {"status": "ok"})
+
+    async def _serve_ready(self, request: HttpRequest) -> None:
+        state = self._runtime.state
+        has_lease = state.control.member.has_lease(self._runtime.clock.monotonic_ms())
+        is_ready = has_lease and not state.is_leaving
+        await request.send_json(200 if is_ready else 503, {"ready": is_ready})
+
+    async def _serve_metrics(self, request: HttpRequest) -> None:
+        accepts = [request.headers.get("accept", "text/plain")]
+        content, headers = aioprometheus.render(aioprometheus.REGISTRY, accepts)
+        content_type = headers.get("Content-Type", "text/plain")
+        await request.start(200, content_type, {})
+        await request.send_chunk(content, is_last=True)
+
+    def _check_key(self, request: HttpRequest) -> None:
+        expected = self._runtime.settings.operator_key
+        if expected and request.bearer != expected:
+            raise HttpError(401, "unknown_operator_key", "the operator key is wrong")
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -0,0 +1,168 @@
+"""The runtime: feed events to the core's reducer and carry out its effects."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.effects import (
+    CallTarget,
+    CancelCall,
+    Effect,
+    Exit,
+    OperatorReply,
+    OrderTarget,
+    Persist,
+    Record,
+    ReleaseMemory,
+    Reply,
+    Send,
+)
+from marigoldarch.events import Event, MessageArrived, Persisted, Started, TargetCommandEnded, Tick
+from marigoldarch.reducer import NodeState, reduce
+from marigoldarch_node.attempts import Attempts
+from marigoldarch_node.calls import CallTable
+from marigoldarch_node.clock import SystemClock
+from marigoldarch_node.edge.peer_links import PeerLinks
+from marigoldarch_node.edge.target_client import TargetClient
+from marigoldarch_node.logs import get_logger
+from marigoldarch_node.storage.folder import DataFolder
+from marigoldarch_node.timeline.recorder import Recorder
+
+if TYPE_CHECKING:
+    from marigoldarch_node.config.node import NodeSettings
+
+TICK_S = 0.05
+
+log = get_logger("runtime")
+
+
+class Runtime:
+    """One node: its core state and everything that acts for it."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        core = settings.core
+        self.settings = settings
+        self.clock = SystemClock()
+        self.calls = CallTable()
+        self.client = TargetClient()
+        timeline_file = settings.timeline_file
+        self.recorder = Recorder(core.node, timeline_file.open("a") if timeline_file else None)
+        self.links = PeerLinks(core.node, core.peers, settings.peer_key, self.clock, self.submit)
+        self.attempts = Attempts(self.calls, self.client, self.clock, self.submit)
+        self.stopped = trio.Event()
+        self.operator_replies: dict[str, trio.MemorySendChannel] = {}
+        self._folder: DataFolder | None = None
+        durable = None
+        if core.is_voter:
+            self._folder = DataFolder(settings.data_folder, core.node)
+            durable = self._folder.open()
+        self.state = NodeState(core, durable)
+        self._nursery: trio.Nursery | None = None
+        self._persists: deque[Persist] = deque()
+        self._persist_wakeup = trio.Event()
+        self._synced_id = 0
+        self._held: deque[Send] = deque()
+
+    def submit(self, event: Event) -> None:
+        """Reduce an event and carry out the effects."""
+        for effect in reduce(self.state, event):
+            self._carry_out(effect)
+
+    async def run(self) -> None:
+        """Run until the node has stopped."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self.links.run)
+            nursery.start_soon(self._write_log)
+            self.submit(Started(self.clock.monotonic_ms()))
+            nursery.start_soon(self._tick)
+            await self.stopped.wait()
+            nursery.cancel_scope.cancel()
+        if self._folder is not None:
+            self._folder.close()
+
+    async def _tick(self) -> None:
+        while True:
+            self.submit(Tick(self.clock.monotonic_ms()))
+            await trio.sleep(TICK_S)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send():
+                self._send(effect)
+            case Persist():
+                self._persists.append(effect)
+                self._persist_wakeup.set()
+            case Reply():
+                self.calls.finish(effect.request_id, effect.outcome)
+            case CallTarget():
+                self._nursery.start_soon(self.attempts.run, effect)
+            case CancelCall():
+                self.attempts.cancel(effect.request_id, effect.attempt)
+            case ReleaseMemory():
+                self._nursery.start_soon(self._release_memory, effect)
+            case OrderTarget():
+                self._nursery.start_soon(self._order_target, effect)
+            case OperatorReply():
+                self._reply_to_operator(effect)
+            case Record():
+                self.recorder.record(effect, self.clock.wall_ms())
+            case Exit():
+                self.stopped.set()
+
+    def _send(self, effect: Send) -> None:
+        if effect.after > self._synced_id:
+            self._held.append(effect)
+        elif effect.node == self.settings.core.node:
+            event = MessageArrived(self.clock.monotonic_ms(), effect.node, effect.message)
+            self.submit(event)
+        else:
+            self.links.send(effect.node, effect.message)
+
+    async def _write_log(self) -> None:
+        """Sync all records that are waiting with one write, off the event loop."""
+        while True:
+            while not self._persists:
+                self._persist_wakeup = trio.Event()
+                await self._persist_wakeup.wait()
+            batch = list(self._persists)
+            self._persists.clear()
+            records = [record for persist in batch for record in persist.records]
+            await trio.to_thread.run_sync(self._folder.append, records)
+            self._on_synced(batch[-1].persist_id)
+
+    def _on_synced(self, persist_id: int) -> None:
+        self._synced_id = persist_id
+        still_held = [send for send in self._held if send.after > persist_id]
+        ready = [send for send in self._held if send.after <= persist_id]
+        self._held = deque(still_held)
+        for send in ready:
+            self._send(send)
+        self.submit(Persisted(self.clock.monotonic_ms(), persist_id))
+
+    async def _release_memory(self, effect: ReleaseMemory) -> None:
+        is_confirmed = await self.client.release(effect.target, effect.permit)
+        self._command_ended(effect, str(effect.permit), is_confirmed)
+
+    async def _order_target(self, effect: OrderTarget) -> None:
+        is_confirmed = await self.client.order(effect)
+        self._command_ended(effect, effect.order_id, is_confirmed)
+
+    def _command_ended(
+        self, effect: ReleaseMemory | OrderTarget, command_id: str, is_confirmed: bool
+    ) -> None:
+        now_ms = self.clock.monotonic_ms()
+        permit = effect.permit if isinstance(effect, ReleaseMemory) else None
+        self.submit(
+            TargetCommandEnded(
+                now_ms, effect.pool, effect.target.target, command_id, is_confirmed, permit
+            )
+        )
+
+    def _reply_to_operator(self, effect: OperatorReply) -> None:
+        channel = self.operator_replies.pop(effect.request_id, None)
+        if channel is not None:
+            channel.send_nowait(effect.body)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/server.py
@@ -0,0 +1,60 @@
+"""The servers of a node: one for callers, targets and operators, one for peers."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+import hypercorn.trio
+import trio
+from hypercorn.config import Config
+
+from marigoldarch.events import DrainRequested
+from marigoldarch_node.edge.callers import CallerRoutes
+from marigoldarch_node.edge.http import Router
+from marigoldarch_node.edge.operators import OperatorRoutes
+from marigoldarch_node.edge.targets import TargetRoutes
+from marigoldarch_node.logs import get_logger
+from marigoldarch_node.runtime import Runtime
+
+if TYPE_CHECKING:
+    from marigoldarch_node.config.node import NodeSettings
+
+KEEP_ALIVE_S = 60.0
+SHUTDOWN_S = 1.0
+
+log = get_logger("server")
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Run a node until it is told to stop and everything in progress has finished."""
+    runtime = Runtime(settings)
+    address = settings.core.address
+    caller_routes = CallerRoutes(runtime).routes
+    public = Router(caller_routes + TargetRoutes(runtime).routes + OperatorRoutes(runtime).routes)
+    peers = Router(runtime.links.routes)
+    log.info("Node {} starts.", address.node)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_serve_app, public, address.caller_address, runtime)
+        nursery.start_soon(_serve_app, peers, address.peer_address, runtime)
+        nursery.start_soon(_watch_signals, runtime)
+        await runtime.run()
+        log.info("Node {} has stopped.", address.node)
+        nursery.cancel_scope.cancel()
+
+
+async def _serve_app(router: Router, address: str, runtime: Runtime) -> None:
+    config = Config()
+    config.bind = [address]
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = SHUTDOWN_S
+    config.accesslog = None
+    config.errorlog = None
+    await hypercorn.trio.serve(router, config, shutdown_trigger=runtime.stopped.wait, mode="asgi")
+
+
+async def _watch_signals(runtime: Runtime) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            log.info("A graceful stop begins.")
+            runtime.submit(DrainRequested(runtime.clock.monotonic_ms()))
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable storage of the replicated log."""
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The time line of events."""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated control state: log, election, sessions, leases and assignments."""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/control/member.py
@@ -0,0 +1,144 @@
+"""A node's side of membership: its session, its configuration lease and its view."""
+
+from __future__ import annotations
+
+from marigoldarch.clock import Millis
+from marigoldarch.control.view import ClusterView
+from marigoldarch.effects import Effect, Record, Send
+from marigoldarch.identifiers import PoolId
+from marigoldarch.messages import (
+    Heartbeat,
+    HeartbeatAck,
+    NodeLoad,
+    NotLeader,
+    ViewAck,
+    ViewDelta,
+    ViewSnapshot,
+)
+from marigoldarch.settings import CoreSettings
+
+
+class Member:
+    """Hold the lease under which this node may act, and the view it acts on."""
+
+    def __init__(self, settings: CoreSettings) -> None:
+        self._settings = settings
+        self._view = ClusterView()
+        self._lease_until_ms: Millis = float("-inf")
+        self._leader = ""
+        self._voter_turn = 0
+        self._heartbeat_due_ms: Millis = 0.0
+        self._unanswered = 0
+        self._nodes: dict[str, NodeLoad] = {}
+        self._wanted_pools: set[PoolId] = set()
+
+    @property
+    def view(self) -> ClusterView:
+        """Return the view this node acts on."""
+        return self._view
+
+    @property
+    def leader(self) -> str:
+        """Return the voter that control messages go to."""
+        voters = self._settings.voters
+        return self._leader or voters[self._voter_turn % len(voters)]
+
+    @property
+    def lease_until_ms(self) -> Millis:
+        """Return when the configuration lease runs out."""
+        return self._lease_until_ms
+
+    @property
+    def nodes(self) -> dict[str, NodeLoad]:
+        """Return the live nodes by name, as last told by the leader."""
+        return self._nodes
+
+    def has_lease(self, now_ms: Millis) -> bool:
+        """Return whether this node may act on its view; checked at the moment of acting."""
+        return now_ms < self._lease_until_ms
+
+    def holds_pool(self, pool: PoolId, now_ms: Millis) -> bool:
+        """Return whether this process is the scheduler of `pool`."""
+        assignment = self._view.assignments.get(pool)
+        is_holder = assignment is not None and (assignment.node, assignment.incarnation) == (
+            self._settings.node,
+            self._settings.incarnation,
+        )
+        return is_holder and self.has_lease(now_ms)
+
+    def want_pool(self, pool: PoolId) -> None:
+        """Report a pool that has targets; the leader assigns it a scheduler."""
+        self._wanted_pools.add(pool)
+
+    def tick(self, now_ms: Millis, active: int, is_leaving: bool) -> list[Effect]:
+        """Send a heartbeat when one is due."""
+        if now_ms < self._heartbeat_due_ms:
+            return []
+        if self._unanswered >= 2:
+            self.forget_leader()
+        return self._send_heartbeat(now_ms, active, is_leaving)
+
+    def forget_leader(self) -> None:
+        """Try the next voter."""
+        self._leader = ""
+        self._voter_turn += 1
+        self._unanswered = 0
+
+    def on_not_leader(self, message: NotLeader) -> None:
+        """Follow a hint to the leader, or try the next voter."""
+        if message.leader in self._settings.voters:
+            self._leader = message.leader
+            self._heartbeat_due_ms = float("-inf")
+        else:
+            self.forget_leader()
+
+    def on_heartbeat_ack(self, sender: str, ack: HeartbeatAck, now_ms: Millis) -> list[Effect]:
+        """Take the lease, if the view is as new as the leader's was."""
+        self._leader = sender
+        self._unanswered = 0
+        self._nodes = {load.address.node: load for load in ack.nodes}
+        if self._view.revision < ack.revision:
+            return []
+        had_lease = self.has_lease(now_ms)
+        drift_ms = self._settings.control.clock_drift_ms
+        until_ms = ack.sent_ms + ack.lease_ms - drift_ms
+        self._lease_until_ms = max(self._lease_until_ms, until_ms)
+        if had_lease or not self.has_lease(now_ms):
+            return []
+        return [Record("lease_gained", {"revision": self._view.revision})]
+
+    def on_view_delta(self, sender: str, delta: ViewDelta) -> list[Effect]:
+        """Apply updates that follow the own view."""
+        if delta.base_revision > self._view.revision:
+            return []
+        before = self._view.revision
+        for update in delta.updates:
+            self._view.apply(update)
+        return self._acknowledge(sender, before)
+
+    def on_view_snapshot(self, sender: str, snapshot: ViewSnapshot) -> list[Effect]:
+        """Replace the view by a newer one."""
+        view = ClusterView.from_plain(snapshot.view)
+        before = self._view.revision
+        if view.revision > before:
+            self._view = view
+        return self._acknowledge(sender, before)
+
+    def _acknowledge(self, sender: str, before: int) -> list[Effect]:
+        revision = self._view.revision
+        effects: list[Effect] = [Send(sender, ViewAck(revision))]
+        if revision > before:
+            effects.append(Record("revision", {"revision": revision}))
+        return effects
+
+    def _send_heartbeat(self, now_ms: Millis, active: int, is_leaving: bool) -> list[Effect]:
+        self._heartbeat_due_ms = now_ms + self._settings.control.heartbeat_interval_ms
+        self._unanswered += 1
+        heartbeat = Heartbeat(
+            NodeLoad(self._settings.address, active, is_leaving),
+            self._settings.incarnation,
+            self._view.revision,
+            sorted(pool for pool in self._wanted_pools if pool not in self._view.assignments),
+            now_ms,
+        )
+        return [Send(self.leader, heartbeat)]
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Declared state: teams and their subtrees, validation and comparison."""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/declarations/loader.py
@@ -0,0 +1,58 @@
+"""Loading and validation of declarations."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from marigoldarch.declarations.model import TeamDeclaration
+from marigoldarch.exceptions import DeclarationError
+
+_NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$")
+_SHA256 = re.compile(r"^[0-9a-f]{64}$")
+
+
+def parse_toml(text: str) -> Result[TeamDeclaration, DeclarationError]:
+    """Parse the TOML text of one team's declaration."""
+    try:
+        plain = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Error(DeclarationError(f"not valid TOML: {error}"))
+    return from_plain(plain)
+
+
+def from_plain(plain: Any) -> Result[TeamDeclaration, DeclarationError]:
+    """Validate plain types as one team's declaration."""
+    try:
+        declaration = msgspec.convert(plain, TeamDeclaration)
+    except msgspec.ValidationError as error:
+        return Error(DeclarationError(str(error)))
+    problem = _find_problem(declaration)
+    return Error(DeclarationError(problem)) if problem else Ok(declaration)
+
+
+def to_plain(declaration: TeamDeclaration) -> dict[str, Any]:
+    """Return the declaration as plain JSON types."""
+    return msgspec.to_builtins(declaration)
+
+
+def _find_problem(declaration: TeamDeclaration) -> str:
+    names = [declaration.team, *declaration.models, *declaration.kinds]
+    names += [*declaration.customers, *declaration.services]
+    for name in names:
+        if not _NAME.match(name):
+            return f"name {name!r} must be 1 to 64 of a-z, 0-9, '.', '_' and '-'"
+    for name, customer in declaration.customers.items():
+        if not all(_SHA256.match(digest) for digest in customer.key_sha256):
+            return f"customers.{name}.key_sha256 must hold lower-case SHA-256 digests"
+        unknown = set(customer.kinds) - set(declaration.kinds)
+        if unknown:
+            return f"customers.{name}.kinds names undeclared kinds: {sorted(unknown)}"
+    for name, kind in declaration.kinds.items():
+        if kind.deadline_ms <= 0 or kind.max_prompt_tokens <= 0:
+            return f"kinds.{name}: deadline_ms and max_prompt_tokens must be positive"
+    return ""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/effects.py
@@ -0,0 +1,132 @@
+"""Effects: what the shell has to do, as data."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from marigoldarch.clock import Millis
+from marigoldarch.control.commands import Entry
+from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
+from marigoldarch.messages import Message
+from marigoldarch.outcomes import Outcome
+
+
+@dataclass(frozen=True)
+class Send:
+    """Send a message to a node, but not before persist `after` is synced (0: at once)."""
+
+    node: str
+    message: Message
+    after: int = 0
+
+
+class VoteRecord(NamedTuple):
+    """The term a replica is in and whom it voted for."""
+
+    term: int
+    voted_for: str
+
+
+class TruncateRecord(NamedTuple):
+    """Remove all log entries from `index` on."""
+
+    index: int
+
+
+LogRecord = VoteRecord | TruncateRecord | Entry
+
+
+@dataclass(frozen=True)
+class Persist:
+    """Append records to the log and sync them; answered by `Persisted`."""
+
+    persist_id: int
+    records: tuple[LogRecord, ...]
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Give the caller of a request its final outcome."""
+
+    request_id: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True)
+class CallTarget:
+    """Run one attempt of a request on its targets until `deadline_ms` of this node's clock.
+
+    The stream starts at token `offset`. `priority` 0 goes first.
+    """
+
+    request_id: str
+    attempt: int
+    permit: PermitId
+    targets: tuple[TargetAddress, ...]
+    deadline_ms: Millis
+    priority: int
+    offset: int = 0
+
+
+@dataclass(frozen=True)
+class CancelCall:
+    """Stop an attempt's target call."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True)
+class ReleaseMemory:
+    """Tell a target to cancel a permit's stream and delete its exported KV; idempotent."""
+
+    pool: PoolId
+    target: TargetAddress
+    permit: PermitId
+
+
+@dataclass(frozen=True)
+class OrderTarget:
+    """Send a target an order that carries the pool's fencing number."""
+
+    pool: PoolId
+    target: TargetAddress
+    order_id: str
+    fence: int
+    order: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class OperatorReply:
+    """Answer an operator's request with plain data."""
+
+    request_id: str
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class Record:
+    """Add an event to the time line; `fields` holds identifiers and counts, never payload."""
+
+    kind: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Exit:
+    """Stop the process: the graceful stop is complete."""
+
+
+Effect = (
+    Send
+    | Persist
+    | Reply
+    | CallTarget
+    | CancelCall
+    | ReleaseMemory
+    | OrderTarget
+    | OperatorReply
+    | Record
+    | Exit
+)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry of requests: admission, attempts, deadlines and the directory."""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/events.py
@@ -0,0 +1,188 @@
+"""Events: everything that can change a node's state, each with the instant it happened."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from marigoldarch.clock import Millis
+from marigoldarch.identifiers import PermitId, PoolId
+from marigoldarch.messages import Message
+from marigoldarch.targets import Announcement
+
+
+@dataclass(frozen=True)
+class Started:
+    """The node starts with what its disk held."""
+
+    at_ms: Millis
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Time has passed."""
+
+    at_ms: Millis
+
+
+@dataclass(frozen=True)
+class MessageArrived:
+    """A message of another node, or of this node to itself, has arrived."""
+
+    at_ms: Millis
+    sender: str
+    message: Message
+
+
+@dataclass(frozen=True)
+class Persisted:
+    """Everything up to and including the `Persist` effect `persist_id` is synced."""
+
+    at_ms: Millis
+    persist_id: int
+
+
+class CallInfo(NamedTuple):
+    """A caller's request without its payload.
+
+    `service` and `method` are set for a plain service call, `model` for a prompt. `deadline_ms` is
+    the caller's own time limit in milliseconds, None for the default of its kind of work.
+    """
+
+    request_id: str
+    customer_key_sha256: str
+    kind: str
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+    service: str = ""
+    method: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    deadline_ms: Millis | None = None
+    prefix: tuple[str, ...] = ()
+    idempotency_key: str = ""
+    body_sha256: str = ""
+    wall_ms: int = 0
+
+
+@dataclass(frozen=True)
+class CallArrived:
+    """A caller's request has arrived and was parsed."""
+
+    at_ms: Millis
+    call: CallInfo
+
+
+@dataclass(frozen=True)
+class CallerGone:
+    """The caller closed its connection before the final frame."""
+
+    at_ms: Millis
+    request_id: str
+
+
+@dataclass(frozen=True)
+class FirstToken:
+    """The first frame of an attempt was relayed to the caller."""
+
+    at_ms: Millis
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True)
+class TargetAnswered:
+    """An attempt ended with the target's end marker and consecutive offsets."""
+
+    at_ms: Millis
+    request_id: str
+    attempt: int
+    output_tokens: int
+    body: str = ""
+
+
+@dataclass(frozen=True)
+class TargetFailed:
+    """An attempt failed; `is_unsent` holds only if no byte has reached the target.
+
+    `relayed_tokens` is the offset up to which the caller has received the answer.
+    """
+
+    at_ms: Millis
+    request_id: str
+    attempt: int
+    target: str
+    is_unsent: bool
+    relayed_tokens: int
+
+
+@dataclass(frozen=True)
+class TargetAnnounced:
+    """A target announced or renewed itself at this node."""
+
+    at_ms: Millis
+    announcement: Announcement
+
+
+@dataclass(frozen=True)
+class CacheEventsArrived:
+    """A target published prefix-cache events at this node."""
+
+    at_ms: Millis
+    pool: PoolId
+    target: str
+    sequence: int
+    stored: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class TargetCommandEnded:
+    """A cancel, delete or order sent to a target was confirmed or has failed."""
+
+    at_ms: Millis
+    pool: PoolId
+    target: str
+    command_id: str
+    is_confirmed: bool
+    permit: PermitId | None = None
+
+
+@dataclass(frozen=True)
+class DeclareRequested:
+    """An operator asks to replace a team's subtree."""
+
+    at_ms: Millis
+    request_id: str
+    change_id: str
+    operator: str
+    team: str
+    base_revision: int
+    declaration: dict[str, Any]
+    timeout_ms: Millis
+
+
+@dataclass(frozen=True)
+class DrainRequested:
+    """The node is to stop gracefully."""
+
+    at_ms: Millis
+
+
+Event = (
+    Started
+    | Tick
+    | MessageArrived
+    | Persisted
+    | CallArrived
+    | CallerGone
+    | FirstToken
+    | TargetAnswered
+    | TargetFailed
+    | TargetAnnounced
+    | CacheEventsArrived
+    | TargetCommandEnded
+    | DeclareRequested
+    | DrainRequested
+)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -0,0 +1,312 @@
+"""Messages between nodes.
+
+A message carries no monotonic instants of its sender that the receiver interprets: durations travel
+instead, and `sent_ms` fields are only echoed back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from marigoldarch.clock import Millis
+from marigoldarch.codec import Codec
+from marigoldarch.control.commands import Entry
+from marigoldarch.identifiers import NodeAddress, PermitId, PoolId, TargetAddress
+
+
+@dataclass(frozen=True)
+class VoteRequest:
+    """Ask for a vote, or with `is_probe` only whether one would be given."""
+
+    term: int
+    last_index: int
+    last_term: int
+    is_probe: bool
+
+
+@dataclass(frozen=True)
+class VoteReply:
+    """Answer a vote request."""
+
+    term: int
+    is_granted: bool
+    is_probe: bool
+
+
+@dataclass(frozen=True)
+class AppendRequest:
+    """Replicate entries after (`previous_index`, `previous_term`)."""
+
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: list[Entry]
+    commit: int
+    sent_ms: Millis
+
+
+@dataclass(frozen=True)
+class AppendReply:
+    """Report the highest index known to match, or on refusal a hint where to go back to."""
+
+    term: int
+    is_success: bool
+    match_index: int
+    sent_ms: Millis
+
+
+@dataclass(frozen=True)
+class Propose:
+    """Ask the leader to commit a command; resent until answered."""
+
+    proposal_id: str
+    command: list[Any]
+
+
+@dataclass(frozen=True)
+class ProposeReply:
+    """The result of a committed command."""
+
+    proposal_id: str
+    result: list[Any]
+
+
+@dataclass(frozen=True)
+class NotLeader:
+    """The receiver of a proposal or heartbeat does not lead."""
+
+    leader: str
+    proposal_id: str = ""
+
+
+class ViewUpdate(NamedTuple):
+    """One change of the cluster view; `revision` is the log index that made it."""
+
+    revision: int
+    command: list[Any]
+
+
+class NodeLoad(NamedTuple):
+    """A node as the directory sees it; `active` counts requests in progress."""
+
+    address: NodeAddress
+    active: int
+    is_leaving: bool
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """Renew a node's session and configuration lease, and report all that is periodic."""
+
+    load: NodeLoad
+    incarnation: str
+    revision: int
+    wanted_pools: list[PoolId]
+    sent_ms: Millis
+
+
+@dataclass(frozen=True)
+class HeartbeatAck:
+    """Grant a lease of `lease_ms` from the heartbeat's `sent_ms` on."""
+
+    sent_ms: Millis
+    lease_ms: Millis
+    revision: int
+    nodes: list[NodeLoad]
+
+
+@dataclass(frozen=True)
+class ViewDelta:
+    """Bring a node's view from `base_revision` forward."""
+
+    base_revision: int
+    updates: list[ViewUpdate]
+
+
+@dataclass(frozen=True)
+class ViewSnapshot:
+    """Replace a node's view that is too far behind for a delta."""
+
+    view: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class ViewAck:
+    """Acknowledge that the node acts on `revision`."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class AwaitInForce:
+    """Ask the leader to tell when `revision` is in force; resent until answered."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class InForce:
+    """Every node acts on `revision` or has lost its lease."""
+
+    revision: int
+
+
+class WorkItem(NamedTuple):
+    """What a scheduler needs to know of a request; token counts, and time left in milliseconds."""
+
+    request_id: str
+    attempt: int
+    customer: str
+    team: str
+    kind: str
+    rank: int
+    weight: float
+    prompt_tokens: int
+    output_tokens: int
+    time_left_ms: Millis
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+    prefix: tuple[str, ...] = ()
+    avoid: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class PermitRequest:
+    """Ask the pool's scheduler for targets to run one attempt; resent until answered."""
+
+    pool: PoolId
+    item: WorkItem
+
+
+@dataclass(frozen=True)
+class PermitGranted:
+    """Allow one attempt on `targets`; more than one target is a gang whose first streams."""
+
+    pool: PoolId
+    request_id: str
+    attempt: int
+    permit: PermitId
+    targets: list[TargetAddress]
+
+
+@dataclass(frozen=True)
+class PermitRefused:
+    """Refuse an attempt, with the time to come back."""
+
+    pool: PoolId
+    request_id: str
+    attempt: int
+    reason: str
+    retry_after_ms: Millis
+
+
+@dataclass(frozen=True)
+class PermitWithdrawn:
+    """Take a granted permit back; the attempt is cancelled and queued again by its entry."""
+
+    pool: PoolId
+    request_id: str
+    attempt: int
+    permit: PermitId
+
+
+@dataclass(frozen=True)
+class PermitReleased:
+    """End a permit, or withdraw a request that still waits (`permit` is None)."""
+
+    pool: PoolId
+    request_id: str
+    attempt: int
+    permit: PermitId | None
+    is_target_failure: bool = False
+
+
+class HeldPermit(NamedTuple):
+    """A permit that an entry still uses."""
+
+    permit: PermitId
+    item: WorkItem
+    targets: list[TargetAddress]
+
+
+@dataclass(frozen=True)
+class PermitsHeld:
+    """List all live permits of one entry in one pool: a renewal, or recovery of a new scheduler."""
+
+    pool: PoolId
+    epoch: int
+    held: list[HeldPermit]
+
+
+@dataclass(frozen=True)
+class TargetReport:
+    """A target's announcement, forwarded to its pool's scheduler."""
+
+    pool: PoolId
+    announcement: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class CacheReport:
+    """Prefix-cache events of a target, forwarded to its pool's scheduler."""
+
+    pool: PoolId
+    target: str
+    sequence: int
+    stored: list[str] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+
+
+MESSAGE_CLASSES = (
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    Propose,
+    ProposeReply,
+    NotLeader,
+    Heartbeat,
+    HeartbeatAck,
+    ViewDelta,
+    ViewSnapshot,
+    ViewAck,
+    AwaitInForce,
+    InForce,
+    PermitRequest,
+    PermitGranted,
+    PermitRefused,
+    PermitWithdrawn,
+    PermitReleased,
+    PermitsHeld,
+    TargetReport,
+    CacheReport,
+)
+
+MESSAGES = Codec(MESSAGE_CLASSES)
+
+Message = (
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | Propose
+    | ProposeReply
+    | NotLeader
+    | Heartbeat
+    | HeartbeatAck
+    | ViewDelta
+    | ViewSnapshot
+    | ViewAck
+    | AwaitInForce
+    | InForce
+    | PermitRequest
+    | PermitGranted
+    | PermitRefused
+    | PermitWithdrawn
+    | PermitReleased
+    | PermitsHeld
+    | TargetReport
+    | CacheReport
+)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/outcomes.py
@@ -0,0 +1,82 @@
+"""The final outcomes of a request: answered, not run, failed or unknown.
+
+`NotRun` may be built only where no byte of the request has reached a target, or where a quorum
+record proves that it was not run. Every other negative outcome is `Failed` or `OutcomeUnknown`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from marigoldarch.clock import Millis
+
+
+class RefusalReason(StrEnum):
+    """Why a request was refused without being run."""
+
+    NO_LEASE = "no_lease"
+    NO_SCHEDULER = "no_scheduler"
+    NO_TARGET = "no_target"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline_cannot_be_met"
+    LIMIT = "limit_exceeded"
+    DRAINING = "draining"
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_METHOD = "unknown_method"
+    FORBIDDEN_KIND = "forbidden_kind"
+    PROMPT_TOO_LONG = "prompt_too_long"
+    INVALID_REQUEST = "invalid_request"
+    IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    TARGET_UNREACHABLE = "target_unreachable"
+    LEDGER_UNAVAILABLE = "ledger_unavailable"
+
+
+class FailureReason(StrEnum):
+    """Why a request that may have been run has no complete answer."""
+
+    DEADLINE = "deadline_passed"
+    TARGET_FAILED = "target_failed"
+    STREAM_CUT = "stream_cut"
+    CALLER_GONE = "caller_gone"
+    RUNNING_ELSEWHERE = "running_elsewhere"
+    NOT_RECORDED = "outcome_not_recorded"
+    STOPPED = "node_stopped"
+
+
+@dataclass(frozen=True)
+class Answered:
+    """The whole answer was delivered; `body` holds the answer of a plain service call."""
+
+    body: str = ""
+    output_tokens: int = 0
+    replayed: bool = False
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """The request was not run and may be sent again after `retry_after_ms`."""
+
+    reason: RefusalReason
+    retry_after_ms: Millis = 0.0
+
+
+@dataclass(frozen=True)
+class Failed:
+    """The request was run, at least in part, and its answer is not complete."""
+
+    reason: FailureReason
+    retry_after_ms: Millis = 0.0
+
+
+@dataclass(frozen=True)
+class OutcomeUnknown:
+    """The request may have been run; it must not be sent again under another key."""
+
+    reason: FailureReason
+
+
+Outcome = Answered | NotRun | Failed | OutcomeUnknown
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Pool scheduling: targets, permits, queues and placement."""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/pools/reducer.py
@@ -0,0 +1,125 @@
+"""The reducer of the pools part: announcements to forward, and the schedulers held here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+from expression import Result
+
+from marigoldarch.control.member import Member
+from marigoldarch.effects import Effect, Record, Send
+from marigoldarch.events import (
+    CacheEventsArrived,
+    Event,
+    MessageArrived,
+    TargetAnnounced,
+    Tick,
+)
+from marigoldarch.identifiers import PoolId
+from marigoldarch.messages import (
+    CacheReport,
+    PermitReleased,
+    PermitRequest,
+    PermitsHeld,
+    TargetReport,
+)
+from marigoldarch.pools.scheduler import RECOVERY_MS, PoolScheduler
+from marigoldarch.targets import parse_announcement
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.settings import CoreSettings
+
+
+@dataclass
+class PoolsState:
+    """The schedulers that this node holds, by pool."""
+
+    settings: CoreSettings
+    schedulers: dict[PoolId, PoolScheduler] = field(default_factory=dict)
+
+
+def reduce_pools(state: PoolsState, event: Event, member: Member) -> list[Effect]:
+    """Reduce one event; a scheduler acts only while this node holds its pool."""
+    match event:
+        case Tick(at_ms=now_ms):
+            return _on_tick(state, member, now_ms)
+        case TargetAnnounced(announcement=announcement):
+            return _forward(member, TargetReport(announcement.pool, _plain(announcement)))
+        case CacheEventsArrived() as published:
+            report = CacheReport(
+                published.pool,
+                published.target,
+                published.sequence,
+                list(published.stored),
+                list(published.removed),
+            )
+            return _forward(member, report)
+        case MessageArrived(at_ms=now_ms, sender=sender):
+            return _on_message(state, event, sender, member, now_ms)
+    return []
+
+
+def _plain(announcement: object) -> dict:
+    return msgspec.to_builtins(announcement)
+
+
+def _forward(member: Member, report: TargetReport | CacheReport) -> list[Effect]:
+    assignment = member.view.assignments.get(report.pool)
+    if assignment is None:
+        member.want_pool(report.pool)
+        return []
+    return [Send(assignment.node, report)]
+
+
+def _on_message(
+    state: PoolsState, event: MessageArrived, sender: str, member: Member, now_ms: Millis
+) -> list[Effect]:
+    match event.message:
+        case TargetReport() | PermitRequest() | PermitReleased() | PermitsHeld() as message:
+            scheduler = _find_scheduler(state, PoolId(*message.pool), member, now_ms)
+        case _:
+            return []
+    if scheduler is None:
+        return []
+    match message:
+        case TargetReport(announcement=plain):
+            match parse_announcement(plain):
+                case Result(tag="ok", ok=announcement):
+                    return scheduler.report_target(announcement, now_ms)
+                case _:
+                    return []
+        case PermitRequest():
+            return scheduler.request(sender, message, now_ms)
+        case PermitReleased():
+            return scheduler.release(message, now_ms)
+        case PermitsHeld():
+            return scheduler.hold(sender, message, now_ms)
+    return []
+
+
+def _find_scheduler(
+    state: PoolsState, pool: PoolId, member: Member, now_ms: Millis
+) -> PoolScheduler | None:
+    if not member.holds_pool(pool, now_ms):
+        return None
+    fence = member.view.assignments[pool].fence
+    scheduler = state.schedulers.get(pool)
+    if scheduler is None or scheduler.fence != fence:
+        scheduler = PoolScheduler(pool, fence, state.settings.pools, now_ms + RECOVERY_MS)
+        state.schedulers[pool] = scheduler
+    return scheduler
+
+
+def _on_tick(state: PoolsState, member: Member, now_ms: Millis) -> list[Effect]:
+    effects: list[Effect] = []
+    for pool, scheduler in list(state.schedulers.items()):
+        assignment = member.view.assignments.get(pool)
+        if assignment is None or assignment.fence != scheduler.fence:
+            del state.schedulers[pool]
+            effects.append(Record("scheduler_closed", {"pool": str(pool)}))
+        elif member.holds_pool(pool, now_ms):
+            effects += scheduler.tick(now_ms)
+    return effects
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -0,0 +1,68 @@
+"""Settings of the core, passed whole to each part."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from marigoldarch.clock import Millis
+from marigoldarch.identifiers import NodeAddress
+
+
+@dataclass(frozen=True)
+class ControlSettings:
+    """Timing of the replicated log, sessions and leases, in milliseconds."""
+
+    append_interval_ms: Millis = 150.0
+    election_timeout_min_ms: Millis = 600.0
+    election_timeout_max_ms: Millis = 1200.0
+    session_lease_ms: Millis = 2000.0
+    heartbeat_interval_ms: Millis = 500.0
+    clock_drift_ms: Millis = 50.0
+    proposal_retry_ms: Millis = 300.0
+    append_batch_entries: int = 256
+    view_history_entries: int = 1024
+
+
+@dataclass(frozen=True)
+class EntrySettings:
+    """Defaults and bounds of the entry role."""
+
+    default_deadline_ms: Millis = 60_000.0
+    max_deadline_ms: Millis = 36 * 3_600_000.0
+    permit_retry_ms: Millis = 400.0
+    directory_ttl_ms: Millis = 2000.0
+    default_output_tokens: int = 256
+
+
+@dataclass(frozen=True)
+class PoolSettings:
+    """Bounds of a pool scheduler."""
+
+    queue_limit: int = 10_000
+    target_ttl_ms: Millis = 3000.0
+    holdings_interval_ms: Millis = 1000.0
+    prefill_tokens_per_s: float = 20_000.0
+
+
+@dataclass(frozen=True)
+class CoreSettings:
+    """Everything the core needs to know about its node and its peers."""
+
+    address: NodeAddress
+    voters: tuple[str, ...]
+    peers: tuple[NodeAddress, ...]
+    incarnation: str
+    seed: int = 0
+    control: ControlSettings = field(default_factory=ControlSettings)
+    entry: EntrySettings = field(default_factory=EntrySettings)
+    pools: PoolSettings = field(default_factory=PoolSettings)
+
+    @property
+    def node(self) -> str:
+        """Return the name of this node."""
+        return self.address.node
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this node holds a replica of the log."""
+        return self.node in self.voters
