Begin stateful fuzzing: the log, declarations and the ledger

Cause: the promises were shown by a few scripted tests only. Change: the in-memory cluster gains sync delays, torn writes, drops, duplicates, one-way cuts, pauses and clock drift; three Hypothesis machines with oracles of their own drive it.

--- a/packages/marigoldarch/marigoldarch/tests/cluster.py
+++ b/packages/marigoldarch/marigoldarch/tests/cluster.py
@@ -1,62 +1,30 @@
-"""An in-memory network of real reducers, for tests and fuzzing."""
+"""An in-memory cluster of real reducers, for tests and fuzzing."""
 
 from __future__ import annotations
 
 import random
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from marigoldarch.clock import ManualClock, Millis
 from marigoldarch.codec import decode_json, encode_json
-from marigoldarch.control.commands import Entry
-from marigoldarch.control.log import Log
-from marigoldarch.control.replica import DurableState
-from marigoldarch.effects import (
-    Effect,
-    LogRecord,
-    Persist,
-    Send,
-    TruncateRecord,
-    VoteRecord,
-)
+from marigoldarch.effects import Effect, Persist, Send
 from marigoldarch.events import Event, MessageArrived, Persisted, Started, Tick
 from marigoldarch.identifiers import NodeAddress
-from marigoldarch.messages import MESSAGES
+from marigoldarch.messages import MESSAGES, Message
 from marigoldarch.reducer import NodeState, reduce
 from marigoldarch.settings import CoreSettings
+from marigoldarch.tests.disk import Disk
+from marigoldarch.tests.network import Delivery, Network
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-class Delivery(NamedTuple):
-    """A message in flight."""
 
-    due_ms: Millis
-    serial: int
-    sender: str
-    receiver: str
-    data: bytes
+class ClientMessage(NamedTuple):
+    """A message that a node sent to a client of the test."""
 
-
-class Disk:
-    """The synced records of one node."""
-
-    def __init__(self) -> None:
-        self.records: list[LogRecord] = []
-
-    def read(self) -> DurableState:
-        """Return the state that the records describe."""
-        state = DurableState()
-        entries: list[Entry] = []
-        for record in self.records:
-            match record:
-                case VoteRecord():
-                    state.term, state.voted_for = record.term, record.voted_for
-                case TruncateRecord(index=index):
-                    entries = [entry for entry in entries if entry.index < index]
-                case Entry():
-                    entries.append(record)
-        state.log = Log()
-        for entry in entries:
-            state.log.append(entry)
-        return state
+    node: str
+    message: Message
 
 
 class MemoryNode:
@@ -69,53 +37,101 @@
         self.effects: list[Effect] = []
         self.held: list[Send] = []
         self.synced_id = 0
+        self.is_paused = False
+        self.inbox: list[Delivery] = []
 
 
 class MemoryCluster:
-    """Nodes, a network with seeded delays, and cuts between nodes."""
+    """Nodes, their disks and clocks, and the network between them.
+
+    `sync_delay_ms` bounds how long a write takes to become durable; at 0 it does at once.
+    `clients` are names that messages may be sent to besides nodes; see `client_messages`.
+    `observers` are called with (node, effect) for every effect that is not for network or disk.
+    """
 
     def __init__(self, nodes: int = 3, voters: int = 3, seed: int = 0) -> None:
         self.clock = ManualClock(1000.0)
         self.random = random.Random(seed)
-        self.cuts: set[tuple[str, str]] = set()
-        self.flying: list[Delivery] = []
+        self.network = Network(self.random)
+        self.sync_delay_ms = 0.0
         self.disks: dict[str, Disk] = {}
         self.nodes: dict[str, MemoryNode] = {}
-        self._serial = 0
-        names = [f"n{number}" for number in range(1, nodes + 1)]
+        self.clock_rates: dict[str, float] = {}
+        self.clients: set[str] = {"client"}
+        self.client_messages: list[ClientMessage] = []
+        self.observers: list[Callable[[str, Effect], None]] = []
+        self._starts = 0
+        self.names = tuple(f"n{number}" for number in range(1, nodes + 1))
         self._addresses = tuple(
             NodeAddress(name, f"dc{number % 3 + 1}", f"{name}:80", f"{name}:90")
-            for number, name in enumerate(names)
+            for number, name in enumerate(self.names)
         )
-        self._voters = tuple(names[:voters])
-        for name in names:
+        self.voters = self.names[:voters]
+        for name in self.names:
             self.disks[name] = Disk()
             self.start(name)
 
     @property
     def now_ms(self) -> Millis:
-        """Return the current instant."""
+        """Return the current instant of the cluster, which nodes without drift share."""
         return self.clock.monotonic_ms()
 
+    @property
+    def cuts(self) -> set[tuple[str, str]]:
+        """Return the ways that are cut, each as (sender, receiver)."""
+        return self.network.cuts
+
+    @property
+    def running(self) -> list[str]:
+        """Return the nodes that are up and not paused."""
+        return [name for name, node in self.nodes.items() if not node.is_paused]
+
+    def local_ms(self, name: str) -> Millis:
+        """Return the current instant on a node's own clock."""
+        return self.now_ms * self.clock_rates.get(name, 1.0)
+
     def start(self, name: str) -> MemoryNode:
         """Start a node, or start it again with what its disk had synced."""
-        self._serial += 1
+        self._starts += 1
         address = next(address for address in self._addresses if address.node == name)
         settings = CoreSettings(
-            address, self._voters, self._addresses, f"run{self._serial}", self._serial
+            address, self.voters, self._addresses, f"run{self._starts}", self._starts
         )
         node = MemoryNode(settings, self.disks[name])
         self.nodes[name] = node
-        self.submit(name, Started(self.now_ms))
+        self.submit(name, Started(self.local_ms(name)))
         return node
 
-    def kill(self, name: str) -> None:
-        """Stop a node at once."""
+    def kill(self, name: str, kept_records: int = 0) -> None:
+        """Stop a node at once; all but `kept_records` of its unsynced records are lost."""
         del self.nodes[name]
+        self.disks[name].crash(kept_records)
+
+    def pause(self, name: str) -> None:
+        """Let a node's process not run, while its clock does."""
+        self.nodes[name].is_paused = True
+
+    def resume(self, name: str) -> None:
+        """Let a paused process run on: what has arrived meanwhile comes before its next tick."""
+        node = self.nodes[name]
+        node.is_paused = False
+        waiting, node.inbox = node.inbox, []
+        for item in waiting:
+            self._deliver(item)
 
     def cut(self, name: str, other: str) -> None:
         """Drop all messages between two nodes."""
-        self.cuts |= {(name, other), (other, name)}
+        self.cuts.update({(name, other), (other, name)})
+
+    def cut_one_way(self, sender: str, receiver: str) -> None:
+        """Drop all messages from `sender` to `receiver`."""
+        self.cuts.add((sender, receiver))
+
+    def isolate(self, name: str) -> None:
+        """Cut a node off from all others."""
+        for other in self.names:
+            if other != name:
+                self.cut(name, other)
 
     def heal(self) -> None:
         """End all cuts."""
@@ -132,55 +148,92 @@
                 case Send():
                     self._send(name, effect)
                 case Persist():
-                    node.disk.records.extend(effect.records)
-                    collected += self._sync(name, effect.persist_id)
+                    collected += self._persist(name, effect)
                 case _:
                     collected.append(effect)
+                    self._observe(name, effect)
         node.effects += collected
         return collected
 
+    def send_from_client(self, node: str, message: Message, client: str = "client") -> None:
+        """Send a message of a client to a node over the network."""
+        self.network.send(client, node, encode_json(MESSAGES.to_plain(message)), self.now_ms)
+
     def run(self, duration_ms: Millis, step_ms: Millis = 10.0) -> None:
-        """Advance time, delivering messages and ticking every node."""
+        """Advance time, delivering messages, syncing disks and ticking every node."""
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
-            self.clock.advance(step_ms)
-            self.deliver_due()
-            for name in list(self.nodes):
-                self.submit(name, Tick(self.now_ms))
+            self.step(step_ms)
+
+    def step(self, step_ms: Millis = 10.0) -> None:
+        """Advance time by one step."""
+        self.clock.advance(step_ms)
+        self.deliver_due()
+        self.sync_due()
+        for name in self.running:
+            self.submit(name, Tick(self.local_ms(name)))
 
     def deliver_due(self) -> None:
         """Deliver every message that is due."""
-        due = sorted(item for item in self.flying if item.due_ms <= self.now_ms)
-        self.flying = [item for item in self.flying if item.due_ms > self.now_ms]
-        for item in due:
+        for item in self.network.take_due(self.now_ms):
             self._deliver(item)
 
+    def sync_due(self) -> None:
+        """Complete the writes that are due and tell their nodes."""
+        for name in self.running:
+            persist_id = self.disks[name].sync_due(self.now_ms)
+            if persist_id is not None:
+                self._on_synced(name, persist_id)
+
     def leader(self) -> str | None:
         """Return the node that leads with a valid lease, if there is one."""
-        for name, node in self.nodes.items():
-            replica = node.state.control.replica
-            if replica and replica.has_leader_lease(self.now_ms):
-                return name
-        return None
+        return next(iter(self.leaders()), None)
+
+    def leaders(self) -> list[str]:
+        """Return the running nodes that lead with a valid lease."""
+        found = []
+        for name in self.running:
+            replica = self.nodes[name].state.control.replica
+            if replica and replica.has_leader_lease(self.local_ms(name)):
+                found.append(name)
+        return found
+
+    def _observe(self, name: str, effect: Effect) -> None:
+        for observer in self.observers:
+            observer(name, effect)
 
     def _send(self, name: str, effect: Send) -> None:
-        self._serial += 1
         data = encode_json(MESSAGES.to_plain(effect.message))
-        due_ms = self.now_ms + self.random.uniform(0.2, 3.0)
-        self.flying.append(Delivery(due_ms, self._serial, name, effect.node, data))
-
-    def _sync(self, name: str, persist_id: int) -> list[Effect]:
+        self.network.send(name, effect.node, data, self.now_ms)
+
+    def _persist(self, name: str, effect: Persist) -> list[Effect]:
+        disk = self.nodes[name].disk
+        if self.sync_delay_ms > 0:
+            disk.write(effect, self.now_ms + self.random.uniform(0.0, self.sync_delay_ms))
+            return []
+        disk.write(effect, self.now_ms)
+        persist_id = disk.sync_due(self.now_ms)
+        return [] if persist_id is None else self._on_synced(name, persist_id)
+
+    def _on_synced(self, name: str, persist_id: int) -> list[Effect]:
         node = self.nodes[name]
-        node.synced_id = persist_id
-        ready = [send for send in node.held if send.after <= persist_id]
-        node.held = [send for send in node.held if send.after > persist_id]
+        node.synced_id = max(node.synced_id, persist_id)
+        ready = [send for send in node.held if send.after <= node.synced_id]
+        node.held = [send for send in node.held if send.after > node.synced_id]
         for send in ready:
             self._send(name, send)
-        return self.submit(name, Persisted(self.now_ms, persist_id))
+        return self.submit(name, Persisted(self.local_ms(name), persist_id))
 
     def _deliver(self, item: Delivery) -> None:
-        is_cut = (item.sender, item.receiver) in self.cuts
-        if is_cut or item.receiver not in self.nodes:
-            return
         message = MESSAGES.from_plain(decode_json(item.data))
-        self.submit(item.receiver, MessageArrived(self.now_ms, item.sender, message))
+        if item.receiver in self.clients:
+            self.client_messages.append(ClientMessage(item.sender, message))
+            return
+        node = self.nodes.get(item.receiver)
+        if node is None:
+            return
+        if node.is_paused:
+            node.inbox.append(item)
+            return
+        event = MessageArrived(self.local_ms(item.receiver), item.sender, message)
+        self.submit(item.receiver, event)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of real reducers against simple oracles."""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/log_tests.py
@@ -0,0 +1,77 @@
+"""Fuzzing of the replicated log, and of what it promises across crashes and cuts."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis.stateful import rule, run_state_machine_as_test
+
+from marigoldarch.control.commands import COMMANDS, RESULTS, Declare, Declared
+from marigoldarch.messages import Propose, ProposeReply
+from marigoldarch.tests.fuzz.log_oracle import LogOracle
+from marigoldarch.tests.fuzz.machine import CI_SETTINGS, NUMBERS, STATISTICS, ClusterMachine
+
+
+class LogMachine(ClusterMachine):
+    """Clients propose changes to any replica; what is acknowledged must stay."""
+
+    def prepare(self) -> None:
+        """Begin without facts."""
+        self.oracle = LogOracle()
+        self.proposed = 0
+
+    @rule(number=NUMBERS)
+    def propose(self, number: int) -> None:
+        """Send a new change to a node."""
+        self.proposed += 1
+        self._send(self.proposed, self.name_of(number))
+
+    @rule()
+    def propose_to_leader(self) -> None:
+        """Send a new change to the leader."""
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.proposed += 1
+            self._send(self.proposed, leader)
+
+    @rule(which=NUMBERS, number=NUMBERS)
+    def resend(self, which: int, number: int) -> None:
+        """Send one of the last changes again."""
+        if self.proposed:
+            self._send(max(1, self.proposed - which), self.name_of(number))
+
+    def check(self) -> None:
+        """Take new answers, then check the log's promises."""
+        for answer in self.cluster.client_messages:
+            if isinstance(answer.message, ProposeReply):
+                STATISTICS["acknowledged"] += 1
+                result = RESULTS.from_plain(answer.message.result)
+                assert isinstance(result, Declared), f"{answer.message.proposal_id}: {result}"
+                self.oracle.acknowledge(answer.message.proposal_id, result)
+        self.cluster.client_messages.clear()
+        self.oracle.check(self.cluster)
+
+    def is_recovered(self) -> bool:
+        """Return whether every replica has applied all that was acknowledged."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return False
+        if "last" not in self.oracle.acknowledged:
+            self._send("last", leader)
+            return False
+        last = max(result.revision for result in self.oracle.acknowledged.values())
+        replicas = [node.state.control.replica for node in self.cluster.nodes.values()]
+        return all(replica.applied_index >= last for replica in replicas if replica)
+
+    def _send(self, number: int | str, node: str) -> None:
+        change_id = f"c{number}" if isinstance(number, int) else number
+        team = f"team-{change_id}"
+        command = Declare(change_id, "ada", team, 0, {"team": team})
+        self.cluster.send_from_client(node, Propose(change_id, COMMANDS.to_plain(command)))
+
+
+class LogFuzzTests(unittest.TestCase):
+    """The log under every fault that it promises to stand."""
+
+    def test_acknowledged_changes_stay_and_replicas_agree(self) -> None:
+        run_state_machine_as_test(LogMachine, settings=CI_SETTINGS)
