Give the entry limits, retries, hedging and honest endings

Cause: the thin entry had one attempt at a time and no limits; at its deadline it called a posting whose answer was being recorded 'not run', which breaks a promise; it used grants of replaced schedulers, which no later scheduler would know of; a dead node stayed in the directory for 2.5 s. Change: attempts as records of their own; a retry budget; resume of a cut stream from its offset; hedged idempotent lookups; answers of postings go out at once and are recorded behind; grants are refused when stale or of an older fence (the scheduler echoes WorkItem.asked_ms, and may drop a permit that its entry has not listed for longer than grant_fresh_ms); PermitQueued lets an entry ask less often; entries list their permits, even none, once for each new scheduler; an entry without a lease ends what runs after permit_grace_ms, so a scheduler may reclaim a lost entry's permits only after its lease plus that time. Limits for teams, kinds and customers are lent by keepers chosen by rendezvous hashing. Nodes that missed two heartbeats leave the directory.

--- a/packages/marigoldarch/marigoldarch/control/proposals.py
+++ b/packages/marigoldarch/marigoldarch/control/proposals.py
@@ -28,6 +28,11 @@
         self._settings = settings
         self._pending: dict[str, PendingProposal] = {}
 
+    @property
+    def pending_ids(self) -> list[str]:
+        """Return the ids of the proposals without an answer."""
+        return list(self._pending)
+
     def propose(
         self, proposal_id: str, command: Command, leader: str, now_ms: Millis, expires_ms: Millis
     ) -> list[Effect]:
--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -19,6 +19,9 @@
 )
 from marigoldarch.settings import ControlSettings
 
+MISSED_HEARTBEATS = 2.4
+"""After how many heartbeat intervals of silence a node is no longer offered to callers."""
+
 
 @dataclass
 class Session:
@@ -28,6 +31,7 @@
     incarnation: str
     revision: int
     expires_ms: Millis
+    heard_ms: Millis
 
 
 @dataclass
@@ -51,7 +55,7 @@
         if sender not in self.by_node:
             effects.append(Record("session_opened", {"node": sender}))
         self.by_node[sender] = Session(
-            heartbeat.load, heartbeat.incarnation, heartbeat.revision, expires_ms
+            heartbeat.load, heartbeat.incarnation, heartbeat.revision, expires_ms, now_ms
         )
         self.holders[sender, heartbeat.incarnation] = expires_ms
         self.wanted_pools.update(PoolId(*pool) for pool in heartbeat.wanted_pools)
@@ -60,7 +64,7 @@
             heartbeat.sent_ms,
             self.settings.session_lease_ms,
             machine.view.revision,
-            [session.load for session in self.by_node.values()],
+            self._responsive_nodes(now_ms),
         )
         return [*effects, Send(sender, ack)]
 
@@ -113,6 +117,14 @@
             commands.append(AssignPool(pool, node, self.by_node[node].incarnation))
         return commands
 
+    def _responsive_nodes(self, now_ms: Millis) -> list[NodeLoad]:
+        """Return the nodes that callers may be sent to: those that missed no two heartbeats.
+
+        A dead node thereby leaves the directory before its lease has run out.
+        """
+        oldest_ms = now_ms - MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
+        return [item.load for item in self.by_node.values() if item.heard_ms >= oldest_ms]
+
     def _bring_up_to_date(self, node: str, revision: int, machine: StateMachine) -> list[Effect]:
         if revision >= machine.view.revision:
             return []
--- a/packages/marigoldarch/marigoldarch/declarations/model.py
+++ b/packages/marigoldarch/marigoldarch/declarations/model.py
@@ -58,9 +58,12 @@
 
 
 class TeamDeclaration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One team's whole subtree."""
+    """One team's whole subtree; the limits of its own hold over all its customers together."""
 
     team: str
+    rate_per_s: float = 0.0
+    concurrency: int = 0
+    tokens_per_s: float = 0.0
     models: dict[str, ModelDeclaration] = {}
     kinds: dict[str, KindDeclaration] = {}
     customers: dict[str, CustomerDeclaration] = {}
--- a/packages/marigoldarch/marigoldarch/entry/admission.py
+++ b/packages/marigoldarch/marigoldarch/entry/admission.py
@@ -9,14 +9,13 @@
 from marigoldarch.clock import Millis
 from marigoldarch.control.member import Member
 from marigoldarch.control.view import ClusterView, CustomerRecord
+from marigoldarch.entry.limits import find_limit, subjects_of
 from marigoldarch.entry.request import Request
 from marigoldarch.events import CallInfo
-from marigoldarch.identifiers import PoolId
 from marigoldarch.outcomes import NotRun, RefusalReason
 from marigoldarch.settings import CoreSettings
 
 NO_LEASE_RETRY_MS: Millis = 500.0
-NO_SCHEDULER_RETRY_MS: Millis = 1000.0
 
 
 class Terms(NamedTuple):
@@ -30,7 +29,7 @@
 def admit(
     call: CallInfo, member: Member, settings: CoreSettings, now_ms: Millis
 ) -> Result[Request, NotRun]:
-    """Check a call against the lease, the declarations and the pools."""
+    """Check a call against the lease and the declarations."""
     if not member.has_lease(now_ms):
         return Error(NotRun(RefusalReason.NO_LEASE, NO_LEASE_RETRY_MS))
     view = member.view
@@ -38,18 +37,28 @@
     if customer is None:
         return Error(NotRun(RefusalReason.UNKNOWN_KEY))
     match _find_terms(call, customer, view):
-        case Result(tag="error", error=refusal):
-            return Error(refusal)
         case Result(tag="ok", ok=terms):
-            pass
-    pool = _choose_pool(call, view, settings.address.data_centre)
-    if pool is None:
-        return Error(NotRun(RefusalReason.NO_SCHEDULER, NO_SCHEDULER_RETRY_MS))
+            return Ok(_build_request(call, customer, terms, settings, view, now_ms))
+        case Result(error=refusal):
+            return Error(refusal)
+
+
+def _build_request(
+    call: CallInfo,
+    customer: CustomerRecord,
+    terms: Terms,
+    settings: CoreSettings,
+    view: ClusterView,
+    now_ms: Millis,
+) -> Request:
     limit_ms = min(terms.deadline_ms, settings.entry.max_deadline_ms)
     if call.deadline_ms is not None:
         limit_ms = min(limit_ms, call.deadline_ms)
-    deadline_ms = now_ms + limit_ms
-    return Ok(Request(call, customer, terms.rank, deadline_ms, terms.is_idempotent, pool))
+    subjects = subjects_of(customer.team, call.kind, customer.customer)
+    limits = tuple(item for item in subjects if not find_limit(view, item).is_none)
+    return Request(
+        call, customer, terms.rank, now_ms, now_ms + limit_ms, terms.is_idempotent, limits
+    )
 
 
 def _find_terms(
@@ -79,9 +88,7 @@
         return Error(NotRun(RefusalReason.UNKNOWN_METHOD))
     if not method.is_idempotent_or_keyed(call.idempotency_key):
         return Error(NotRun(RefusalReason.IDEMPOTENCY_KEY_REQUIRED))
-    return Ok(Terms(0, method.deadline_ms, method.idempotent))
-
-
-def _choose_pool(call: CallInfo, view: ClusterView, data_centre: str) -> PoolId | None:
-    pools = view.pools_of(call.service or call.model)
-    return min(pools, key=lambda pool: (pool.data_centre != data_centre, pool), default=None)
+    kind = view.find_kind(customer.team, call.kind)
+    if call.kind and kind is None:
+        return Error(NotRun(RefusalReason.FORBIDDEN_KIND))
+    return Ok(Terms(kind.rank if kind else 0, method.deadline_ms, method.idempotent))
--- a/packages/marigoldarch/marigoldarch/entry/directory.py
+++ b/packages/marigoldarch/marigoldarch/entry/directory.py
@@ -8,6 +8,9 @@
 from marigoldarch.clock import Millis
 from marigoldarch.messages import NodeLoad
 
+LOAD_OFFSET = 50
+"""Requests added to each node's load, so that small differences of lagged reports weigh little."""
+
 
 class DirectoryAnswer(NamedTuple):
     """Addresses in the order of preference, and how long the answer may be kept."""
@@ -16,17 +19,23 @@
     ttl_ms: Millis
 
 
+def weight(load: NodeLoad) -> float:
+    """Return a node's weight, which falls with its requests in progress."""
+    return 1.0 / (LOAD_OFFSET + load.active)
+
+
 def answer(
     nodes: list[NodeLoad], data_centre: str, ttl_ms: Millis, chooser: random.Random
 ) -> DirectoryAnswer:
-    """Order the nodes by a weighted random choice, with nodes of the data centre first.
+    """Order the nodes by a weighted random choice, those of the data centre first.
 
-    The weight of a node falls with its active requests; leaving nodes are left out.
+    Leaving nodes are left out. The order is drawn as by Efraimidis and Spirakis, "Weighted random
+    sampling with a reservoir" (2006): each node's key is a random number to the power 1/weight.
     """
-    staying = [load for load in nodes if not load.is_leaving]
     keyed = [
-        (load.address.data_centre != data_centre, -(chooser.random() ** (1 + load.active)), load)
-        for load in staying
+        (load.address.data_centre != data_centre, -(chooser.random() ** (1.0 / weight(load))), load)
+        for load in nodes
+        if not load.is_leaving
     ]
     keyed.sort(key=lambda item: item[:2])
     return DirectoryAnswer([load.address.caller_address for _, _, load in keyed], ttl_ms)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/entry/ledger_calls.py
@@ -0,0 +1,93 @@
+"""Non-idempotent calls: their entries in the at-most-once ledger."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marigoldarch.control.commands import (
+    Command,
+    CommandResult,
+    LedgerAbandon,
+    LedgerAnswered,
+    LedgerFinish,
+    LedgerMismatch,
+    LedgerRunning,
+    LedgerStart,
+    LedgerStarted,
+)
+from marigoldarch.entry.request import Attempt, Phase, Request
+from marigoldarch.outcomes import (
+    Answered,
+    FailureReason,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    RefusalReason,
+)
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.effects import Effect
+    from marigoldarch.entry.state import EntryState
+
+LEDGER_PREFIX = "ledger/"
+RECORD_LIMIT_MS: Millis = 60_000.0
+"""How long an answer or an abandoned start is offered to the ledger."""
+
+
+def start(state: EntryState, request: Request, attempt: Attempt, now_ms: Millis) -> list[Effect]:
+    """Ask the ledger for the only right to send the call."""
+    attempt.phase = Phase.LEDGER
+    call = request.call
+    command = LedgerStart(
+        request.customer.customer,
+        call.idempotency_key,
+        call.body_sha256,
+        state.settings.node,
+        call.request_id,
+        attempt.targets[0].target,
+        call.wall_ms + int(request.deadline_ms - request.began_ms),
+    )
+    step = f"start-{attempt.number}"
+    return _propose(state, request, step, command, now_ms, request.deadline_ms)
+
+
+def record_answer(state: EntryState, request: Request, body: str, now_ms: Millis) -> list[Effect]:
+    """Record the answer for replay; the caller need not wait for it."""
+    call = request.call
+    command = LedgerFinish(request.customer.customer, call.idempotency_key, call.request_id, body)
+    return _propose(state, request, "finish", command, now_ms, now_ms + RECORD_LIMIT_MS)
+
+
+def abandon(state: EntryState, request: Request, now_ms: Millis) -> list[Effect]:
+    """Free the key of a call of which this node has sent no byte and never will."""
+    call = request.call
+    command = LedgerAbandon(request.customer.customer, call.idempotency_key, call.request_id)
+    return _propose(state, request, "abandon", command, now_ms, now_ms + RECORD_LIMIT_MS)
+
+
+def outcome_of(result: CommandResult) -> Outcome | None:
+    """Return the outcome that a ledger result means for the request; None if it may be sent."""
+    match result:
+        case LedgerStarted():
+            return None
+        case LedgerAnswered(answer=answer):
+            return Answered(answer, replayed=True)
+        case LedgerMismatch():
+            return NotRun(RefusalReason.IDEMPOTENCY_KEY_REUSED)
+        case LedgerRunning():
+            return OutcomeUnknown(FailureReason.RUNNING_ELSEWHERE)
+        case _:
+            return OutcomeUnknown(FailureReason.NOT_RECORDED)
+
+
+def _propose(
+    state: EntryState,
+    request: Request,
+    step: str,
+    command: Command,
+    now_ms: Millis,
+    expires_ms: Millis,
+) -> list[Effect]:
+    proposal_id = f"{LEDGER_PREFIX}{request.request_id}/{step}"
+    return state.proposals.propose(proposal_id, command, state.member.leader, now_ms, expires_ms)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/entry/limit_calls.py
@@ -0,0 +1,108 @@
+"""Claims of requests against limits, and the messages between entries and keepers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marigoldarch.effects import Effect, Send
+from marigoldarch.entry.limits import Claim, find_keeper, find_limit
+from marigoldarch.entry.state import finish
+from marigoldarch.messages import LimitAnswer, LimitAsk, LimitNeed
+from marigoldarch.outcomes import NotRun, RefusalReason
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.entry.request import Request
+    from marigoldarch.entry.state import EntryState
+
+UNAVAILABLE_RETRY_MS: Millis = 1000.0
+
+
+def claim(state: EntryState, request: Request, now_ms: Millis) -> bool:
+    """Take the request's shares, or let it wait for them; return whether they were taken."""
+    wanted = Claim(request.request_id, request.limits, request.cost_tokens, now_ms)
+    if not request.limits or _try_take(state, wanted, now_ms):
+        return True
+    state.shares.wait(wanted)
+    return False
+
+
+def ask_keepers(state: EntryState, now_ms: Millis) -> list[Effect]:
+    """Ask the keepers for what waiting claims need and for slots that are due for renewal."""
+    needs = state.shares.needs(now_ms)
+    by_keeper: dict[str, list[LimitNeed]] = {}
+    for subject, need in needs.items():
+        keeper = _keeper(state, subject)
+        if keeper is not None:
+            by_keeper.setdefault(keeper, []).append(need)
+    effects: list[Effect] = []
+    for keeper, items in by_keeper.items():
+        subjects = frozenset(item.subject for item in items)
+        number = state.shares.ask(keeper, subjects, now_ms)
+        if number is not None:
+            effects.append(Send(keeper, LimitAsk(number, items)))
+    return effects
+
+
+def on_ask(state: EntryState, sender: str, message: LimitAsk, now_ms: Millis) -> list[Effect]:
+    """Lend shares as a keeper; a node without a lease lends nothing."""
+    if not state.member.has_lease(now_ms):
+        return []
+    view = state.member.view
+    shares = [
+        state.keeper.lend(sender, need, find_limit(view, need.subject), now_ms)
+        for need in message.needs
+        if _keeper(state, need.subject) == state.settings.node
+    ]
+    lease_ms = state.settings.entry.limit_lease_ms
+    return [Send(sender, LimitAnswer(message.round, lease_ms, shares))]
+
+
+def on_answer(
+    state: EntryState, sender: str, message: LimitAnswer, now_ms: Millis
+) -> tuple[list[Request], list[Effect]]:
+    """Take lent shares; return the requests that may go on, and refuse those over the limit."""
+    waits = state.shares.take_answer(sender, message.round, message.shares, now_ms)
+    ready: list[Request] = []
+    effects: list[Effect] = []
+    for waiting in state.shares.waiting:
+        request = state.requests[waiting.request_id]
+        if _try_take(state, waiting, now_ms):
+            ready.append(request)
+            continue
+        wait_ms = max((waits.get(subject, 0.0) for subject in waiting.subjects), default=0.0)
+        if wait_ms > 0:
+            effects += _refuse(state, request, NotRun(RefusalReason.LIMIT, wait_ms))
+    return ready, effects + ask_keepers(state, now_ms)
+
+
+def tick(state: EntryState, now_ms: Millis) -> list[Effect]:
+    """Ask again, and refuse what no keeper has answered in time."""
+    if state.member.has_lease(now_ms):
+        state.keeper.watch_nodes(frozenset(state.member.nodes), now_ms)
+    effects: list[Effect] = []
+    for waiting in state.shares.waiting:
+        if now_ms >= waiting.since_ms + state.settings.entry.limit_timeout_ms:
+            refusal = NotRun(RefusalReason.LIMIT_UNAVAILABLE, UNAVAILABLE_RETRY_MS)
+            effects += _refuse(state, state.requests[waiting.request_id], refusal)
+    effects += ask_keepers(state, now_ms)
+    state.shares.forget_idle(now_ms)
+    state.keeper.forget_idle(state.member.view, now_ms)
+    return effects
+
+
+def _refuse(state: EntryState, request: Request, refusal: NotRun) -> list[Effect]:
+    request.limits = ()
+    return finish(state, request, refusal)
+
+
+def _try_take(state: EntryState, wanted: Claim, now_ms: Millis) -> bool:
+    view = state.member.view
+    limits = {subject: find_limit(view, subject) for subject in wanted.subjects}
+    return state.shares.try_take(wanted, limits, now_ms)
+
+
+def _keeper(state: EntryState, subject: str) -> str | None:
+    nodes = state.member.nodes
+    staying = [name for name, load in nodes.items() if not load.is_leaving]
+    return find_keeper(subject, staying or list(nodes))
--- a/packages/marigoldarch/marigoldarch/entry/request.py
+++ b/packages/marigoldarch/marigoldarch/entry/request.py
@@ -1,4 +1,4 @@
-"""A request in progress at its entry node."""
+"""A request in progress at its entry node, and its attempts."""
 
 from __future__ import annotations
 
@@ -13,45 +13,80 @@
 
 
 class Phase(StrEnum):
-    """What a request waits for."""
+    """What an attempt waits for."""
 
     PERMIT = "permit"
-    LEDGER_START = "ledger_start"
+    LEDGER = "ledger"
     TARGET = "target"
-    LEDGER_FINISH = "ledger_finish"
+
+
+@dataclass
+class Attempt:
+    """One attempt to run a request in one pool."""
+
+    number: int
+    pool: PoolId
+    began_ms: Millis
+    phase: Phase = Phase.PERMIT
+    asked_ms: Millis = 0.0
+    is_queued: bool = False
+    permit: PermitId | None = None
+    targets: tuple[TargetAddress, ...] = ()
+    called_ms: Millis = 0.0
 
 
 @dataclass
 class Request:
-    """One admitted request. Its phase, attempt and permit change; its deadline never does."""
+    """One admitted request. Its deadline never changes.
+
+    Only an idempotent lookup has more than one attempt at a time. `is_started` tells that an
+    earlier attempt may have reached a target.
+    """
 
     call: CallInfo
     customer: CustomerRecord
     rank: int
+    began_ms: Millis
     deadline_ms: Millis
     is_idempotent: bool
-    pool: PoolId
-    phase: Phase = Phase.PERMIT
-    attempt: int = 1
-    asked_ms: Millis = 0.0
-    permit: PermitId | None = None
-    targets: tuple[TargetAddress, ...] = ()
+    limits: tuple[str, ...] = ()
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    attempt_count: int = 0
     avoid: set[str] = field(default_factory=set)
+    refused_pools: set[PoolId] = field(default_factory=set)
     relayed_tokens: int = 0
-    answer: str = ""
     is_started: bool = False
+    is_hedged: bool = False
 
     @property
     def request_id(self) -> str:
         """Return the request's id."""
         return self.call.request_id
 
-    def work_item(self, now_ms: Millis) -> WorkItem:
-        """Return what the scheduler needs to know."""
+    @property
+    def cost_tokens(self) -> int:
+        """Return the prompt and the longest answer together, in tokens."""
+        return self.call.prompt_tokens + self.call.output_tokens
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a byte of the request may have reached a target."""
+        running = any(attempt.phase is Phase.TARGET for attempt in self.attempts.values())
+        return self.is_started or running
+
+    def begin_attempt(self, pool: PoolId, now_ms: Millis) -> Attempt:
+        """Add the next attempt."""
+        self.attempt_count += 1
+        attempt = Attempt(self.attempt_count, pool, now_ms)
+        self.attempts[attempt.number] = attempt
+        return attempt
+
+    def work_item(self, attempt: Attempt, now_ms: Millis) -> WorkItem:
+        """Return what the scheduler needs to know of an attempt."""
         call = self.call
         return WorkItem(
             call.request_id,
-            self.attempt,
+            attempt.number,
             self.customer.customer,
             self.customer.team,
             call.kind,
@@ -65,4 +100,5 @@
             call.version,
             call.prefix,
             tuple(sorted(self.avoid)),
+            now_ms,
         )
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -153,7 +153,10 @@
 
 
 class WorkItem(NamedTuple):
-    """What a scheduler needs to know of a request; token counts, and time left in milliseconds."""
+    """What a scheduler needs to know of a request; token counts, and time left in milliseconds.
+
+    `asked_ms` is the entry's own clock at this sending, for the grant to echo.
+    """
 
     request_id: str
     attempt: int
@@ -170,6 +173,7 @@
     version: str = ""
     prefix: tuple[str, ...] = ()
     avoid: tuple[str, ...] = ()
+    asked_ms: Millis = 0.0
 
 
 @dataclass(frozen=True)
@@ -182,13 +186,28 @@
 
 @dataclass(frozen=True)
 class PermitGranted:
-    """Allow one attempt on `targets`; more than one target is a gang whose first streams."""
+    """Allow one attempt on `targets`; more than one target is a gang whose first streams.
+
+    `asked_ms` echoes the latest `PermitRequest`: an entry uses no grant whose request it sent too
+    long ago, so that the scheduler may drop a permit that its entry has not listed for longer.
+    """
 
     pool: PoolId
     request_id: str
     attempt: int
     permit: PermitId
     targets: list[TargetAddress]
+    asked_ms: Millis = 0.0
+
+
+@dataclass(frozen=True)
+class PermitQueued:
+    """Acknowledge a waiting request, so that its entry may ask less often; wait in milliseconds."""
+
+    pool: PoolId
+    request_id: str
+    attempt: int
+    wait_estimate_ms: Millis
 
 
 @dataclass(frozen=True)
@@ -233,13 +252,58 @@
 
 @dataclass(frozen=True)
 class PermitsHeld:
-    """List all live permits of one entry in one pool: a renewal, or recovery of a new scheduler."""
+    """List all live permits of one entry in one pool: a renewal, or recovery of a new scheduler.
+
+    Sent at an interval while there are any, and once, even if empty, for each new `epoch`.
+    """
 
     pool: PoolId
     epoch: int
     held: list[HeldPermit]
 
 
+class LimitNeed(NamedTuple):
+    """What an entry needs under one limit.
+
+    `requests` and `tokens` come on top of earlier shares, `first_tokens` of them for the oldest
+    waiting request alone; `slots` is the whole number of requests in progress that the entry wants
+    to be allowed.
+    """
+
+    subject: str
+    requests: float
+    tokens: float
+    first_tokens: float
+    slots: int
+
+
+class LimitShare(NamedTuple):
+    """What a keeper lends; `slots` is the whole number, the others come on top."""
+
+    subject: str
+    requests: float
+    tokens: float
+    slots: int
+    retry_after_ms: Millis
+
+
+@dataclass(frozen=True)
+class LimitAsk:
+    """Ask the keeper of some limits for shares; `round` is echoed."""
+
+    round: int
+    needs: list[LimitNeed]
+
+
+@dataclass(frozen=True)
+class LimitAnswer:
+    """Lend shares for `lease_ms` from the sending of the ask on."""
+
+    round: int
+    lease_ms: Millis
+    shares: list[LimitShare]
+
+
 @dataclass(frozen=True)
 class TargetReport:
     """A target's announcement, forwarded to its pool's scheduler."""
@@ -276,10 +340,13 @@
     InForce,
     PermitRequest,
     PermitGranted,
+    PermitQueued,
     PermitRefused,
     PermitWithdrawn,
     PermitReleased,
     PermitsHeld,
+    LimitAsk,
+    LimitAnswer,
     TargetReport,
     CacheReport,
 )
@@ -303,10 +370,13 @@
     | InForce
     | PermitRequest
     | PermitGranted
+    | PermitQueued
     | PermitRefused
     | PermitWithdrawn
     | PermitReleased
     | PermitsHeld
+    | LimitAsk
+    | LimitAnswer
     | TargetReport
     | CacheReport
 )
--- a/packages/marigoldarch/marigoldarch/outcomes.py
+++ b/packages/marigoldarch/marigoldarch/outcomes.py
@@ -21,6 +21,7 @@
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline_cannot_be_met"
     LIMIT = "limit_exceeded"
+    LIMIT_UNAVAILABLE = "limit_unavailable"
     DRAINING = "draining"
     UNKNOWN_KEY = "unknown_key"
     UNKNOWN_MODEL = "unknown_model"
@@ -45,6 +46,7 @@
     RUNNING_ELSEWHERE = "running_elsewhere"
     NOT_RECORDED = "outcome_not_recorded"
     STOPPED = "node_stopped"
+    LEASE_LOST = "lease_lost"
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -105,7 +105,7 @@
         held = self.by_request.get(key)
         if held is not None:
             permit = self.permits[held]
-            granted = PermitGranted(self.pool, *key, permit.permit, permit.targets)
+            granted = PermitGranted(self.pool, *key, permit.permit, permit.targets, item.asked_ms)
             return [Send(node, granted)]
         if key not in self.queue and len(self.queue) >= self.settings.queue_limit:
             return [self._refusal(node, item, RefusalReason.QUEUE_FULL, 1000.0)]
@@ -202,7 +202,7 @@
         )
         self._add(permit)
         granted = PermitGranted(
-            self.pool, item.request_id, item.attempt, permit.permit, permit.targets
+            self.pool, item.request_id, item.attempt, permit.permit, permit.targets, item.asked_ms
         )
         fields = {
             "request": item.request_id,
--- a/packages/marigoldarch/marigoldarch/reducer.py
+++ b/packages/marigoldarch/marigoldarch/reducer.py
@@ -10,13 +10,14 @@
 from marigoldarch.control.replica import DurableState
 from marigoldarch.effects import Effect, Exit, Record, Send
 from marigoldarch.entry.directory import DirectoryAnswer, answer
-from marigoldarch.entry.reducer import EntryState, reduce_entry
+from marigoldarch.entry.reducer import reduce_entry
+from marigoldarch.entry.state import EntryState
 from marigoldarch.events import DrainRequested, Event, MessageArrived, Tick
 from marigoldarch.pools.reducer import PoolsState, reduce_pools
 from marigoldarch.settings import CoreSettings
 
-DRAIN_MARGIN_MS: Millis = 1000.0
-"""How long after the directory's time-to-live a leaving node still expects new callers."""
+DRAIN_MARGIN_MS: Millis = 1500.0
+"""How long it may take until every directory leaves a leaving node out: two heartbeats and slack."""
 
 
 class NodeState:
@@ -40,6 +41,13 @@
         """Return how many requests are in progress here."""
         return len(self.entry.requests)
 
+    def is_closed(self, now_ms: Millis) -> bool:
+        """Return whether no caller can still hold a directory answer that names this node."""
+        if self.drain_since_ms is None:
+            return False
+        wait_ms = self.settings.entry.directory_ttl_ms + DRAIN_MARGIN_MS
+        return now_ms >= self.drain_since_ms + wait_ms
+
     def ask_directory(self, data_centre: str) -> DirectoryAnswer:
         """Return the addresses that a caller in `data_centre` should use."""
         nodes = list(self.control.member.nodes.values())
@@ -67,7 +75,7 @@
 def _reduce_one(state: NodeState, event: Event) -> list[Effect]:
     effects = reduce_control(state.control, event, state.active, state.is_leaving)
     effects += reduce_pools(state.pools, event, state.control.member)
-    effects += reduce_entry(state.entry, event)
+    effects += reduce_entry(state.entry, event, is_closed=state.is_closed(event.at_ms))
     effects += _reduce_drain(state, event)
     return effects
 
@@ -77,8 +85,10 @@
         case DrainRequested(at_ms=now_ms) if not state.is_leaving:
             state.drain_since_ms = now_ms
             return [Record("drain_started")]
-        case Tick(at_ms=now_ms) if state.is_leaving and state.active == 0:
-            wait_ms = state.settings.entry.directory_ttl_ms + DRAIN_MARGIN_MS
-            if now_ms >= state.drain_since_ms + wait_ms:
-                return [Record("drain_finished"), Exit()]
+        case Tick(at_ms=now_ms) if state.is_closed(now_ms) and _is_idle(state):
+            return [Record("drain_finished"), Exit()]
     return []
+
+
+def _is_idle(state: NodeState) -> bool:
+    return state.active == 0 and not state.control.proposals.pending_ids
--- a/packages/marigoldarch/marigoldarch/settings.py
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -30,6 +30,19 @@
     default_deadline_ms: Millis = 60_000.0
     max_deadline_ms: Millis = 36 * 3_600_000.0
     permit_retry_ms: Millis = 400.0
+    queued_retry_ms: Millis = 1500.0
+    grant_fresh_ms: Millis = 5000.0
+    permit_grace_ms: Millis = 8000.0
+    attempt_limit: int = 3
+    retry_ratio: float = 0.2
+    retry_floor_per_s: float = 1.0
+    retry_burst: float = 20.0
+    hedge_after_ms: Millis = 250.0
+    resume_streams: bool = True
+    scheduler_timeout_ms: Millis = 1500.0
+    limit_lease_ms: Millis = 1000.0
+    slot_lease_ms: Millis = 3000.0
+    limit_timeout_ms: Millis = 1500.0
     directory_ttl_ms: Millis = 2000.0
     default_output_tokens: int = 256
 
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limits_tests.py
@@ -0,0 +1,140 @@
+"""Tests of limits that hold over all nodes."""
+
+from __future__ import annotations
+
+import unittest
+
+from marigoldarch.entry.limits import Claim, Limit, LimitKeeper, LimitShares, find_keeper
+from marigoldarch.messages import LimitNeed
+from marigoldarch.settings import EntrySettings
+
+SUBJECT = "customer/guild/harbor"
+SETTINGS = EntrySettings()
+
+
+def need(
+    requests: float = 0.0, tokens: float = 0.0, first: float = 0.0, slots: int = 0
+) -> LimitNeed:
+    """Return a need under the one subject."""
+    return LimitNeed(SUBJECT, requests, tokens, first, slots)
+
+
+class LimitKeeperTests(unittest.TestCase):
+    """What a keeper lends."""
+
+    def setUp(self) -> None:
+        self.keeper = LimitKeeper(SETTINGS)
+
+    def test_rate_holds_over_all_nodes_together(self) -> None:
+        limit = Limit(10.0, 0.0, 0)
+        lent = 0.0
+        for step in range(1000):
+            node = f"n{step % 5}"
+            lent += self.keeper.lend(node, need(requests=3.0), limit, step * 10.0).requests
+        seconds = 10.0
+        self.assertLessEqual(lent, 10.0 * seconds + 10.0)
+        self.assertGreaterEqual(lent, 10.0 * seconds - 1.0)
+
+    def test_refused_request_is_told_when_the_rate_allows_it(self) -> None:
+        limit = Limit(2.0, 0.0, 0)
+        self.keeper.lend("n1", need(requests=2.0), limit, 0.0)
+        refused = self.keeper.lend("n1", need(requests=1.0), limit, 0.0)
+        self.assertEqual((refused.requests, refused.retry_after_ms), (0.0, 500.0))
+        again = self.keeper.lend("n1", need(requests=1.0), limit, refused.retry_after_ms)
+        self.assertEqual(again.requests, 1.0)
+
+    def test_slots_are_never_lent_twice(self) -> None:
+        limit = Limit(0.0, 0.0, 3)
+        first = self.keeper.lend("n1", need(slots=2), limit, 0.0)
+        second = self.keeper.lend("n2", need(slots=2), limit, 1.0)
+        self.assertEqual((first.slots, second.slots), (2, 1))
+        self.assertGreater(second.retry_after_ms, 0.0)
+
+    def test_slots_of_a_dead_node_come_back(self) -> None:
+        limit = Limit(0.0, 0.0, 3)
+        self.keeper.lend("n1", need(slots=3), limit, 0.0)
+        later_ms = SETTINGS.slot_lease_ms + 1.0
+        self.assertEqual(self.keeper.lend("n2", need(slots=3), limit, later_ms).slots, 3)
+
+    def test_prompt_above_the_token_burst_is_lent_as_a_debt(self) -> None:
+        limit = Limit(0.0, 1000.0, 0)
+        big = need(tokens=50_000.0, first=50_000.0)
+        self.assertEqual(self.keeper.lend("n1", big, limit, 0.0).tokens, 50_000.0)
+        small = need(tokens=100.0, first=100.0)
+        refused = self.keeper.lend("n1", small, limit, 0.0)
+        self.assertEqual(refused.tokens, 0.0)
+        self.assertEqual(refused.retry_after_ms, 40_100.0)
+
+    def test_new_keeper_starts_empty_after_a_change_of_membership(self) -> None:
+        self.keeper.watch_nodes(frozenset({"n1", "n2"}), 0.0)
+        lent = self.keeper.lend("n1", need(requests=5.0), Limit(5.0, 0.0, 0), 1.0)
+        self.assertEqual(lent.requests, 0.0)
+
+    def test_idle_subject_has_no_account(self) -> None:
+        class View:
+            teams: dict = {}
+
+        self.keeper.lend("n1", need(requests=1.0), Limit(5.0, 0.0, 0), 0.0)
+        self.assertEqual(self.keeper.account_count, 1)
+        self.keeper.forget_idle(View(), 1000.0)
+        self.assertEqual(self.keeper.account_count, 0)
+
+
+class LimitSharesTests(unittest.TestCase):
+    """What an entry does with what it was lent."""
+
+    def setUp(self) -> None:
+        self.shares = LimitShares(SETTINGS)
+        self.limits = {SUBJECT: Limit(10.0, 0.0, 2)}
+        self.claim = Claim("r1", (SUBJECT,), 10, 0.0)
+
+    def borrow(self, keeper: LimitKeeper, now_ms: float) -> None:
+        """Ask the keeper and take its answer."""
+        needs = self.shares.needs(now_ms)
+        number = self.shares.ask("k", frozenset(needs), now_ms)
+        lent = [keeper.lend("n1", item, self.limits[SUBJECT], now_ms) for item in needs.values()]
+        self.shares.take_answer("k", number, lent, now_ms)
+
+    def test_share_that_was_lent_is_used_once(self) -> None:
+        self.assertFalse(self.shares.try_take(self.claim, self.limits, 0.0))
+        self.shares.wait(self.claim)
+        self.borrow(LimitKeeper(SETTINGS), 0.0)
+        self.assertTrue(self.shares.try_take(self.claim, self.limits, 0.0))
+        self.assertFalse(self.shares.try_take(self.claim, self.limits, 0.0))
+
+    def test_stale_share_is_not_used(self) -> None:
+        self.shares.wait(self.claim)
+        self.borrow(LimitKeeper(SETTINGS), 0.0)
+        late_ms = SETTINGS.limit_lease_ms + 1.0
+        self.assertFalse(self.shares.try_take(self.claim, self.limits, late_ms))
+
+    def test_repeated_answer_adds_nothing(self) -> None:
+        keeper = LimitKeeper(SETTINGS)
+        self.shares.wait(self.claim)
+        number = self.shares.ask("k", frozenset({SUBJECT}), 0.0)
+        lent = [keeper.lend("n1", need(1.0, 0.0, 0.0, 1), self.limits[SUBJECT], 0.0)]
+        self.shares.take_answer("k", number, lent, 0.0)
+        self.shares.take_answer("k", number, lent, 0.0)
+        self.assertTrue(self.shares.try_take(self.claim, self.limits, 0.0))
+        other = Claim("r2", (SUBJECT,), 10, 0.0)
+        self.assertFalse(self.shares.try_take(other, self.limits, 0.0))
+
+    def test_slots_in_use_are_asked_for_again_before_they_expire(self) -> None:
+        self.shares.wait(self.claim)
+        self.borrow(LimitKeeper(SETTINGS), 0.0)
+        self.shares.try_take(self.claim, self.limits, 0.0)
+        self.assertEqual(self.shares.needs(100.0), {})
+        renewal = self.shares.needs(SETTINGS.slot_lease_ms * 0.6)
+        self.assertEqual(renewal[SUBJECT].slots, 1)
+
+
+class FindKeeperTests(unittest.TestCase):
+    """The placement of keepers."""
+
+    def test_only_subjects_of_a_lost_node_move(self) -> None:
+        nodes = [f"n{number}" for number in range(9)]
+        subjects = [f"customer/guild/c{number}" for number in range(500)]
+        before = {subject: find_keeper(subject, nodes) for subject in subjects}
+        after = {subject: find_keeper(subject, nodes[1:]) for subject in subjects}
+        moved = {subject for subject in subjects if before[subject] != after[subject]}
+        self.assertEqual(moved, {subject for subject in subjects if before[subject] == "n0"})
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
@@ -0,0 +1,303 @@
+"""Tests of the life of a request, with the real reducers of three nodes."""
+
+from __future__ import annotations
+
+import hashlib
+import unittest
+from typing import Any
+
+from marigoldarch.effects import CallTarget, CancelCall, Exit, Reply
+from marigoldarch.events import (
+    CallArrived,
+    CallerGone,
+    CallInfo,
+    DeclareRequested,
+    DrainRequested,
+    MessageArrived,
+    TargetAnnounced,
+    TargetAnswered,
+    TargetFailed,
+    Tick,
+)
+from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
+from marigoldarch.messages import PermitGranted
+from marigoldarch.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    NotRun,
+    OutcomeUnknown,
+    RefusalReason,
+)
+from marigoldarch.settings import EntrySettings
+from marigoldarch.targets import Announcement
+from marigoldarch.tests.cluster import MemoryCluster
+
+KEY = hashlib.sha256(b"secret").hexdigest()
+SLOW_KEY = hashlib.sha256(b"slow").hexdigest()
+
+DECLARATION = {
+    "team": "guild",
+    "models": {"coach": {}},
+    "kinds": {"quiz": {"deadline_ms": 20_000}},
+    "customers": {
+        "harbor": {"key_sha256": [KEY]},
+        "pier": {"key_sha256": [SLOW_KEY], "rate_per_s": 2.0, "concurrency": 2},
+    },
+    "services": {"gradebook": {"methods": {"post": {}, "look": {"idempotent": True}}}},
+}
+TARGETS = (("e1", "engine", "coach"), ("e2", "engine", "coach"))
+SERVICES = (("s1", "service", "gradebook"), ("s2", "service", "gradebook"))
+
+
+class EntryReducerTests(unittest.TestCase):
+    """Requests at three entries, with two engines and two service replicas."""
+
+    def setUp(self) -> None:
+        self.cluster = MemoryCluster()
+        self.cluster.run(3000)
+        event = DeclareRequested(
+            self.cluster.now_ms, "op", "c1", "ada", "guild", 0, DECLARATION, 8000.0
+        )
+        self.cluster.submit("n1", event)
+        self.run_for(5000)
+
+    def run_for(self, duration_ms: float) -> None:
+        """Advance time while the targets renew their announcements."""
+        end_ms = self.cluster.now_ms + duration_ms
+        while self.cluster.now_ms < end_ms:
+            for target, kind, name in TARGETS + SERVICES:
+                announcement = Announcement(
+                    target, "i1", kind, name, f"{target}:1", "dc1", memory_tokens=10_000
+                )
+                event = TargetAnnounced(self.cluster.now_ms, announcement)
+                for node in self.cluster.nodes:
+                    self.cluster.submit(node, event)
+                    break
+            self.cluster.run(min(250.0, end_ms - self.cluster.now_ms))
+
+    def call(self, request_id: str, node: str = "n2", key: str = KEY, **fields: Any) -> None:
+        """Submit a call and let messages pass."""
+        call = CallInfo(request_id, key, "quiz", **fields)
+        self.cluster.submit(node, CallArrived(self.cluster.now_ms, call))
+        self.run_for(100)
+
+    def prompt(self, request_id: str, node: str = "n2", key: str = KEY) -> None:
+        """Submit a prompt."""
+        self.call(request_id, node, key, model="coach", prompt_tokens=100, output_tokens=10)
+
+    def target_calls(self, request_id: str) -> list[CallTarget]:
+        """Return the target calls of a request."""
+        return self.effects(CallTarget, request_id)
+
+    def outcomes(self, request_id: str) -> list:
+        """Return the final outcomes of a request."""
+        return [effect.outcome for effect in self.effects(Reply, request_id)]
+
+    def effects(self, sort: type, request_id: str) -> list:
+        """Return the effects of one sort for a request, over all nodes."""
+        return [
+            effect
+            for node in self.cluster.nodes.values()
+            for effect in node.effects
+            if isinstance(effect, sort) and effect.request_id == request_id
+        ]
+
+    def fail(self, request_id: str, relayed: int = 0, *, is_unsent: bool = False) -> None:
+        """Let the latest attempt of a request at n2 fail."""
+        call = self.target_calls(request_id)[-1]
+        event = TargetFailed(
+            self.cluster.now_ms,
+            request_id,
+            call.attempt,
+            call.targets[0].target,
+            is_unsent,
+            relayed,
+        )
+        self.cluster.submit("n2", event)
+        self.run_for(100)
+
+    def answer(self, request_id: str, call: CallTarget, body: str = "") -> None:
+        """Let an attempt of a request at n2 be answered."""
+        event = TargetAnswered(self.cluster.now_ms, request_id, call.attempt, 10, body)
+        self.cluster.submit("n2", event)
+        self.run_for(100)
+
+    def permits(self) -> int:
+        """Return how many permits all schedulers hold."""
+        schedulers = [
+            scheduler
+            for node in self.cluster.nodes.values()
+            for scheduler in node.state.pools.schedulers.values()
+        ]
+        return sum(len(scheduler.permits) for scheduler in schedulers)
+
+    def test_cut_stream_goes_on_from_its_offset_on_another_target(self) -> None:
+        self.prompt("r1")
+        self.fail("r1", relayed=4)
+        first, second = self.target_calls("r1")
+        self.assertNotEqual(first.targets[0].target, second.targets[0].target)
+        self.assertEqual(second.offset, 4)
+        self.answer("r1", second)
+        self.assertEqual(self.outcomes("r1"), [Answered("", 10)])
+
+    def test_late_answer_of_an_earlier_attempt_is_dropped(self) -> None:
+        self.prompt("r1")
+        self.fail("r1")
+        first, _ = self.target_calls("r1")
+        self.answer("r1", first)
+        self.assertEqual(self.outcomes("r1"), [])
+
+    def test_sent_posting_that_failed_is_unknown_and_never_sent_again(self) -> None:
+        fields = {"service": "gradebook", "method": "post", "idempotency_key": "k"}
+        self.call("r1", **fields)
+        self.fail("r1")
+        self.assertEqual(self.outcomes("r1"), [OutcomeUnknown(FailureReason.TARGET_FAILED)])
+        self.call("r2", **fields)
+        self.assertEqual(self.target_calls("r2"), [])
+        self.assertIsInstance(self.outcomes("r2")[0], OutcomeUnknown)
+
+    def test_unsent_posting_goes_to_another_target(self) -> None:
+        self.call("r1", service="gradebook", method="post", idempotency_key="k")
+        self.fail("r1", is_unsent=True)
+        first, second = self.target_calls("r1")
+        self.assertNotEqual(first.targets[0].target, second.targets[0].target)
+
+    def test_posting_refused_as_not_run_may_run_under_the_same_key_later(self) -> None:
+        fields = {"service": "gradebook", "method": "post", "idempotency_key": "k"}
+        self.call("r1", **fields)
+        while not self.outcomes("r1"):
+            self.fail("r1", is_unsent=True)
+        self.assertIsInstance(self.outcomes("r1")[0], NotRun)
+        self.run_for(500)
+        self.call("r2", **fields)
+        self.assertEqual(len(self.target_calls("r2")), 1)
+
+    def test_answer_of_a_posting_reaches_the_caller_without_a_quorum(self) -> None:
+        self.call("r1", service="gradebook", method="post", idempotency_key="k")
+        self.cluster.cut("n2", "n1")
+        self.cluster.cut("n2", "n3")
+        call = self.target_calls("r1")[0]
+        event = TargetAnswered(self.cluster.now_ms, "r1", call.attempt, 0, "posted")
+        self.cluster.submit("n2", event)
+        self.assertEqual(self.outcomes("r1"), [Answered("posted")])
+        self.cluster.heal()
+        self.run_for(3000)
+        fields = {"service": "gradebook", "method": "post", "idempotency_key": "k"}
+        self.call("r2", node="n3", **fields)
+        self.assertEqual(self.outcomes("r2"), [Answered("posted", replayed=True)])
+
+    def test_slow_lookup_is_hedged_once_and_the_loser_is_cancelled(self) -> None:
+        self.call("r1", service="gradebook", method="look")
+        self.run_for(1000)
+        first, second = self.target_calls("r1")
+        self.assertNotEqual(first.targets, second.targets)
+        self.answer("r1", second, "found")
+        self.assertEqual(self.outcomes("r1"), [Answered("found", 10)])
+        self.assertEqual(self.effects(CancelCall, "r1"), [CancelCall("r1", first.attempt)])
+        self.assertEqual(self.permits(), 0)
+
+    def test_slow_posting_is_not_hedged(self) -> None:
+        self.call("r1", service="gradebook", method="post", idempotency_key="k")
+        self.run_for(1500)
+        self.assertEqual(len(self.target_calls("r1")), 1)
+
+    def test_caller_that_goes_away_frees_the_permit(self) -> None:
+        self.prompt("r1")
+        self.assertEqual(self.permits(), 1)
+        self.cluster.submit("n2", CallerGone(self.cluster.now_ms, "r1"))
+        self.run_for(100)
+        self.assertEqual(self.permits(), 0)
+        self.assertEqual(len(self.effects(CancelCall, "r1")), 1)
+
+    def test_running_request_fails_at_its_deadline_and_frees_the_permit(self) -> None:
+        self.prompt("r1")
+        self.run_for(20_500)
+        self.assertEqual(self.outcomes("r1"), [Failed(FailureReason.DEADLINE)])
+        self.assertEqual(self.permits(), 0)
+
+    def test_posting_that_runs_at_its_deadline_is_unknown(self) -> None:
+        self.call("r1", service="gradebook", method="post", idempotency_key="k")
+        self.run_for(10_500)
+        self.assertEqual(self.outcomes("r1"), [OutcomeUnknown(FailureReason.DEADLINE)])
+
+    def test_node_cut_off_for_long_gives_up_what_runs(self) -> None:
+        self.prompt("r1")
+        self.cluster.cut("n2", "n1")
+        self.cluster.cut("n2", "n3")
+        self.run_for(11_000)
+        self.assertEqual(self.outcomes("r1"), [Failed(FailureReason.LEASE_LOST)])
+
+    def test_grant_of_a_replaced_scheduler_is_not_used(self) -> None:
+        pool = PoolId("dc1", "coach")
+        assignment = self.cluster.nodes["n1"].state.control.member.view.assignments[pool]
+        node = next(name for name in self.cluster.nodes if name != assignment.node)
+        call = CallInfo("r1", KEY, "quiz", model="coach", prompt_tokens=100)
+        self.cluster.submit(node, CallArrived(self.cluster.now_ms, call))
+        target = TargetAddress("e1", "i1", "e1:1")
+        for fence, expected in ((assignment.fence - 1, 0), (assignment.fence, 1)):
+            granted = PermitGranted(pool, "r1", 1, PermitId(fence, 99), [target])
+            event = MessageArrived(self.cluster.now_ms, assignment.node, granted)
+            self.cluster.submit(node, event)
+            self.assertEqual(len(self.target_calls("r1")), expected)
+
+    def test_grant_of_a_request_sent_long_ago_is_not_used(self) -> None:
+        pool = PoolId("dc1", "coach")
+        assignment = self.cluster.nodes["n1"].state.control.member.view.assignments[pool]
+        node = next(name for name in self.cluster.nodes if name != assignment.node)
+        call = CallInfo("r1", KEY, "quiz", model="coach", prompt_tokens=100)
+        self.cluster.submit(node, CallArrived(self.cluster.now_ms, call))
+        asked_ms = self.cluster.now_ms - EntrySettings().grant_fresh_ms - 1.0
+        permit = PermitId(assignment.fence, 99)
+        target = TargetAddress("e1", "i1", "e1:1")
+        granted = PermitGranted(pool, "r1", 1, permit, [target], asked_ms)
+        self.cluster.submit(node, MessageArrived(self.cluster.now_ms, assignment.node, granted))
+        self.assertEqual(self.target_calls("r1"), [])
+
+    def test_limits_of_a_customer_hold_over_all_nodes(self) -> None:
+        for number in range(9):
+            self.prompt(f"r{number}", node=f"n{number % 3 + 1}", key=SLOW_KEY)
+        running = [n for n in range(9) if self.target_calls(f"r{n}")]
+        self.assertLessEqual(len(running), 2)
+        refused = [self.outcomes(f"r{n}")[0] for n in range(9) if n not in running]
+        for outcome in refused:
+            self.assertEqual(outcome.reason, RefusalReason.LIMIT)
+            self.assertGreater(outcome.retry_after_ms, 0.0)
+
+    def test_slots_of_ended_requests_are_lent_again(self) -> None:
+        for number in range(6):
+            self.prompt(f"r{number}", key=SLOW_KEY)
+            self.assertEqual(len(self.target_calls(f"r{number}")), 1, number)
+            self.answer(f"r{number}", self.target_calls(f"r{number}")[0])
+            self.run_for(1000)
+
+    def test_drained_node_finishes_its_work_and_then_exits(self) -> None:
+        self.prompt("r1")
+        self.cluster.submit("n2", DrainRequested(self.cluster.now_ms))
+        self.run_for(1000)
+        for node in self.cluster.nodes.values():
+            addresses = node.state.ask_directory("dc1").addresses
+            self.assertNotIn("n2:80", addresses)
+        self.prompt("r2")
+        self.assertEqual(len(self.target_calls("r2")), 1)
+        self.answer("r2", self.target_calls("r2")[0])
+        self.run_for(4000)
+        self.prompt("r3")
+        self.assertEqual(self.outcomes("r3")[0].reason, RefusalReason.DRAINING)
+        self.assertFalse(any(isinstance(e, Exit) for e in self.cluster.nodes["n2"].effects))
+        self.answer("r1", self.target_calls("r1")[0])
+        self.assertEqual(self.outcomes("r1"), [Answered("", 10)])
+        self.assertTrue(any(isinstance(e, Exit) for e in self.cluster.nodes["n2"].effects))
+
+    def test_dead_node_leaves_the_directory_within_two_seconds(self) -> None:
+        leader = self.cluster.leader()
+        dead = next(name for name in self.cluster.nodes if name != leader)
+        self.cluster.kill(dead)
+        self.cluster.run(2000)
+        for node in self.cluster.nodes.values():
+            self.assertNotIn(f"{dead}:80", node.state.ask_directory("dc1").addresses)
+
+    def test_every_refused_request_is_answered_once(self) -> None:
+        self.prompt("r1", key="0" * 64)
+        self.cluster.submit("n2", Tick(self.cluster.now_ms))
+        self.assertEqual(self.outcomes("r1"), [NotRun(RefusalReason.UNKNOWN_KEY)])
