Hold limits across the loss of their keeper

Two causes: an ask could arrive before the keeper had noted the change of membership, and slots in use above the limit were not counted. A new leader also named only the nodes it had heard from so far, which moved every subject twice. Change: membership is noted before each ask; slots in use are always counted; recovery looks at all memberships of the recovery time; a new leader offers the nodes it knew until they have had time to send a heartbeat.

--- a/packages/marigoldarch/marigoldarch/control/reducer.py
+++ b/packages/marigoldarch/marigoldarch/control/reducer.py
@@ -134,7 +134,9 @@
 
 def _duties(state: ControlState) -> LeaderDuties:
     if state.duties is None:
-        sessions = Sessions(state.settings.control, state.replica.led_since_ms)
+        assumed = dict(state.member.nodes)
+        assumed.pop(state.replica.earlier_leader, None)
+        sessions = Sessions(state.settings.control, state.replica.led_since_ms, assumed)
         state.duties = LeaderDuties(sessions)
     return state.duties
 
--- a/packages/marigoldarch/marigoldarch/control/replica.py
+++ b/packages/marigoldarch/marigoldarch/control/replica.py
@@ -76,6 +76,7 @@
         self._log = durable.log
         self._role = ReplicaRole.FOLLOWER
         self._leader = ""
+        self._earlier_leader = ""
         self._commit = durable.log.base_index
         self._applied = durable.log.base_index
         self._durable_index = durable.log.last_index
@@ -102,6 +103,11 @@
         """Return the leader this replica knows of, or an empty string."""
         return self._leader
 
+    @property
+    def earlier_leader(self) -> str:
+        """Return the last other replica that led, as far as this one knows."""
+        return self._earlier_leader
+
     @property
     def is_leader(self) -> bool:
         """Return whether this replica leads its term."""
@@ -235,6 +241,7 @@
         if request.term > self._term or self._role is not ReplicaRole.FOLLOWER:
             effects += self._step_down(request.term, now_ms)
         self._leader = sender
+        self._earlier_leader = sender
         self._leader_contact_ms = now_ms
         self._reset_election_timer(now_ms)
         if self._log.term_at(request.previous_index) != request.previous_term:
--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -36,10 +36,15 @@
 
 @dataclass
 class Sessions:
-    """All sessions of one leader's term."""
+    """All sessions of one leader's term.
+
+    `assumed` holds the nodes that the new leader knew of; it offers them to callers until they have
+    had time to send it a heartbeat.
+    """
 
     settings: ControlSettings
     since_ms: Millis
+    assumed: dict[str, NodeLoad] = field(default_factory=dict)
     by_node: dict[str, Session] = field(default_factory=dict)
     wanted_pools: set[PoolId] = field(default_factory=set)
     holders: dict[tuple[str, str], Millis] = field(default_factory=dict)
@@ -122,8 +127,14 @@
 
         A dead node thereby leaves the directory before its lease has run out.
         """
-        oldest_ms = now_ms - MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
-        return [item.load for item in self.by_node.values() if item.heard_ms >= oldest_ms]
+        silence_ms = MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
+        oldest_ms = now_ms - silence_ms
+        heard = {
+            node: item.load for node, item in self.by_node.items() if item.heard_ms >= oldest_ms
+        }
+        if now_ms < self.since_ms + silence_ms:
+            heard = self.assumed | heard
+        return list(heard.values())
 
     def _bring_up_to_date(self, node: str, revision: int, machine: StateMachine) -> list[Effect]:
         if revision >= machine.view.revision:
--- a/packages/marigoldarch/marigoldarch/entry/limit_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_calls.py
@@ -30,6 +30,8 @@
 def ask_keepers(state: EntryState, now_ms: Millis) -> list[Effect]:
     """Ask the keepers for what waiting claims need and for slots that are due for renewal."""
     needs = state.shares.needs(now_ms)
+    for moved in state.shares.moved(lambda subject: _keeper(state, subject)):
+        needs.setdefault(moved.subject, moved)
     by_keeper: dict[str, list[LimitNeed]] = {}
     for subject, need in needs.items():
         keeper = _keeper(state, subject)
@@ -48,6 +50,7 @@
     """Lend shares as a keeper; a node without a lease lends nothing."""
     if not state.member.has_lease(now_ms):
         return []
+    _watch_nodes(state, now_ms)
     view = state.member.view
     shares = [
         state.keeper.lend(sender, need, find_limit(view, need.subject), now_ms)
@@ -62,6 +65,7 @@
     state: EntryState, sender: str, message: LimitAnswer, now_ms: Millis
 ) -> tuple[list[Request], list[Effect]]:
     """Take lent shares; return the requests that may go on, and refuse those over the limit."""
+    has_arrivals = state.shares.has_arrivals_since_ask(sender)
     waits = state.shares.take_answer(sender, message.round, message.shares, now_ms)
     ready: list[Request] = []
     effects: list[Effect] = []
@@ -73,13 +77,14 @@
         wait_ms = max((waits.get(subject, 0.0) for subject in waiting.subjects), default=0.0)
         if wait_ms > 0:
             effects += _refuse(state, request, NotRun(RefusalReason.LIMIT, wait_ms))
-    return ready, effects + ask_keepers(state, now_ms)
+    if has_arrivals:
+        effects += ask_keepers(state, now_ms)
+    return ready, effects
 
 
 def tick(state: EntryState, now_ms: Millis) -> list[Effect]:
     """Ask again, and refuse what no keeper has answered in time."""
-    if state.member.has_lease(now_ms):
-        state.keeper.watch_nodes(frozenset(state.member.nodes), now_ms)
+    _watch_nodes(state, now_ms)
     effects: list[Effect] = []
     for waiting in state.shares.waiting:
         if now_ms >= waiting.since_ms + state.settings.entry.limit_timeout_ms:
@@ -91,6 +96,11 @@
     return effects
 
 
+def _watch_nodes(state: EntryState, now_ms: Millis) -> None:
+    if state.member.has_lease(now_ms):
+        state.keeper.watch_nodes(frozenset(state.member.nodes), now_ms)
+
+
 def _refuse(state: EntryState, request: Request, refusal: NotRun) -> list[Effect]:
     request.limits = ()
     return finish(state, request, refusal)
@@ -103,6 +113,4 @@
 
 
 def _keeper(state: EntryState, subject: str) -> str | None:
-    nodes = state.member.nodes
-    staying = [name for name, load in nodes.items() if not load.is_leaving]
-    return find_keeper(subject, staying or list(nodes))
+    return find_keeper(subject, sorted(state.member.nodes))
--- a/packages/marigoldarch/marigoldarch/entry/limits.py
+++ b/packages/marigoldarch/marigoldarch/entry/limits.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from functools import lru_cache
+from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
@@ -16,6 +17,9 @@
 from marigoldarch.messages import LimitNeed, LimitShare
 from marigoldarch.settings import EntrySettings
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 TOKEN_BURST_S = 10.0
 """How many seconds of its token rate a subject may use at once."""
 
@@ -24,6 +28,9 @@
 
 SLOT_RETRY_MS: Millis = 500.0
 
+KEEPER_CACHE = 4096
+"""How many placements of subjects are remembered."""
+
 
 class Limit(NamedTuple):
     """The declared limits of a subject; zero means none of that sort."""
@@ -68,6 +75,11 @@
 
 def find_keeper(subject: str, nodes: list[str]) -> str | None:
     """Return the keeper of a subject by rendezvous hashing."""
+    return _find_keeper(subject, tuple(nodes))
+
+
+@lru_cache(maxsize=KEEPER_CACHE)
+def _find_keeper(subject: str, nodes: tuple[str, ...]) -> str | None:
     return max(nodes, key=lambda node: _score(node, subject), default=None)
 
 
@@ -84,27 +96,36 @@
 
 @dataclass
 class Account:
-    """A keeper's account of one subject. Token debts are paid off before more is lent."""
+    """A keeper's account of one subject; a debt is paid off before more is lent."""
 
     requests: float
     tokens: float
     updated_ms: Millis
+    recovers_until_ms: Millis
     lent: dict[str, Lent] = field(default_factory=dict)
 
 
+class EarlierNodes(NamedTuple):
+    """A membership that was in force until `ended_ms`."""
+
+    nodes: tuple[str, ...]
+    ended_ms: Millis
+
+
 class LimitKeeper:
     """The accounts of the subjects that this node keeps.
 
     A new keeper cannot know what its predecessor lent. For a recovery time after a change of
-    membership its new accounts therefore start empty, and it lends no further slots until entries
-    have had time to ask for those they use.
+    membership, accounts that have moved here therefore start empty, and a node is lent only the
+    slots that it uses already.
     """
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, node: str, settings: EntrySettings) -> None:
+        self._node = node
         self._settings = settings
         self._accounts: dict[str, Account] = {}
         self._nodes: frozenset[str] = frozenset()
-        self._changed_ms: Millis = float("-inf")
+        self._earlier: list[EarlierNodes] = []
 
     @property
     def account_count(self) -> int:
@@ -112,16 +133,22 @@
         return len(self._accounts)
 
     def watch_nodes(self, nodes: frozenset[str], now_ms: Millis) -> None:
-        """Note a change of membership."""
-        if nodes != self._nodes:
-            self._nodes = nodes
-            self._changed_ms = now_ms
+        """Note a change of membership, and give up the subjects that have moved away."""
+        if nodes == self._nodes:
+            return
+        oldest_ms = now_ms - self._settings.limit_recovery_ms
+        self._earlier = [item for item in self._earlier if item.ended_ms > oldest_ms]
+        self._earlier.append(EarlierNodes(tuple(sorted(self._nodes)), now_ms))
+        self._nodes = nodes
+        for subject in list(self._accounts):
+            if find_keeper(subject, sorted(nodes)) != self._node:
+                del self._accounts[subject]
 
     def lend(self, node: str, need: LimitNeed, limit: Limit, now_ms: Millis) -> LimitShare:
         """Lend what the limits allow of a node's need."""
         account = self._refill(need.subject, limit, now_ms)
         requests, request_wait = _take(account.requests, need.requests, limit.rate_per_s)
-        slots, slot_wait = self._lend_slots(account, node, need.slots, limit, now_ms)
+        slots, slot_wait = self._lend_slots(account, node, need, limit, now_ms)
         tokens, token_wait = _lend_tokens(account.tokens, need, limit)
         if limit.rate_per_s:
             account.requests -= requests
@@ -143,9 +170,10 @@
     def _refill(self, subject: str, limit: Limit, now_ms: Millis) -> Account:
         account = self._accounts.get(subject)
         if account is None:
-            share = 0.0 if self._is_recovering(now_ms) else 1.0
+            recovers_until_ms = self._recovers_until_ms(subject)
+            share = 0.0 if now_ms < recovers_until_ms else 1.0
             tokens = limit.tokens_per_s * TOKEN_BURST_S * share
-            account = Account(_request_burst(limit) * share, tokens, now_ms)
+            account = Account(_request_burst(limit) * share, tokens, now_ms, recovers_until_ms)
             self._accounts[subject] = account
         elapsed_s = max(0.0, now_ms - account.updated_ms) / 1000.0
         account.updated_ms = now_ms
@@ -158,22 +186,31 @@
         return account
 
     def _lend_slots(
-        self, account: Account, node: str, wanted: int, limit: Limit, now_ms: Millis
+        self, account: Account, node: str, need: LimitNeed, limit: Limit, now_ms: Millis
     ) -> tuple[int, Millis]:
         if not limit.concurrency:
-            return wanted, 0.0
-        others = sum(held.slots for name, held in account.lent.items() if name != node)
-        slots = max(0, min(wanted, limit.concurrency - others))
-        if self._is_recovering(now_ms):
-            # In recovery a node is lent only what it shows to use already.
-            slots = max(slots, account.lent.get(node, Lent(0, 0.0)).slots)
+            return need.slots, 0.0
         account.lent.pop(node, None)
+        wait_ms = 0.0
+        if now_ms < account.recovers_until_ms:
+            slots = need.used_slots
+        else:
+            others = sum(held.slots for held in account.lent.values())
+            # Slots in use are a fact; they are counted even where they exceed the limit.
+            slots = max(need.used_slots, min(need.slots, limit.concurrency - others))
+            wait_ms = SLOT_RETRY_MS if slots < need.slots else 0.0
         if slots:
             account.lent[node] = Lent(slots, now_ms + self._settings.slot_lease_ms)
-        return slots, 0.0 if slots >= wanted else SLOT_RETRY_MS
+        return slots, wait_ms
 
-    def _is_recovering(self, now_ms: Millis) -> bool:
-        return now_ms < self._changed_ms + self._settings.limit_lease_ms
+    def _recovers_until_ms(self, subject: str) -> Millis:
+        """Return until when entries may not yet have shown what another keeper lent them."""
+        ends = [
+            item.ended_ms
+            for item in self._earlier
+            if item.nodes and find_keeper(subject, list(item.nodes)) != self._node
+        ]
+        return max(ends, default=float("-inf")) + self._settings.limit_recovery_ms
 
 
 def _request_burst(limit: Limit) -> float:
@@ -211,6 +248,8 @@
     used: int = 0
     expires_ms: Millis = 0.0
     slots_expire_ms: Millis = 0.0
+    keeper: str = ""
+    asked_ms: Millis = 0.0
 
 
 class Claim(NamedTuple):
@@ -288,23 +327,36 @@
     def needs(self, now_ms: Millis) -> dict[str, LimitNeed]:
         """Return what is needed for waiting claims, and slots in use that are due for renewal."""
         found: dict[str, LimitNeed] = {}
-        half_lease_ms = self._settings.slot_lease_ms / 2.0
         for subject, share in self._shares.items():
-            if share.used and now_ms >= share.slots_expire_ms - half_lease_ms:
-                found[subject] = LimitNeed(subject, 0.0, 0.0, 0.0, share.used)
+            if share.used and now_ms >= share.asked_ms + self._settings.slot_renewal_ms:
+                found[subject] = _renewal(subject, share)
         for claim in self._waiting.values():
             for subject in claim.subjects:
                 share = self._shares.setdefault(subject, Share())
-                need = found.get(subject, LimitNeed(subject, 0.0, 0.0, 0.0, share.used))
-                found[subject] = LimitNeed(
-                    subject,
-                    need.requests + 1.0,
-                    need.tokens + claim.cost_tokens,
-                    need.first_tokens or claim.cost_tokens,
-                    need.slots + 1,
+                need = found.get(subject) or _renewal(subject, share)
+                found[subject] = need._replace(
+                    requests=need.requests + 1.0,
+                    tokens=need.tokens + claim.cost_tokens,
+                    first_tokens=need.first_tokens or claim.cost_tokens,
+                    slots=need.slots + 1,
                 )
         return {subject: self._less_held(need, now_ms) for subject, need in found.items()}
 
+    def moved(self, keeper_of: Callable[[str], str | None]) -> list[LimitNeed]:
+        """Return the slots in use of subjects that have another keeper than the one asked last."""
+        return [
+            _renewal(subject, share)
+            for subject, share in self._shares.items()
+            if share.used and share.keeper != keeper_of(subject)
+        ]
+
+    def has_arrivals_since_ask(self, keeper: str) -> bool:
+        """Return whether a claim waits that the last ask to the keeper did not count."""
+        pending = self._asks.get(keeper)
+        return pending is not None and any(
+            claim.since_ms > pending.sent_ms for claim in self._waiting.values()
+        )
+
     def ask(self, keeper: str, subjects: frozenset[str], now_ms: Millis) -> int | None:
         """Open an ask to a keeper and return its round, or None while one is open."""
         pending = self._asks.get(keeper)
@@ -312,6 +364,9 @@
             return None
         self._round += 1
         self._asks[keeper] = OpenAsk(self._round, now_ms, subjects)
+        for subject in subjects:
+            share = self._shares.setdefault(subject, Share())
+            share.keeper, share.asked_ms = keeper, now_ms
         return self._round
 
     def take_answer(
@@ -347,15 +402,17 @@
         share = self._shares[need.subject]
         if share.expires_ms <= now_ms:
             return need
-        return LimitNeed(
-            need.subject,
-            max(0.0, need.requests - share.requests),
-            max(0.0, need.tokens - share.tokens),
-            max(0.0, need.first_tokens - share.tokens),
-            need.slots,
+        return need._replace(
+            requests=max(0.0, need.requests - share.requests),
+            tokens=max(0.0, need.tokens - share.tokens),
+            first_tokens=max(0.0, need.first_tokens - share.tokens),
         )
 
 
+def _renewal(subject: str, share: Share) -> LimitNeed:
+    return LimitNeed(subject, 0.0, 0.0, 0.0, share.used, share.used)
+
+
 def _covers(share: Share, limit: Limit, cost_tokens: int, now_ms: Millis) -> bool:
     is_fresh = now_ms < share.expires_ms
     if limit.rate_per_s and not (is_fresh and share.requests >= 1.0):
--- a/packages/marigoldarch/marigoldarch/entry/state.py
+++ b/packages/marigoldarch/marigoldarch/entry/state.py
@@ -37,7 +37,7 @@
         self.budget = RetryBudget(self.settings.entry)
         self.pool_choice = PoolChoice(self.settings.address.data_centre)
         self.shares = LimitShares(self.settings.entry)
-        self.keeper = LimitKeeper(self.settings.entry)
+        self.keeper = LimitKeeper(self.settings.node, self.settings.entry)
 
     def scheduler_of(self, pool: PoolId) -> str | None:
         """Return the node that schedules a pool."""
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -267,7 +267,7 @@
 
     `requests` and `tokens` come on top of earlier shares, `first_tokens` of them for the oldest
     waiting request alone; `slots` is the whole number of requests in progress that the entry wants
-    to be allowed.
+    to be allowed, `used_slots` of which it has in progress already.
     """
 
     subject: str
@@ -275,6 +275,7 @@
     tokens: float
     first_tokens: float
     slots: int
+    used_slots: int
 
 
 class LimitShare(NamedTuple):
--- a/packages/marigoldarch/marigoldarch/settings.py
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -42,7 +42,9 @@
     scheduler_timeout_ms: Millis = 1500.0
     limit_lease_ms: Millis = 1000.0
     slot_lease_ms: Millis = 3000.0
-    limit_timeout_ms: Millis = 1500.0
+    slot_renewal_ms: Millis = 1000.0
+    limit_recovery_ms: Millis = 1500.0
+    limit_timeout_ms: Millis = 2500.0
     directory_ttl_ms: Millis = 2000.0
     default_output_tokens: int = 256
 
--- a/packages/marigoldarch/marigoldarch/tests/entry/limits_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limits_tests.py
@@ -10,20 +10,27 @@
 
 SUBJECT = "customer/guild/harbor"
 SETTINGS = EntrySettings()
+NODES = [f"n{number}" for number in range(200)]
+BEST = find_keeper(SUBJECT, NODES)
+OWN = find_keeper(SUBJECT, [node for node in NODES if node != BEST])
 
 
 def need(
-    requests: float = 0.0, tokens: float = 0.0, first: float = 0.0, slots: int = 0
+    requests: float = 0.0,
+    tokens: float = 0.0,
+    first: float = 0.0,
+    slots: int = 0,
+    used: int = 0,
 ) -> LimitNeed:
     """Return a need under the one subject."""
-    return LimitNeed(SUBJECT, requests, tokens, first, slots)
+    return LimitNeed(SUBJECT, requests, tokens, first, slots, used)
 
 
 class LimitKeeperTests(unittest.TestCase):
     """What a keeper lends."""
 
     def setUp(self) -> None:
-        self.keeper = LimitKeeper(SETTINGS)
+        self.keeper = LimitKeeper(OWN, SETTINGS)
 
     def test_rate_holds_over_all_nodes_together(self) -> None:
         limit = Limit(10.0, 0.0, 0)
@@ -56,6 +63,13 @@
         later_ms = SETTINGS.slot_lease_ms + 1.0
         self.assertEqual(self.keeper.lend("n2", need(slots=3), limit, later_ms).slots, 3)
 
+    def test_slots_in_use_are_counted_even_above_the_limit(self) -> None:
+        limit = Limit(0.0, 0.0, 2)
+        self.keeper.lend("n1", need(slots=2, used=2), limit, 0.0)
+        second = self.keeper.lend("n2", need(slots=1, used=1), limit, 0.0)
+        third = self.keeper.lend("n3", need(slots=1), limit, 0.0)
+        self.assertEqual((second.slots, third.slots), (1, 0))
+
     def test_prompt_above_the_token_burst_is_lent_as_a_debt(self) -> None:
         limit = Limit(0.0, 1000.0, 0)
         big = need(tokens=50_000.0, first=50_000.0)
@@ -65,11 +79,33 @@
         self.assertEqual(refused.tokens, 0.0)
         self.assertEqual(refused.retry_after_ms, 40_100.0)
 
-    def test_new_keeper_starts_empty_after_a_change_of_membership(self) -> None:
-        self.keeper.watch_nodes(frozenset({"n1", "n2"}), 0.0)
-        lent = self.keeper.lend("n1", need(requests=5.0), Limit(5.0, 0.0, 0), 1.0)
+    def move_here(self) -> None:
+        """Let the node that kept the subject die, so that this one keeps it."""
+        self.keeper.watch_nodes(frozenset({OWN, BEST}), 0.0)
+        self.keeper.watch_nodes(frozenset({OWN}), 100.0)
+
+    def test_new_keeper_starts_with_an_empty_rate(self) -> None:
+        self.move_here()
+        lent = self.keeper.lend("n1", need(requests=5.0), Limit(5.0, 0.0, 0), 100.0)
         self.assertEqual(lent.requests, 0.0)
 
+    def test_new_keeper_lends_only_slots_in_use_until_all_have_shown_theirs(self) -> None:
+        self.move_here()
+        limit = Limit(0.0, 0.0, 4)
+        first = self.keeper.lend("n1", need(slots=3, used=1), limit, 100.0)
+        second = self.keeper.lend("n2", need(slots=3, used=3), limit, 200.0)
+        self.assertEqual((first.slots, second.slots), (1, 3))
+        later_ms = 100.0 + SETTINGS.limit_recovery_ms
+        third = self.keeper.lend("n1", need(slots=3, used=1), limit, later_ms)
+        self.assertEqual(third.slots, 1)
+
+    def test_subject_that_did_not_move_is_not_disturbed_by_a_change_of_membership(self) -> None:
+        later = next(n for n in NODES if find_keeper(SUBJECT, [OWN, n]) == OWN and n != OWN)
+        self.keeper.watch_nodes(frozenset({OWN, later}), 0.0)
+        self.keeper.watch_nodes(frozenset({OWN}), 100.0)
+        lent = self.keeper.lend("n1", need(requests=5.0), Limit(5.0, 0.0, 0), 100.0)
+        self.assertEqual(lent.requests, 5.0)
+
     def test_idle_subject_has_no_account(self) -> None:
         class View:
             teams: dict = {}
@@ -98,21 +134,21 @@
     def test_share_that_was_lent_is_used_once(self) -> None:
         self.assertFalse(self.shares.try_take(self.claim, self.limits, 0.0))
         self.shares.wait(self.claim)
-        self.borrow(LimitKeeper(SETTINGS), 0.0)
+        self.borrow(LimitKeeper(OWN, SETTINGS), 0.0)
         self.assertTrue(self.shares.try_take(self.claim, self.limits, 0.0))
         self.assertFalse(self.shares.try_take(self.claim, self.limits, 0.0))
 
     def test_stale_share_is_not_used(self) -> None:
         self.shares.wait(self.claim)
-        self.borrow(LimitKeeper(SETTINGS), 0.0)
+        self.borrow(LimitKeeper(OWN, SETTINGS), 0.0)
         late_ms = SETTINGS.limit_lease_ms + 1.0
         self.assertFalse(self.shares.try_take(self.claim, self.limits, late_ms))
 
     def test_repeated_answer_adds_nothing(self) -> None:
-        keeper = LimitKeeper(SETTINGS)
+        keeper = LimitKeeper(OWN, SETTINGS)
         self.shares.wait(self.claim)
         number = self.shares.ask("k", frozenset({SUBJECT}), 0.0)
-        lent = [keeper.lend("n1", need(1.0, 0.0, 0.0, 1), self.limits[SUBJECT], 0.0)]
+        lent = [keeper.lend("n1", need(1.0, slots=1), self.limits[SUBJECT], 0.0)]
         self.shares.take_answer("k", number, lent, 0.0)
         self.shares.take_answer("k", number, lent, 0.0)
         self.assertTrue(self.shares.try_take(self.claim, self.limits, 0.0))
@@ -121,10 +157,10 @@
 
     def test_slots_in_use_are_asked_for_again_before_they_expire(self) -> None:
         self.shares.wait(self.claim)
-        self.borrow(LimitKeeper(SETTINGS), 0.0)
+        self.borrow(LimitKeeper(OWN, SETTINGS), 0.0)
         self.shares.try_take(self.claim, self.limits, 0.0)
         self.assertEqual(self.shares.needs(100.0), {})
-        renewal = self.shares.needs(SETTINGS.slot_lease_ms * 0.6)
+        renewal = self.shares.needs(SETTINGS.slot_lease_ms / 2.0)
         self.assertEqual(renewal[SUBJECT].slots, 1)
 
 
