Name prompt prefixes, and give no directory answer without a lease

Cause: the scheduler had no prefixes to match caches by; a cut-off node answered the directory from a stale list, which could name dead nodes.

--- a/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
@@ -9,6 +9,7 @@
 import trio
 
 from marigoldarch.codec import decode_json, encode_json
+from marigoldarch.entry.prefix import estimate_tokens, prefix_names
 from marigoldarch.events import CallArrived, CallerGone, CallInfo
 from marigoldarch.exceptions import CodecError
 from marigoldarch.outcomes import Answered, Failed, NotRun, Outcome, OutcomeUnknown
@@ -22,7 +23,6 @@
 KIND_HEADER = "x-marigoldarch-kind"
 DEADLINE_HEADER = "x-marigoldarch-deadline-ms"
 DATA_CENTRE_HEADER = "x-marigoldarch-data-centre"
-BYTES_PER_TOKEN = 4
 SERVICE_PREFIX = "/v1/services/"
 MAX_OUTPUT_TOKENS = 1_000_000
 
@@ -63,6 +63,7 @@
         if type(max_tokens) is not int or not 0 < max_tokens <= MAX_OUTPUT_TOKENS:
             raise HttpError(400, "invalid_request", "max_tokens must be a positive integer")
         model, adapter, version = _split_model(body.get("model"))
+        encoded = prompt.encode()
         info = CallInfo(
             _new_request_id(),
             hash_key(request.bearer),
@@ -70,9 +71,10 @@
             model,
             adapter,
             version,
-            prompt_tokens=max(1, len(prompt.encode()) // BYTES_PER_TOKEN),
+            prompt_tokens=estimate_tokens(encoded),
             output_tokens=max_tokens,
             deadline_ms=_parse_deadline(request),
+            prefix=prefix_names(encoded, f"{model}:{adapter}@{version}"),
         )
         payload = Payload(model, adapter, version, prompt, max_tokens)
         form = AnswerForm(info.request_id, str(body["model"]), is_chat=is_chat)
@@ -129,7 +131,10 @@
     async def _serve_directory(self, request: HttpRequest) -> None:
         own = self._runtime.settings.core.address.data_centre
         data_centre = request.query.get("data_centre", own)
-        answer = self._runtime.state.ask_directory(data_centre)
+        now_ms = self._runtime.clock.monotonic_ms()
+        answer = self._runtime.state.ask_directory(data_centre, now_ms)
+        if answer is None:
+            raise HttpError(503, "no_lease", "this node is cut off; ask another one")
         body = {"addresses": answer.addresses, "ttl_ms": answer.ttl_ms}
         await request.send_json(200, body)
 
--- a/packages/marigoldarch/marigoldarch/reducer.py
+++ b/packages/marigoldarch/marigoldarch/reducer.py
@@ -48,8 +48,13 @@
         wait_ms = self.settings.entry.directory_ttl_ms + DRAIN_MARGIN_MS
         return now_ms >= self.drain_since_ms + wait_ms
 
-    def ask_directory(self, data_centre: str) -> DirectoryAnswer:
-        """Return the addresses that a caller in `data_centre` should use."""
+    def ask_directory(self, data_centre: str, now_ms: Millis) -> DirectoryAnswer | None:
+        """Return the addresses that a caller in `data_centre` should use.
+
+        A node without a lease cannot know which nodes live, and answers None.
+        """
+        if not self.control.member.has_lease(now_ms):
+            return None
         nodes = list(self.control.member.nodes.values())
         ttl_ms = self.settings.entry.directory_ttl_ms
         return answer(nodes, data_centre, ttl_ms, self.chooser)
--- a/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
@@ -276,7 +276,7 @@
         self.cluster.submit("n2", DrainRequested(self.cluster.now_ms))
         self.run_for(1000)
         for node in self.cluster.nodes.values():
-            addresses = node.state.ask_directory("dc1").addresses
+            addresses = node.state.ask_directory("dc1", self.cluster.now_ms).addresses
             self.assertNotIn("n2:80", addresses)
         self.prompt("r2")
         self.assertEqual(len(self.target_calls("r2")), 1)
@@ -295,7 +295,16 @@
         self.cluster.kill(dead)
         self.cluster.run(2000)
         for node in self.cluster.nodes.values():
-            self.assertNotIn(f"{dead}:80", node.state.ask_directory("dc1").addresses)
+            self.assertNotIn(
+                f"{dead}:80", node.state.ask_directory("dc1", self.cluster.now_ms).addresses
+            )
+
+    def test_cut_off_node_gives_no_directory_answer(self) -> None:
+        self.cluster.cut("n2", "n1")
+        self.cluster.cut("n2", "n3")
+        self.cluster.run(2500)
+        state = self.cluster.nodes["n2"].state
+        self.assertIsNone(state.ask_directory("dc1", self.cluster.now_ms))
 
     def test_every_refused_request_is_answered_once(self) -> None:
         self.prompt("r1", key="0" * 64)
