--- a/packages/marigoldarch-node/marigoldarch_node/config/node.py
+++ b/packages/marigoldarch-node/marigoldarch_node/config/node.py
@@ -38,7 +38,10 @@
     peer_address = Address("IP:PORT for the other nodes.", is_required=True)
     voters = Names("Nodes that hold the replicated log.", is_required=True)
     peers = Peers("All nodes, this one included.", is_required=True)
-    data_folder = Folder("Folder of the replicated log; needed on voters.", None)
+    data_folder = Folder(
+        "Folder of the replicated log; needed on voters, and where a repair may place one.", None
+    )
+    installation = Name("Name of the installation; its data folders carry it.", "marigoldarch")
     log_format = Choice("Format of the log.", "text", ("text", "json"))
     log_level = Choice("Least level to log.", "info", ("debug", "info", "warning", "error"))
     timeline_file = Folder("File that time line events are appended to.", None)
@@ -70,6 +73,11 @@
         """Return the folder of the replicated log."""
         return self._values["data_folder"]
 
+    @property
+    def installation(self) -> str:
+        """Return the name of the installation."""
+        return self._values["installation"]
+
     @property
     def timeline_file(self) -> Path | None:
         """Return the file of time line events."""
@@ -152,4 +160,5 @@
         secrets.token_hex(_RUN_ID_BYTES),
         secrets.randbits(32),
         entry=EntrySettings(directory_ttl_ms=values["directory_ttl_ms"]),
+        has_data_folder=values["data_folder"] is not None,
     )
--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -10,8 +10,10 @@
 from marigoldarch.effects import (
     CallTarget,
     CancelCall,
+    Checkpoint,
     Effect,
     Exit,
+    LogRecord,
     OperatorReply,
     OrderTarget,
     Persist,
@@ -56,12 +58,12 @@
         self.operator_replies: dict[str, trio.MemorySendChannel] = {}
         self._folder: DataFolder | None = None
         durable = None
-        if core.is_voter:
-            self._folder = DataFolder(settings.data_folder, core.node)
+        if core.hosts_replica:
+            self._folder = DataFolder(settings.data_folder, core.node, settings.installation)
             durable = self._folder.open()
         self.state = NodeState(core, durable)
         self._nursery: trio.Nursery | None = None
-        self._persists: deque[Persist] = deque()
+        self._persists: deque[Persist | Checkpoint] = deque()
         self._persist_wakeup = trio.Event()
         self._synced_id = 0
         self._held: deque[Send] = deque()
@@ -93,7 +95,7 @@
         match effect:
             case Send():
                 self._send(effect)
-            case Persist():
+            case Persist() | Checkpoint():
                 self._persists.append(effect)
                 self._persist_wakeup.set()
             case Reply():
@@ -130,10 +132,22 @@
                 await self._persist_wakeup.wait()
             batch = list(self._persists)
             self._persists.clear()
-            records = [record for persist in batch for record in persist.records]
-            await trio.to_thread.run_sync(self._folder.append, records)
+            await trio.to_thread.run_sync(self._write_batch, batch)
             self._on_synced(batch[-1].persist_id)
 
+    def _write_batch(self, batch: list[Persist | Checkpoint]) -> None:
+        records: list[LogRecord] = []
+        for effect in batch:
+            match effect:
+                case Persist():
+                    records += effect.records
+                case Checkpoint():
+                    # A checkpoint holds all that was written before it.
+                    records.clear()
+                    self._folder.replace(list(effect.records))
+        if records:
+            self._folder.append(records)
+
     def _on_synced(self, persist_id: int) -> None:
         self._synced_id = persist_id
         still_held = [send for send in self._held if send.after > persist_id]
--- a/packages/marigoldarch-node/marigoldarch_node/storage/folder.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/folder.py
@@ -1,32 +1,45 @@
-"""The data folder of a voter: its identity and its write-ahead log."""
+"""The data folder of a replica: its identity and its write-ahead log."""
 
 from __future__ import annotations
 
+import errno
 import os
-from typing import TYPE_CHECKING, BinaryIO
+from typing import TYPE_CHECKING
 
-from marigoldarch.codec import decode_json, encode_json
-from marigoldarch.control.commands import Entry
-from marigoldarch.control.log import Log
-from marigoldarch.control.replica import DurableState
-from marigoldarch.effects import LogRecord, TruncateRecord, VoteRecord
-from marigoldarch.exceptions import CodecError, ForeignDataFolderError, StorageError
-from marigoldarch_node.storage.records import encode_record, plain_identity, scan_records
+from marigoldarch.control.durable import DurableState, replay
+from marigoldarch.exceptions import DiskFullError, ForeignDataFolderError, StorageError
+from marigoldarch_node.storage.identity import (
+    decode_identity,
+    encode_identity,
+    new_identity,
+)
+from marigoldarch_node.storage.records import encode_record, scan_records
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from marigoldarch.effects import LogRecord
+
 IDENTITY_FILE = "identity.json"
 LOG_FILE = "log"
+NEW_SUFFIX = ".new"
+
+_FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
 class DataFolder:
-    """One voter's files. Records count only once `append` has returned."""
+    """One replica's files. Records count only once `append` or `replace` has returned.
+
+    After an error nothing more may be written: the process has to stop and start again, which cuts
+    what was written in part.
+    """
 
-    def __init__(self, path: Path, node: str) -> None:
+    def __init__(self, path: Path, node: str, installation: str) -> None:
         self._path = path
         self._node = node
-        self._file: BinaryIO | None = None
+        self._installation = installation
+        self._descriptor: int | None = None
+        self._is_broken = False
 
     def open(self) -> DurableState:
         """Check the identity, cut a torn tail, and return the durable state.
@@ -35,56 +48,77 @@
         """
         try:
             self._path.mkdir(parents=True, exist_ok=True)
-            self._check_identity()
-            return self._open_log()
+            replica_id = self._open_identity()
+            return self._open_log(replica_id)
         except OSError as error:
-            raise StorageError(f"cannot use the data folder: {error.strerror}") from error
+            raise _typed(error, "cannot use the data folder") from error
 
     def append(self, records: list[LogRecord]) -> None:
         """Write and sync records; raise `StorageError` when the disk refuses."""
         data = b"".join(encode_record(record) for record in records)
+        self._check_usable()
         try:
-            self._file.write(data)
-            self._file.flush()
-            os.fdatasync(self._file.fileno())
+            _write_all(self._descriptor, data)
+            os.fdatasync(self._descriptor)
         except OSError as error:
-            raise StorageError(f"cannot write the log: {error.strerror}") from error
+            self._is_broken = True
+            raise _typed(error, "cannot write the log") from error
+
+    def replace(self, records: list[LogRecord]) -> None:
+        """Replace the whole log by these records, in one step that lasts."""
+        data = b"".join(encode_record(record) for record in records)
+        self._check_usable()
+        path = self._path / LOG_FILE
+        try:
+            self._write_synced(path, data)
+            os.close(self._descriptor)
+            self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
+        except OSError as error:
+            self._is_broken = True
+            raise _typed(error, "cannot write a snapshot") from error
 
     def close(self) -> None:
         """Close the log."""
-        if self._file is not None:
-            self._file.close()
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
 
-    def _check_identity(self) -> None:
-        path = self._path / IDENTITY_FILE
-        if not path.exists():
-            if (self._path / LOG_FILE).exists():
-                raise ForeignDataFolderError("the data folder holds a log without an identity")
-            self._write_synced(path, encode_json(plain_identity(self._node)))
-            return
-        try:
-            identity = decode_json(path.read_bytes())
-        except CodecError as error:
-            raise ForeignDataFolderError("the identity of the data folder is damaged") from error
-        if identity != plain_identity(self._node):
-            raise ForeignDataFolderError(f"the data folder does not belong to {self._node}")
+    def _check_usable(self) -> None:
+        if self._is_broken or self._descriptor is None:
+            raise StorageError("the log cannot be written after an earlier error")
 
-    def _open_log(self) -> DurableState:
+    def _open_identity(self) -> str:
+        path = self._path / IDENTITY_FILE
+        if path.exists():
+            return decode_identity(path.read_bytes(), self._installation, self._node).replica_id
+        if (self._path / LOG_FILE).exists():
+            raise ForeignDataFolderError("the data folder holds a log without an identity")
+        identity = new_identity(self._installation, self._node)
+        self._write_synced(path, encode_identity(identity))
+        return identity.replica_id
+
+    def _open_log(self, replica_id: str) -> DurableState:
         path = self._path / LOG_FILE
+        (self._path / (LOG_FILE + NEW_SUFFIX)).unlink(missing_ok=True)
         data = path.read_bytes() if path.exists() else b""
         scan = scan_records(data)
-        self._file = path.open("ab", buffering=0)
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
         if scan.intact_bytes < len(data):
-            os.truncate(path, scan.intact_bytes)
-        os.fsync(self._file.fileno())
+            os.ftruncate(self._descriptor, scan.intact_bytes)
+        os.fsync(self._descriptor)
         self._sync_folder()
-        return replay(scan.records)
+        return replay(scan.records, replica_id)
 
     def _write_synced(self, path: Path, data: bytes) -> None:
-        with path.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
+        """Write a file under another name, sync it, and move it into place."""
+        new_path = path.with_name(path.name + NEW_SUFFIX)
+        descriptor = os.open(new_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.replace(new_path, path)
         self._sync_folder()
 
     def _sync_folder(self) -> None:
@@ -95,19 +129,14 @@
             os.close(descriptor)
 
 
-def replay(records: list[LogRecord]) -> DurableState:
-    """Return the state that the records lead to."""
-    state = DurableState()
-    entries: list[Entry] = []
-    for record in records:
-        match record:
-            case VoteRecord():
-                state.term, state.voted_for = record.term, record.voted_for
-            case TruncateRecord(index=index):
-                del entries[index - 1 :]
-            case Entry():
-                entries.append(record)
-    state.log = Log()
-    for entry in entries:
-        state.log.append(entry)
-    return state
+def _write_all(descriptor: int, data: bytes) -> None:
+    """Write all bytes: a nearly full disk may take only some of them at a time."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def _typed(error: OSError, what: str) -> StorageError:
+    if error.errno in _FULL:
+        return DiskFullError(f"{what}: the disk is full")
+    return StorageError(f"{what}: {error.strerror}")
--- a/packages/marigoldarch-node/marigoldarch_node/storage/records.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/records.py
@@ -1,21 +1,26 @@
-"""The format of log records on disk: length, CRC-32 and a JSON payload."""
+"""The format of log records on disk: a mark, the length, CRC-32 and a JSON payload."""
 
 from __future__ import annotations
 
 import struct
 import zlib
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
 from marigoldarch.codec import decode_json, encode_json
 from marigoldarch.control.commands import Entry
+from marigoldarch.control.configuration import Snapshot
 from marigoldarch.effects import LogRecord, TruncateRecord, VoteRecord
 from marigoldarch.exceptions import CodecError, DamagedLogError
 
-_HEADER = struct.Struct("<II")
-_CLASSES = {cls.__name__: cls for cls in (VoteRecord, TruncateRecord, Entry)}
-MAX_RECORD_BYTES = 64 * 1024 * 1024
+MARK = b"\xff\xfeMR"
+"""Begins each record. Bytes 0xFF and 0xFE never occur in UTF-8, so no payload contains it."""
+
+MAX_RECORD_BYTES = 256 * 1024 * 1024
+
+_HEADER = struct.Struct("<4sII")
+_CLASSES = {cls.__name__: cls for cls in (VoteRecord, TruncateRecord, Snapshot, Entry)}
 
 
 class Scan(NamedTuple):
@@ -27,8 +32,8 @@
 
 def encode_record(record: LogRecord) -> bytes:
     """Return a record with its header."""
-    payload = encode_json([type(record).__name__, msgspec.to_builtins(record)])
-    return _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+    payload = encode_json([type(record).__name__, record])
+    return _HEADER.pack(MARK, len(payload), zlib.crc32(payload)) + payload
 
 
 def scan_records(data: bytes) -> Scan:
@@ -53,18 +58,22 @@
 def _record_end(data: bytes, position: int) -> int | None:
     if position + _HEADER.size > len(data):
         return None
-    length, checksum = _HEADER.unpack_from(data, position)
+    mark, length, checksum = _HEADER.unpack_from(data, position)
     end = position + _HEADER.size + length
-    if length > MAX_RECORD_BYTES or end > len(data):
+    if mark != MARK or length > MAX_RECORD_BYTES or end > len(data):
         return None
-    return end if zlib.crc32(data[position + _HEADER.size : end]) == checksum else None
+    payload = memoryview(data)[position + _HEADER.size : end]
+    return end if zlib.crc32(payload) == checksum else None
 
 
 def _has_record_after(data: bytes, position: int) -> bool:
-    return any(
-        _record_end(data, start) is not None and data[start : start + 4] != b"\0\0\0\0"
-        for start in range(position + 1, len(data) - _HEADER.size)
-    )
+    """Return whether an intact record begins after `position`; looks only where a mark stands."""
+    start = data.find(MARK, position + 1)
+    while start >= 0:
+        if _record_end(data, start) is not None:
+            return True
+        start = data.find(MARK, start + 1)
+    return False
 
 
 def _decode(payload: bytes, position: int) -> LogRecord:
@@ -73,8 +82,3 @@
         return msgspec.convert(fields, _CLASSES[name])
     except (CodecError, KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
         raise DamagedLogError(f"undecodable record at byte {position}: {error}") from error
-
-
-def plain_identity(node: str) -> dict[str, Any]:
-    """Return the identity that a data folder of `node` carries."""
-    return {"format": 1, "node": node}
--- a/packages/marigoldarch/marigoldarch/control/commands.py
+++ b/packages/marigoldarch/marigoldarch/control/commands.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 from marigoldarch.codec import Codec
+from marigoldarch.control.configuration import Configuration
 from marigoldarch.identifiers import PoolId
 
 
@@ -14,15 +15,37 @@
     """Commit the log of earlier terms at the start of a leader's term."""
 
 
+@dataclass(frozen=True)
+class Configure:
+    """Change the replicas of the log; takes effect as soon as a replica holds the entry."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True)
+class NodeJoined:
+    """Make a node known to every later leader; only known nodes are granted leases."""
+
+    node: str
+
+
+@dataclass(frozen=True)
+class NodeLeft:
+    """Forget a node that has left, or whose lease ran out long ago."""
+
+    node: str
+
+
 @dataclass(frozen=True)
 class Declare:
-    """Replace a team's subtree, if it is still at `base_revision`."""
+    """Replace a subtree, if it is still at `base_revision` and the operator has the right to."""
 
     change_id: str
     operator: str
     team: str
     base_revision: int
     declaration: dict[str, Any]
+    has_all_rights: bool = True
 
 
 @dataclass(frozen=True)
@@ -36,7 +59,10 @@
 
 @dataclass(frozen=True)
 class LedgerStart:
-    """Record that `node` alone may send the call to `target`, until `deadline_wall_ms`."""
+    """Record that `node` alone may send the call to `target`, until `deadline_wall_ms`.
+
+    `time_left_ms` is the time until that deadline when the command was made.
+    """
 
     customer: str
     key: str
@@ -45,6 +71,7 @@
     request_id: str
     target: str
     deadline_wall_ms: int
+    time_left_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -66,7 +93,25 @@
     request_id: str
 
 
-Command = Noop | Declare | AssignPool | LedgerStart | LedgerFinish | LedgerAbandon
+@dataclass(frozen=True)
+class LedgerExpire:
+    """Forget the calls that were started before an instant of the log's own time."""
+
+    started_before_ms: int
+
+
+Command = (
+    Noop
+    | Configure
+    | NodeJoined
+    | NodeLeft
+    | Declare
+    | AssignPool
+    | LedgerStart
+    | LedgerFinish
+    | LedgerAbandon
+    | LedgerExpire
+)
 
 
 @dataclass(frozen=True)
@@ -90,6 +135,14 @@
     winner_operator: str
 
 
+@dataclass(frozen=True)
+class DeclareForbidden:
+    """The operator has no right to change this team's subtree."""
+
+    operator: str
+    team: str
+
+
 @dataclass(frozen=True)
 class LedgerStarted:
     """This request holds the only right to send the call."""
@@ -102,6 +155,20 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class LedgerUnknown:
+    """Another request with the same key passed its deadline without a recorded answer."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class LedgerFull:
+    """The ledger has no room for another call; nothing was recorded."""
+
+    retry_after_ms: int
+
+
 @dataclass(frozen=True)
 class LedgerAnswered:
     """The call was finished before with this answer."""
@@ -118,20 +185,39 @@
     Done
     | Declared
     | DeclareConflict
+    | DeclareForbidden
     | LedgerStarted
     | LedgerRunning
+    | LedgerUnknown
+    | LedgerFull
     | LedgerAnswered
     | LedgerMismatch
 )
 
-COMMANDS = Codec((Noop, Declare, AssignPool, LedgerStart, LedgerFinish, LedgerAbandon))
+COMMANDS = Codec(
+    (
+        Noop,
+        Configure,
+        NodeJoined,
+        NodeLeft,
+        Declare,
+        AssignPool,
+        LedgerStart,
+        LedgerFinish,
+        LedgerAbandon,
+        LedgerExpire,
+    )
+)
 RESULTS = Codec(
     (
         Done,
         Declared,
         DeclareConflict,
+        DeclareForbidden,
         LedgerStarted,
         LedgerRunning,
+        LedgerUnknown,
+        LedgerFull,
         LedgerAnswered,
         LedgerMismatch,
     )
@@ -139,8 +225,12 @@
 
 
 class Entry(NamedTuple):
-    """An entry of the replicated log; `command` is in the plain form of `COMMANDS`."""
+    """An entry of the replicated log; `command` is in the plain form of `COMMANDS`.
+
+    `log_ms` is the log's own time: what the leaders so far have measured on monotonic clocks.
+    """
 
     index: int
     term: int
     command: list[Any]
+    log_ms: int = 0
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/control/leadership.py
@@ -0,0 +1,176 @@
+"""What only the leader does: sessions, assignments, repairs and answers to proposals."""
+
+from __future__ import annotations
+
+from marigoldarch.clock import Millis
+from marigoldarch.control.assignment import Assignments
+from marigoldarch.control.commands import (
+    COMMANDS,
+    RESULTS,
+    AssignPool,
+    Command,
+    CommandResult,
+    Configure,
+    Entry,
+    LedgerExpire,
+    LedgerFull,
+    LedgerStart,
+    NodeJoined,
+    NodeLeft,
+)
+from marigoldarch.control.machine import StateMachine
+from marigoldarch.control.repair import next_step
+from marigoldarch.control.repair_state import RepairState
+from marigoldarch.control.replica import Replica
+from marigoldarch.control.sessions import Sessions
+from marigoldarch.effects import Effect, Record, Send
+from marigoldarch.identifiers import PoolId, ReplicaName
+from marigoldarch.messages import (
+    AwaitInForce,
+    Heartbeat,
+    NodeLeaving,
+    PoolRelinquished,
+    Propose,
+    ProposeReply,
+    RepairReply,
+    RepairRequest,
+    ViewAck,
+)
+from marigoldarch.settings import ControlSettings
+
+LEDGER_EXPIRY_INTERVAL_MS: Millis = 10_000.0
+LEDGER_FULL_RETRY_MS = 60_000
+
+
+class Leadership:
+    """One leader's term, from when all entries of earlier terms were applied."""
+
+    def __init__(self, replica: Replica, machine: StateMachine, settings: ControlSettings) -> None:
+        self._replica = replica
+        self._machine = machine
+        self._settings = settings
+        self._term = replica.term
+        old_leases_end_ms = (
+            replica.grants_end_ms + settings.session_lease_ms + settings.clock_drift_ms
+        )
+        self._sessions = Sessions(settings, old_leases_end_ms)
+        self._assignments = Assignments()
+        self._waiting: dict[int, list[tuple[str, str]]] = {}
+        self._proposed: dict[str, int] = {}
+        self._expiry_due_ms: Millis = float("-inf")
+
+    @property
+    def term(self) -> int:
+        """Return the term in which this node leads."""
+        return self._term
+
+    @property
+    def sessions(self) -> Sessions:
+        """Return the sessions of this term."""
+        return self._sessions
+
+    def tick(self, now_ms: Millis) -> list[Effect]:
+        """Expire sessions, answer who waits, and propose what is due."""
+        effects = self._sessions.expire(now_ms)
+        effects += self._sessions.answer_waits(self._machine, now_ms)
+        if not self._replica.has_leader_lease(now_ms):
+            return effects
+        due: list[Command] = [*self._sessions.due_node_changes(self._machine, now_ms)]
+        due += self._assignments.due(self._sessions, self._machine, now_ms)
+        due += self._due_expiry(now_ms)
+        for command in due:
+            effects += self._replica.propose(command, now_ms)[1]
+        return effects
+
+    def on_propose(self, sender: str, message: Propose, now_ms: Millis) -> list[Effect]:
+        """Propose a command once, and remember who waits for its result."""
+        index = self._proposed.get(message.proposal_id)
+        if index is not None and index in self._waiting:
+            return []
+        command = COMMANDS.from_plain(message.command)
+        if self._is_ledger_full_for(command):
+            result = RESULTS.to_plain(LedgerFull(LEDGER_FULL_RETRY_MS))
+            return [Send(sender, ProposeReply(message.proposal_id, result))]
+        index, effects = self._replica.propose(command, now_ms)
+        self._proposed[message.proposal_id] = index
+        self._waiting.setdefault(index, []).append((sender, message.proposal_id))
+        return effects
+
+    def on_heartbeat(self, sender: str, message: Heartbeat, now_ms: Millis) -> list[Effect]:
+        """Renew a session."""
+        return self._sessions.on_heartbeat(sender, message, self._machine, now_ms)
+
+    def on_message(
+        self,
+        sender: str,
+        message: ViewAck | AwaitInForce | PoolRelinquished | NodeLeaving,
+        now_ms: Millis,
+    ) -> list[Effect]:
+        """Take a node's message that needs no leader lease."""
+        match message:
+            case ViewAck(revision=revision):
+                return self._sessions.on_view_ack(sender, revision, self._machine, now_ms)
+            case AwaitInForce(revision=revision):
+                return self._sessions.on_await(sender, revision, self._machine, now_ms)
+            case PoolRelinquished():
+                pool = PoolId(*message.pool)
+                assignment = self._machine.view.assignments.get(pool)
+                if assignment is not None and assignment.node == sender:
+                    self._sessions.relinquished[pool] = message.fence
+            case NodeLeaving(incarnation=incarnation):
+                self._sessions.on_leaving(sender, incarnation, now_ms)
+        return []
+
+    def on_repair_request(
+        self, sender: str, request: RepairRequest, now_ms: Millis
+    ) -> list[Effect]:
+        """Take a repair one step further and report how far it is."""
+        session = self._sessions.by_node.get(request.replacement)
+        if session is None or not session.replica_id:
+            reply = RepairReply(request.lost, request.replacement, RepairState.NO_REPLACEMENT)
+            return [Send(sender, reply)]
+        replacement = ReplicaName(request.replacement, session.replica_id)
+        step = next_step(self._replica, request.lost, replacement, self._settings, now_ms)
+        effects: list[Effect] = [
+            Send(sender, RepairReply(request.lost, request.replacement, step.state))
+        ]
+        if step.configuration is not None and self._replica.has_leader_lease(now_ms):
+            fields = {"state": str(step.state), "lost": request.lost, "by": str(replacement)}
+            effects.append(Record("repair_step", fields))
+            effects += self._replica.propose(Configure(step.configuration), now_ms)[1]
+        return effects
+
+    def on_applied(self, entry: Entry, result: CommandResult) -> list[Effect]:
+        """Answer those who wait for an entry."""
+        match COMMANDS.from_plain(entry.command):
+            case AssignPool(pool=pool):
+                self._assignments.on_applied(PoolId(*pool))
+            case NodeJoined(node=node) | NodeLeft(node=node):
+                self._sessions.on_node_changed(node)
+        effects: list[Effect] = []
+        for sender, proposal_id in self._waiting.pop(entry.index, []):
+            self._proposed.pop(proposal_id, None)
+            effects.append(Send(sender, ProposeReply(proposal_id, RESULTS.to_plain(result))))
+        return effects
+
+    def on_view_changed(self) -> list[Effect]:
+        """Push view updates to every node."""
+        return self._sessions.on_view_changed(self._machine)
+
+    def _is_ledger_full_for(self, command: Command) -> bool:
+        ledger = self._machine.ledger
+        return (
+            isinstance(command, LedgerStart)
+            and ledger.size_bytes >= self._settings.ledger_max_bytes
+            and not ledger.has(command.customer, command.key)
+        )
+
+    def _due_expiry(self, now_ms: Millis) -> list[Command]:
+        if now_ms < self._expiry_due_ms:
+            return []
+        self._expiry_due_ms = now_ms + LEDGER_EXPIRY_INTERVAL_MS
+        before_ms = self._replica.log_ms(now_ms) - int(self._settings.ledger_retention_ms)
+        oldest_ms = self._machine.ledger.oldest_ms
+        if oldest_ms is None or oldest_ms >= before_ms:
+            return []
+        return [LedgerExpire(before_ms)]
--- a/packages/marigoldarch/marigoldarch/control/ledger.py
+++ b/packages/marigoldarch/marigoldarch/control/ledger.py
@@ -1,63 +1,158 @@
-"""The at-most-once ledger of non-idempotent calls."""
+"""The at-most-once ledger of non-idempotent calls.
+
+Time in the ledger is the log's own time: milliseconds that leaders measured on their monotonic
+clocks and stamped on entries. It never runs faster than real time, so nothing expires early.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+import msgspec
 
 from marigoldarch.control.commands import (
     CommandResult,
     Done,
     LedgerAbandon,
     LedgerAnswered,
+    LedgerExpire,
     LedgerFinish,
     LedgerMismatch,
     LedgerRunning,
     LedgerStart,
     LedgerStarted,
+    LedgerUnknown,
 )
 
+RECORD_BYTES = 400
+"""What a record needs in memory besides its answer, in bytes."""
+
 
-@dataclass
-class LedgerRecord:
-    """One call: who may send it, and its answer once that is known."""
+class LedgerRecord(NamedTuple):
+    """One call: who may send it since when, and its answer once that is known."""
 
     start: LedgerStart
+    started_ms: int
     answer: str | None = None
 
+    @property
+    def size_bytes(self) -> int:
+        """Return what the record needs in memory."""
+        return RECORD_BYTES + len(self.answer or "")
+
+    def is_past_deadline(self, now_ms: int) -> bool:
+        """Return whether the sender's deadline has certainly passed."""
+        return now_ms > self.started_ms + self.start.time_left_ms
+
 
 class Ledger:
-    """Calls by (customer, idempotency key)."""
+    """Calls by (customer, idempotency key), in the order of their start."""
 
     def __init__(self) -> None:
         self._records: dict[tuple[str, str], LedgerRecord] = {}
+        self._abandoned: dict[str, int] = {}
+        self._size_bytes = 0
 
-    def start(self, command: LedgerStart) -> CommandResult:
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return what all records need in memory."""
+        return self._size_bytes + RECORD_BYTES * len(self._abandoned)
+
+    @property
+    def oldest_ms(self) -> int | None:
+        """Return the log time of the oldest record, or None when there is none."""
+        oldest = [record.started_ms for record in self._first(self._records)]
+        oldest += self._first(self._abandoned)
+        return min(oldest, default=None)
+
+    def has(self, customer: str, key: str) -> bool:
+        """Return whether a key has a record."""
+        return (customer, key) in self._records
+
+    def start(self, command: LedgerStart, now_ms: int) -> CommandResult:
         """Give the first request with a key the only right to send the call."""
-        record = self._records.get((command.customer, command.key))
+        key = (command.customer, command.key)
+        record = self._records.get(key)
+        if command.request_id in self._abandoned:
+            # A late copy of a start that its sender has given up; the sender sends nothing.
+            return LedgerRunning(command.request_id)
         if record is None:
-            self._records[command.customer, command.key] = LedgerRecord(command)
+            self._put(key, LedgerRecord(command, now_ms))
             return LedgerStarted()
         if record.start.digest != command.digest:
             return LedgerMismatch()
         if record.answer is not None:
             return LedgerAnswered(record.answer)
         if record.start.request_id == command.request_id:
+            self._put(key, record._replace(start=command))
             return LedgerStarted()
+        if record.is_past_deadline(now_ms):
+            return LedgerUnknown(record.start.request_id)
         return LedgerRunning(record.start.request_id)
 
     def finish(self, command: LedgerFinish) -> CommandResult:
         """Record the answer for replay."""
-        record = self._records.get((command.customer, command.key))
+        key = (command.customer, command.key)
+        record = self._records.get(key)
         if record is not None and record.start.request_id == command.request_id:
-            record.answer = command.answer
+            self._put(key, record._replace(answer=command.answer))
         return Done()
 
-    def abandon(self, command: LedgerAbandon) -> CommandResult:
-        """Forget a call that was proved unsent."""
+    def abandon(self, command: LedgerAbandon, now_ms: int) -> CommandResult:
+        """Forget a call that was proved unsent, and any late copy of its start."""
         key = (command.customer, command.key)
         record = self._records.get(key)
-        if record is None or record.start.request_id != command.request_id:
+        is_own = record is not None and record.start.request_id == command.request_id
+        if is_own and record.answer is not None:
             return Done()
-        if record.answer is None:
-            del self._records[key]
+        self._abandoned.setdefault(command.request_id, now_ms)
+        if is_own:
+            self._remove(key)
+        return Done()
+
+    def expire(self, command: LedgerExpire) -> CommandResult:
+        """Forget the records that were started before an instant of the log's time."""
+        old = [
+            key
+            for key, record in self._records.items()
+            if record.started_ms < command.started_before_ms
+        ]
+        for key in old:
+            self._remove(key)
+        self._abandoned = {
+            request_id: at_ms
+            for request_id, at_ms in self._abandoned.items()
+            if at_ms >= command.started_before_ms
+        }
         return Done()
+
+    def to_plain(self) -> dict[str, Any]:
+        """Return the ledger as values that JSON can encode; the records are shared."""
+        return {
+            "records": list(self._records.values()),
+            "abandoned": list(self._abandoned.items()),
+        }
+
+    @classmethod
+    def from_plain(cls, plain: dict[str, Any]) -> Ledger:
+        """Build a ledger from the decoded form of `to_plain`."""
+        ledger = cls()
+        for record in msgspec.convert(plain["records"], list[LedgerRecord]):
+            ledger._put((record.start.customer, record.start.key), record)
+        ledger._abandoned = {request_id: at_ms for request_id, at_ms in plain["abandoned"]}
+        return ledger
+
+    def _put(self, key: tuple[str, str], record: LedgerRecord) -> None:
+        held = self._records.get(key)
+        self._size_bytes += record.size_bytes - (held.size_bytes if held else 0)
+        self._records[key] = record
+
+    def _remove(self, key: tuple[str, str]) -> None:
+        self._size_bytes -= self._records.pop(key).size_bytes
+
+    @staticmethod
+    def _first(items: dict[Any, Any]) -> list[Any]:
+        return [next(iter(items.values()))] if items else []
--- a/packages/marigoldarch/marigoldarch/control/log.py
+++ b/packages/marigoldarch/marigoldarch/control/log.py
@@ -13,6 +13,9 @@
         self._base_term = base_term
         self._entries: list[Entry] = []
 
+    def __len__(self) -> int:
+        return len(self._entries)
+
     @property
     def base_index(self) -> int:
         """Return the index that the snapshot covers."""
@@ -55,6 +58,15 @@
         """Remove all entries from `index` on."""
         del self._entries[index - self._base_index - 1 :]
 
+    def compact(self, index: int) -> None:
+        """Drop all entries up to and including `index`, which must be held."""
+        if index <= self._base_index:
+            return
+        term = self.entry_at(index).term
+        del self._entries[: index - self._base_index]
+        self._base_index = index
+        self._base_term = term
+
     def first_index_of_term(self, index: int) -> int:
         """Return the first held index with the same term as the entry at `index`."""
         term = self.term_at(index)
--- a/packages/marigoldarch/marigoldarch/control/member.py
+++ b/packages/marigoldarch/marigoldarch/control/member.py
@@ -9,8 +9,10 @@
 from marigoldarch.messages import (
     Heartbeat,
     HeartbeatAck,
+    NodeLeaving,
     NodeLoad,
     NotLeader,
+    PoolRelinquished,
     ViewAck,
     ViewDelta,
     ViewSnapshot,
@@ -21,8 +23,9 @@
 class Member:
     """Hold the lease under which this node may act, and the view it acts on."""
 
-    def __init__(self, settings: CoreSettings) -> None:
+    def __init__(self, settings: CoreSettings, replica_id: str = "") -> None:
         self._settings = settings
+        self._replica_id = replica_id
         self._view = ClusterView()
         self._lease_until_ms: Millis = float("-inf")
         self._leader = ""
@@ -31,6 +34,8 @@
         self._unanswered = 0
         self._nodes: dict[str, NodeLoad] = {}
         self._wanted_pools: set[PoolId] = set()
+        self._relinquished: dict[PoolId, int] = {}
+        self._has_left = False
 
     @property
     def view(self) -> ClusterView:
@@ -40,7 +45,7 @@
     @property
     def leader(self) -> str:
         """Return the voter that control messages go to."""
-        voters = self._settings.voters
+        voters = self._view.voters or self._settings.voters
         return self._leader or voters[self._voter_turn % len(voters)]
 
     @property
@@ -64,15 +69,46 @@
             self._settings.node,
             self._settings.incarnation,
         )
-        return is_holder and self.has_lease(now_ms)
+        if not is_holder or self._relinquished.get(pool) == assignment.fence:
+            return False
+        return self.has_lease(now_ms)
 
     def want_pool(self, pool: PoolId) -> None:
         """Report a pool that has targets; the leader assigns it a scheduler."""
         self._wanted_pools.add(pool)
 
+    def relinquish(self, pool: PoolId) -> list[Effect]:
+        """Stop acting on a held pool for good, at once, and let the leader assign it anew.
+
+        The message is repeated with every heartbeat until another assignment is seen.
+        """
+        assignment = self._view.assignments.get(pool)
+        if assignment is None or assignment.node != self._settings.node:
+            return []
+        if assignment.incarnation != self._settings.incarnation:
+            return []
+        self._relinquished[pool] = assignment.fence
+        return [Send(self.leader, PoolRelinquished(pool, assignment.fence))]
+
+    def held_pools(self) -> list[PoolId]:
+        """Return the pools that are assigned to this process and not relinquished."""
+        return [
+            pool
+            for pool, assignment in self._view.assignments.items()
+            if (assignment.node, assignment.incarnation)
+            == (self._settings.node, self._settings.incarnation)
+            and self._relinquished.get(pool) != assignment.fence
+        ]
+
+    def leave(self) -> list[Effect]:
+        """Give up the lease for good, at once, and tell the leader; for the end of a stop."""
+        self._has_left = True
+        self._lease_until_ms = float("-inf")
+        return [Send(self.leader, NodeLeaving(self._settings.incarnation))]
+
     def tick(self, now_ms: Millis, active: int, is_leaving: bool) -> list[Effect]:
         """Send a heartbeat when one is due."""
-        if now_ms < self._heartbeat_due_ms:
+        if now_ms < self._heartbeat_due_ms or self._has_left:
             return []
         if self._unanswered >= 2:
             self.forget_leader()
@@ -86,7 +122,7 @@
 
     def on_not_leader(self, message: NotLeader) -> None:
         """Follow a hint to the leader, or try the next voter."""
-        if message.leader in self._settings.voters:
+        if message.leader:
             self._leader = message.leader
             self._heartbeat_due_ms = float("-inf")
         else:
@@ -96,8 +132,12 @@
         """Take the lease, if the view is as new as the leader's was."""
         self._leader = sender
         self._unanswered = 0
-        self._nodes = {load.address.node: load for load in ack.nodes}
-        if self._view.revision < ack.revision:
+        if ack.nodes:
+            self._nodes = {load.address.node: load for load in ack.nodes}
+        if ack.lease_ms <= 0:
+            self._heartbeat_due_ms = now_ms + self._settings.control.join_retry_ms
+            return []
+        if self._has_left or self._view.revision < ack.revision:
             return []
         had_lease = self.has_lease(now_ms)
         drift_ms = self._settings.control.clock_drift_ms
@@ -140,5 +180,18 @@
             self._view.revision,
             sorted(pool for pool in self._wanted_pools if pool not in self._view.assignments),
             now_ms,
+            self._replica_id,
         )
-        return [Send(self.leader, heartbeat)]
+        return [Send(self.leader, heartbeat), *self._repeat_relinquished()]
+
+    def _repeat_relinquished(self) -> list[Effect]:
+        assignments = self._view.assignments
+        self._relinquished = {
+            pool: fence
+            for pool, fence in self._relinquished.items()
+            if pool in assignments and assignments[pool].fence == fence
+        }
+        return [
+            Send(self.leader, PoolRelinquished(pool, fence))
+            for pool, fence in self._relinquished.items()
+        ]
--- a/packages/marigoldarch/marigoldarch/control/replica.py
+++ b/packages/marigoldarch/marigoldarch/control/replica.py
@@ -6,13 +6,21 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Any
+
+from expression import Result
 
 from marigoldarch.clock import Millis
-from marigoldarch.control.commands import COMMANDS, Command, Entry, Noop
+from marigoldarch.control.bootstrap import Bootstrap
+from marigoldarch.control.commands import COMMANDS, Command, Configure, Entry, Noop
+from marigoldarch.control.configuration import Configuration, ConfigurationTrack, Snapshot
+from marigoldarch.control.durable import DurableState
 from marigoldarch.control.log import Log
+from marigoldarch.control.replication import NEVER_MS, Progress, Replication
+from marigoldarch.control.snapshots import IncomingSnapshot, OutgoingSnapshot
 from marigoldarch.effects import (
+    Checkpoint,
     Effect,
     LogRecord,
     Persist,
@@ -21,9 +29,22 @@
     TruncateRecord,
     VoteRecord,
 )
-from marigoldarch.messages import AppendReply, AppendRequest, VoteReply, VoteRequest
+from marigoldarch.identifiers import ReplicaName
+from marigoldarch.messages import (
+    AppendReply,
+    AppendRequest,
+    BootstrapQuery,
+    BootstrapReply,
+    SnapshotPiece,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
 from marigoldarch.settings import ControlSettings
 
+NO_GRANTS_MS: Millis = -1e9
+"""The `grants_end_in_ms` of a replica that knows of no earlier leader."""
+
 
 class ReplicaRole(StrEnum):
     """The roles of a replica."""
@@ -34,29 +55,11 @@
     LEADER = "leader"
 
 
-@dataclass
-class Progress:
-    """What a leader knows of a follower; `acked_ms` is when the last answered append was sent."""
-
-    next_index: int
-    match_index: int = 0
-    acked_ms: Millis = float("-inf")
-    sent_ms: Millis = float("-inf")
-
-
-@dataclass
-class DurableState:
-    """What a replica reads back from its disk."""
-
-    term: int = 0
-    voted_for: str = ""
-    log: Log = field(default_factory=Log)
-
-
 class Replica:
-    """One voter of the replicated log.
+    """One replica of the log: a voter, a learner, or blank and in no configuration yet.
 
-    Each handler returns effects. The owner applies the entries that `take_committed` hands out.
+    Each handler returns effects. The owner applies the entries that `take_committed` hands out,
+    after restoring the snapshot that `take_restored` hands out.
     """
 
     def __init__(
@@ -67,25 +70,36 @@
         durable: DurableState,
         seed: int,
     ) -> None:
-        self._node = node
-        self._voters = voters
+        self._name = ReplicaName(node, durable.replica_id)
         self._settings = settings
         self._random = random.Random(f"{seed}/{node}")
         self._term = durable.term
         self._voted_for = durable.voted_for
         self._log = durable.log
+        self._snapshot = durable.snapshot or Snapshot(0, 0, Configuration(), {})
+        self._configurations = ConfigurationTrack(
+            self._snapshot.index, self._snapshot.configuration
+        )
+        self._log_ms: int = self._snapshot.state.get("log_ms", 0)
+        for entry in self._log.entries_from(self._log.base_index + 1, len(self._log)):
+            self._note_entry(entry)
+        self._bootstrap = Bootstrap(self._name, voters, settings)
         self._role = ReplicaRole.FOLLOWER
         self._leader = ""
-        self._commit = durable.log.base_index
-        self._applied = durable.log.base_index
-        self._durable_index = durable.log.last_index
+        self._commit = self._log.base_index
+        self._applied = self._log.base_index
+        self._durable_index = self._log.last_index
+        self._restored: Snapshot | None = durable.snapshot
+        self._incoming: IncomingSnapshot | None = None
         self._election_due_ms: Millis = 0.0
-        self._leader_contact_ms: Millis = float("-inf")
-        self._votes: set[str] = set()
-        self._progress: dict[str, Progress] = {}
+        self._leader_contact_ms: Millis = NEVER_MS
+        self._grants_end_ms: Millis = NEVER_MS
+        self._votes: set[ReplicaName] = set()
+        self._replication = Replication(self._name)
+        self._led_since_ms: Millis = 0.0
+        self._led_since_log_ms = 0
         self._persist_id = 0
         self._pending: dict[int, tuple[int, int]] = {}
-        self._led_since_ms: Millis = 0.0
 
     @property
     def term(self) -> int:
@@ -108,9 +122,29 @@
         return self._role is ReplicaRole.LEADER
 
     @property
-    def led_since_ms(self) -> Millis:
-        """Return when this replica became leader."""
-        return self._led_since_ms
+    def name(self) -> ReplicaName:
+        """Return the name of this replica."""
+        return self._name
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in effect."""
+        return self._configurations.newest
+
+    @property
+    def is_configuration_committed(self) -> bool:
+        """Return whether the configuration in effect is committed."""
+        return self._configurations.newest_index <= self._commit
+
+    @property
+    def is_blank(self) -> bool:
+        """Return whether this replica holds nothing of any installation."""
+        return not self.configuration.voters and self._log.last_index == 0
+
+    @property
+    def grants_end_ms(self) -> Millis:
+        """Return when the last earlier leader certainly stopped granting leases."""
+        return self._grants_end_ms
 
     @property
     def log(self) -> Log:
@@ -143,27 +177,46 @@
         horizon = self._settings.election_timeout_min_ms - self._settings.clock_drift_ms
         return now_ms < self._majority_acked_ms(now_ms) + horizon
 
+    def log_ms(self, now_ms: Millis) -> int:
+        """Return the log's own time as this leader stamps it on entries."""
+        return self._led_since_log_ms + int(now_ms - self._led_since_ms)
+
+    def progress_of(self, replica: ReplicaName) -> Progress | None:
+        """Return what this leader knows of another replica."""
+        return self._replication.find(replica)
+
     def start(self, now_ms: Millis) -> list[Effect]:
-        """Begin as a follower that first waits for a leader."""
+        """Begin as a follower that first waits for a leader.
+
+        A restart forgets when the leader was last heard from, so it counts as heard from now:
+        otherwise a vote given at once could break the leader's lease.
+        """
+        self._leader_contact_ms = now_ms
+        self._grants_end_ms = now_ms + self._settings.election_timeout_min_ms
         self._reset_election_timer(now_ms)
-        if len(self._voters) == 1:
+        if self.configuration.voters == (self._name,):
             self._election_due_ms = now_ms
         return []
 
     def tick(self, now_ms: Millis) -> list[Effect]:
         """Start elections, send heartbeats, and step down when no majority answers."""
+        if self.is_blank:
+            return self._bootstrap.tick(now_ms) + self._form_installation(now_ms)
         if self.is_leader:
             if now_ms > self._majority_acked_ms(now_ms) + self._settings.election_timeout_max_ms:
                 return self._step_down(self._term, now_ms)
             return self._append_where_due(now_ms)
-        if now_ms < self._election_due_ms:
+        if now_ms < self._election_due_ms or not self._is_voter:
             return []
         return self._start_probe(now_ms)
 
     def propose(self, command: Command, now_ms: Millis) -> tuple[int, list[Effect]]:
         """Append a command as leader; return its index and the effects."""
-        entry = Entry(self._log.last_index + 1, self._term, COMMANDS.to_plain(command))
+        plain = COMMANDS.to_plain(command)
+        entry = Entry(self._log.last_index + 1, self._term, plain, self.log_ms(now_ms))
         self._log.append(entry)
+        if self._note_entry(entry):
+            self._replication.sync(self.configuration, entry.index, now_ms)
         effects: list[Effect] = [self._persist((entry,))]
         effects += self._append_to_all(now_ms)
         return entry.index, effects
@@ -174,6 +227,41 @@
         self._applied = self._commit
         return entries
 
+    def take_restored(self) -> Snapshot | None:
+        """Hand out a snapshot that replaces the state, at most once."""
+        snapshot, self._restored = self._restored, None
+        return snapshot
+
+    @property
+    def wants_snapshot(self) -> bool:
+        """Return whether enough entries were applied since the last snapshot."""
+        return self._applied - self._snapshot.index >= self._settings.snapshot_entries
+
+    def save_snapshot(self, state: dict[str, Any]) -> list[Effect]:
+        """Replace the log up to the applied index by a snapshot of the state there.
+
+        In memory a tail of entries stays, so that a replica that lags little needs no snapshot.
+        """
+        index = self._applied
+        configuration = self._configurations.at(index)
+        self._snapshot = Snapshot(index, self._log.term_at(index) or 0, configuration, state)
+        self._configurations.compact(index)
+        self._log.compact(max(self._log.base_index, index - self._settings.log_tail_entries))
+        return [self._checkpoint(), Record("snapshot_saved", {"index": index})]
+
+    def on_bootstrap_query(self, sender: str, query: BootstrapQuery) -> list[Effect]:
+        """Answer the coordinator of a first start."""
+        return self._bootstrap.on_query(sender, query) if self.is_blank else []
+
+    def on_bootstrap_reply(
+        self, sender: str, reply: BootstrapReply, now_ms: Millis
+    ) -> list[Effect]:
+        """Form the installation once every listed voter is known to be blank."""
+        if not self.is_blank:
+            return []
+        self._bootstrap.on_reply(sender, reply)
+        return self._form_installation(now_ms)
+
     def on_persisted(self, persist_id: int, now_ms: Millis) -> list[Effect]:
         """Count own entries as durable."""
         for pending_id in [key for key in self._pending if key <= persist_id]:
@@ -184,44 +272,49 @@
 
     def on_vote_request(self, sender: str, request: VoteRequest, now_ms: Millis) -> list[Effect]:
         """Grant or refuse a vote; refuse while the leader was heard from recently."""
+        if request.to_replica != self._name.replica_id:
+            return []
         is_leader_alive = self.is_leader or (
             now_ms < self._leader_contact_ms + self._settings.election_timeout_min_ms
         )
         if is_leader_alive:
-            return [Send(sender, VoteReply(self._term, False, request.is_probe))]
+            return [self._vote(sender, self._term, request, now_ms, is_granted=False)]
         is_up_to_date = (request.last_term, request.last_index) >= (
             self._log.last_term,
             self._log.last_index,
         )
         if request.is_probe:
             is_granted = is_up_to_date and request.term >= self._term
-            return [Send(sender, VoteReply(request.term, is_granted, True))]
+            return [self._vote(sender, request.term, request, now_ms, is_granted=is_granted)]
         effects: list[Effect] = []
         if request.term > self._term:
             effects += self._step_down(request.term, now_ms)
+        candidate = str(ReplicaName(sender, request.from_replica))
         is_granted = (
-            request.term == self._term and is_up_to_date and self._voted_for in ("", sender)
+            request.term == self._term and is_up_to_date and self._voted_for in ("", candidate)
         )
         if not is_granted:
-            return [*effects, Send(sender, VoteReply(self._term, False, False))]
-        self._voted_for = sender
+            return [*effects, self._vote(sender, self._term, request, now_ms, is_granted=False)]
+        self._voted_for = candidate
         self._reset_election_timer(now_ms)
-        effects.append(self._persist((VoteRecord(self._term, sender),)))
-        effects.append(Send(sender, VoteReply(self._term, True, False), after=self._persist_id))
+        effects.append(self._persist((VoteRecord(self._term, candidate),)))
+        effects.append(self._vote(sender, self._term, request, now_ms, is_granted=True))
         return effects
 
     def on_vote_reply(self, sender: str, reply: VoteReply, now_ms: Millis) -> list[Effect]:
-        """Count a vote."""
+        """Count a vote of a voter under the identity that the configuration names."""
         if reply.term > self._term and not reply.is_granted:
             return self._step_down(reply.term, now_ms)
         expected = ReplicaRole.PROBING if reply.is_probe else ReplicaRole.CANDIDATE
         if self._role is not expected or not reply.is_granted:
             return []
         expected_term = self._term + 1 if reply.is_probe else self._term
-        if reply.term != expected_term:
+        voter = ReplicaName(sender, reply.from_replica)
+        if reply.term != expected_term or voter not in self.configuration.voters:
             return []
-        self._votes.add(sender)
-        if not self._is_majority(len(self._votes)):
+        self._votes.add(voter)
+        self._grants_end_ms = max(self._grants_end_ms, now_ms + reply.grants_end_in_ms)
+        if len(self._votes) < self.configuration.majority:
             return []
         return self._start_election(now_ms) if reply.is_probe else self._become_leader(now_ms)
 
@@ -229,54 +322,165 @@
         self, sender: str, request: AppendRequest, now_ms: Millis
     ) -> list[Effect]:
         """Take entries from the leader."""
+        if request.to_replica != self._name.replica_id:
+            return []
         if request.term < self._term:
-            return [Send(sender, AppendReply(self._term, False, 0, request.sent_ms))]
-        effects: list[Effect] = []
-        if request.term > self._term or self._role is not ReplicaRole.FOLLOWER:
-            effects += self._step_down(request.term, now_ms)
-        self._leader = sender
-        self._leader_contact_ms = now_ms
-        self._reset_election_timer(now_ms)
-        if self._log.term_at(request.previous_index) != request.previous_term:
-            hint = self._conflict_hint(request.previous_index)
-            effects.append(Send(sender, AppendReply(self._term, False, hint, request.sent_ms)))
-            return effects
-        records = self._merge(request.entries)
+            return [self._append_reply(sender, request.sent_ms, 0, is_success=False)]
+        effects = self._follow(sender, request.term, now_ms)
+        previous, entries = request.previous_index, request.entries
+        if previous < self._log.base_index:
+            # Everything up to the base is committed, so it matches the leader's log.
+            entries = [entry for entry in entries if entry.index > self._log.base_index]
+            previous = self._log.base_index
+        elif self._log.term_at(previous) != request.previous_term:
+            hint = self._conflict_hint(previous)
+            return [*effects, self._append_reply(sender, request.sent_ms, hint, is_success=False)]
+        records = self._merge(entries)
         if records:
             effects.append(self._persist(records))
-        match = request.previous_index + len(request.entries)
+        match = previous + len(entries)
         self._commit = max(self._commit, min(request.commit, match))
-        reply = AppendReply(self._term, True, match, request.sent_ms)
-        effects.append(Send(sender, reply, after=self._persist_id if self._pending else 0))
-        return effects
+        return [*effects, self._append_reply(sender, request.sent_ms, match, is_success=True)]
 
     def on_append_reply(self, sender: str, reply: AppendReply, now_ms: Millis) -> list[Effect]:
-        """Advance or move back a follower's progress."""
+        """Advance or move back a replica's progress."""
         if reply.term > self._term:
             return self._step_down(reply.term, now_ms)
-        progress = self._progress.get(sender)
+        replica = ReplicaName(sender, reply.from_replica)
+        progress = self._replication.find(replica)
         if not self.is_leader or reply.term != self._term or progress is None:
             return []
         progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
         if not reply.is_success:
             progress.next_index = max(1, min(progress.next_index - 1, reply.match_index + 1))
-            return [self._append_to(sender, now_ms)]
+            return [self._append_to(replica, now_ms)]
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
+        if progress.outgoing and progress.match_index >= progress.outgoing.snapshot.index:
+            progress.outgoing = None
         effects = self._advance_commit(now_ms)
         if progress.next_index <= self._log.last_index:
-            effects.append(self._append_to(sender, now_ms))
+            effects.append(self._append_to(replica, now_ms))
+        return effects
+
+    def on_snapshot_piece(self, sender: str, piece: SnapshotPiece, now_ms: Millis) -> list[Effect]:
+        """Collect a leader's snapshot; install it when it is whole."""
+        if piece.to_replica != self._name.replica_id:
+            return []
+        if piece.term < self._term:
+            return [self._append_reply(sender, piece.sent_ms, 0, is_success=False)]
+        effects = self._follow(sender, piece.term, now_ms)
+        if piece.index <= self._commit:
+            reply = self._append_reply(sender, piece.sent_ms, self._commit, is_success=True)
+            return [*effects, reply]
+        if self._incoming is None or not self._incoming.belongs(piece):
+            self._incoming = IncomingSnapshot(piece)
+        incoming = self._incoming
+        incoming.add(piece)
+        if incoming.is_complete:
+            self._incoming = None
+            match incoming.decode(piece):
+                case Result(tag="ok", ok=snapshot):
+                    effects += self._install(snapshot)
+                    match_index = snapshot.index
+                    reply = self._append_reply(sender, piece.sent_ms, match_index, is_success=True)
+                    return [*effects, reply]
+            incoming = IncomingSnapshot(piece)
+        own_id = self._name.replica_id
+        reply = SnapshotReply(self._term, piece.index, incoming.offset, piece.sent_ms, own_id)
+        return [*effects, Send(sender, reply)]
+
+    def on_snapshot_reply(self, sender: str, reply: SnapshotReply, now_ms: Millis) -> list[Effect]:
+        """Send the next piece."""
+        if reply.term > self._term:
+            return self._step_down(reply.term, now_ms)
+        replica = ReplicaName(sender, reply.from_replica)
+        progress = self._replication.find(replica)
+        if not self.is_leader or reply.term != self._term or progress is None:
+            return []
+        progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+        if progress.outgoing is None or progress.outgoing.snapshot.index != reply.index:
+            return []
+        progress.offset = reply.offset
+        return [self._append_to(replica, now_ms)]
+
+    @property
+    def _is_voter(self) -> bool:
+        return self._name in self.configuration.voters
+
+    def _vote(
+        self, sender: str, term: int, request: VoteRequest, now_ms: Millis, *, is_granted: bool
+    ) -> Send:
+        """Return a vote; one that counts is sent only once it is synced."""
+        grants_end_in_ms = max(NO_GRANTS_MS, self._grants_end_ms - now_ms)
+        reply = VoteReply(
+            term, is_granted, request.is_probe, self._name.replica_id, grants_end_in_ms
+        )
+        is_counted = is_granted and not request.is_probe
+        return Send(sender, reply, after=self._persist_id if is_counted else 0)
+
+    def _append_reply(
+        self, sender: str, sent_ms: Millis, match_index: int, *, is_success: bool
+    ) -> Send:
+        reply = AppendReply(self._term, is_success, match_index, sent_ms, self._name.replica_id)
+        after = self._persist_id if is_success and self._pending else 0
+        return Send(sender, reply, after)
+
+    def _follow(self, leader: str, term: int, now_ms: Millis) -> list[Effect]:
+        effects: list[Effect] = []
+        if term > self._term or self._role is not ReplicaRole.FOLLOWER:
+            effects += self._step_down(term, now_ms)
+        self._leader = leader
+        self._leader_contact_ms = now_ms
+        grants_end_ms = now_ms + self._settings.election_timeout_min_ms
+        self._grants_end_ms = max(self._grants_end_ms, grants_end_ms)
+        self._reset_election_timer(now_ms)
         return effects
 
-    def _others(self) -> list[str]:
-        return [voter for voter in self._voters if voter != self._node]
+    def _form_installation(self, now_ms: Millis) -> list[Effect]:
+        configuration = self._bootstrap.form()
+        if configuration is None:
+            return []
+        self._snapshot = Snapshot(0, 0, configuration, {})
+        self._configurations = ConfigurationTrack(0, configuration)
+        self._election_due_ms = now_ms
+        return [self._checkpoint(), Record("installation_formed")]
+
+    def _note_entry(self, entry: Entry) -> bool:
+        """Follow the log's time and configuration; return whether the latter has changed."""
+        self._log_ms = max(self._log_ms, entry.log_ms)
+        if entry.command[0] != Configure.__name__:
+            return False
+        command = COMMANDS.from_plain(entry.command)
+        self._configurations.append(entry.index, command.configuration)
+        return True
 
-    def _is_majority(self, count: int) -> bool:
-        return count > len(self._voters) // 2
+    def _checkpoint(self) -> Checkpoint:
+        self._persist_id += 1
+        self._pending[self._persist_id] = (self._log.last_index, self._log.last_term)
+        first = self._snapshot.index + 1
+        tail = self._log.entries_from(first, len(self._log))
+        vote = VoteRecord(self._term, self._voted_for)
+        return Checkpoint(self._persist_id, (vote, self._snapshot, *tail))
+
+    def _install(self, snapshot: Snapshot) -> list[Effect]:
+        if self._log.term_at(snapshot.index) == snapshot.term:
+            self._log.compact(snapshot.index)
+        else:
+            self._log = Log(snapshot.index, snapshot.term)
+            self._durable_index = 0
+        self._snapshot = snapshot
+        self._configurations = ConfigurationTrack(snapshot.index, snapshot.configuration)
+        self._log_ms = max(self._log_ms, snapshot.state.get("log_ms", 0))
+        for entry in self._log.entries_from(snapshot.index + 1, len(self._log)):
+            self._note_entry(entry)
+        self._commit = snapshot.index
+        self._applied = snapshot.index
+        self._restored = snapshot
+        return [self._checkpoint(), Record("snapshot_installed", {"index": snapshot.index})]
 
     def _majority_acked_ms(self, now_ms: Millis) -> Millis:
-        acked = [progress.acked_ms for progress in self._progress.values()] + [now_ms]
-        return sorted(acked, reverse=True)[len(self._voters) // 2]
+        return self._replication.majority_acked_ms(self.configuration, now_ms)
 
     def _reset_election_timer(self, now_ms: Millis) -> None:
         settings = self._settings
@@ -298,75 +502,117 @@
             effects.append(self._persist((VoteRecord(term, ""),)))
         if self.is_leader:
             effects.append(Record("leader_lost", {"term": self._term}))
+            self._grants_end_ms = max(self._grants_end_ms, now_ms)
         self._role = ReplicaRole.FOLLOWER
         self._leader = ""
         self._votes.clear()
-        self._progress.clear()
         self._reset_election_timer(now_ms)
         return effects
 
     def _start_probe(self, now_ms: Millis) -> list[Effect]:
         self._role = ReplicaRole.PROBING
         self._leader = ""
-        self._votes = {self._node}
+        self._votes = {self._name}
         self._reset_election_timer(now_ms)
-        if self._is_majority(1):
+        if self.configuration.majority == 1:
             return self._start_election(now_ms)
         return self._ask_votes(self._term + 1, is_probe=True)
 
     def _start_election(self, now_ms: Millis) -> list[Effect]:
         self._role = ReplicaRole.CANDIDATE
         self._term += 1
-        self._voted_for = self._node
-        self._votes = {self._node}
+        self._voted_for = str(self._name)
+        self._votes = {self._name}
         self._reset_election_timer(now_ms)
-        effects: list[Effect] = [self._persist((VoteRecord(self._term, self._node),))]
+        effects: list[Effect] = [self._persist((VoteRecord(self._term, self._voted_for),))]
         effects.append(Record("election", {"term": self._term}))
-        if self._is_majority(1):
+        if self.configuration.majority == 1:
             return effects + self._become_leader(now_ms)
         return effects + self._ask_votes(self._term, is_probe=False, after=self._persist_id)
 
     def _ask_votes(self, term: int, *, is_probe: bool, after: int = 0) -> list[Effect]:
-        request = VoteRequest(term, self._log.last_index, self._log.last_term, is_probe)
-        return [Send(voter, request, after) for voter in self._others()]
+        return [
+            Send(
+                voter.node,
+                VoteRequest(
+                    term,
+                    self._log.last_index,
+                    self._log.last_term,
+                    is_probe,
+                    self._name.replica_id,
+                    voter.replica_id,
+                ),
+                after,
+            )
+            for voter in self.configuration.voters
+            if voter != self._name
+        ]
 
     def _become_leader(self, now_ms: Millis) -> list[Effect]:
         self._role = ReplicaRole.LEADER
-        self._leader = self._node
         self._led_since_ms = now_ms
-        following = self._log.last_index + 1
-        self._progress = {
-            voter: Progress(following, acked_ms=now_ms - self._settings.election_timeout_min_ms)
-            for voter in self._others()
-        }
-        _, effects = self.propose(Noop(), now_ms)
+        self._led_since_log_ms = self._log_ms
+        self._leader = self._name.node
+        self._replication = Replication(self._name)
+        acked_ms = now_ms - self._settings.election_timeout_min_ms
+        self._replication.sync(self.configuration, self._log.last_index + 1, acked_ms)
+        # The first entry of an installation tells the other replicas its configuration.
+        is_first = self._log.last_index == 0
+        _, effects = self.propose(Configure(self.configuration) if is_first else Noop(), now_ms)
         return [Record("leader_elected", {"term": self._term}), *effects]
 
     def _append_where_due(self, now_ms: Millis) -> list[Effect]:
         interval = self._settings.append_interval_ms
         return [
-            self._append_to(voter, now_ms)
-            for voter, progress in self._progress.items()
-            if now_ms >= progress.sent_ms + interval
+            self._append_to(replica, now_ms)
+            for replica in self._replication.replicas
+            if now_ms >= self._replication.find(replica).sent_ms + interval
         ]
 
     def _append_to_all(self, now_ms: Millis) -> list[Effect]:
-        return [self._append_to(voter, now_ms) for voter in self._progress]
+        return [self._append_to(replica, now_ms) for replica in self._replication.replicas]
 
-    def _append_to(self, voter: str, now_ms: Millis) -> Send:
-        progress = self._progress[voter]
+    def _append_to(self, replica: ReplicaName, now_ms: Millis) -> Send:
+        progress = self._replication.find(replica)
         progress.sent_ms = now_ms
+        if progress.next_index <= self._log.base_index:
+            return self._piece_to(replica, progress, now_ms)
         previous = progress.next_index - 1
         entries = self._log.entries_from(progress.next_index, self._settings.append_batch_entries)
-        previous_term = self._log.term_at(previous) or 0
-        request = AppendRequest(self._term, previous, previous_term, entries, self._commit, now_ms)
+        request = AppendRequest(
+            self._term,
+            previous,
+            self._log.term_at(previous) or 0,
+            entries,
+            self._commit,
+            now_ms,
+            replica.replica_id,
+        )
         progress.next_index += len(entries)
-        return Send(voter, request)
+        return Send(replica.node, request)
+
+    def _piece_to(self, replica: ReplicaName, progress: Progress, now_ms: Millis) -> Send:
+        if progress.outgoing is None:
+            progress.outgoing = OutgoingSnapshot(self._snapshot)
+            progress.offset = 0
+        outgoing = progress.outgoing
+        piece = SnapshotPiece(
+            self._term,
+            outgoing.snapshot.index,
+            outgoing.snapshot.term,
+            outgoing.snapshot.configuration,
+            outgoing.length,
+            progress.offset,
+            outgoing.cut(progress.offset, self._settings.snapshot_piece_chars),
+            now_ms,
+            replica.replica_id,
+        )
+        return Send(replica.node, piece)
 
     def _conflict_hint(self, previous_index: int) -> int:
         if previous_index > self._log.last_index:
             return self._log.last_index
-        return self._log.first_index_of_term(previous_index) - 1
+        return max(self._log.base_index, self._log.first_index_of_term(previous_index) - 1)
 
     def _merge(self, entries: list[Entry]) -> tuple[LogRecord, ...]:
         records: list[LogRecord] = []
@@ -376,16 +622,16 @@
                 continue
             if held_term is not None:
                 self._log.truncate_from(entry.index)
+                self._configurations.truncate_from(entry.index)
                 self._durable_index = min(self._durable_index, entry.index - 1)
                 records.append(TruncateRecord(entry.index))
             self._log.append(entry)
+            self._note_entry(entry)
             records.append(entry)
         return tuple(records)
 
     def _advance_commit(self, now_ms: Millis) -> list[Effect]:
-        matches = [progress.match_index for progress in self._progress.values()]
-        matches = sorted([*matches, self._durable_index], reverse=True)
-        majority = matches[len(self._voters) // 2]
+        majority = self._replication.majority_match(self.configuration, self._durable_index)
         if majority > self._commit and self._log.term_at(majority) == self._term:
             self._commit = majority
             return self._append_to_all(now_ms)
--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -1,11 +1,12 @@
-"""The leader's side of sessions: leases, view updates, in-force tracking and pool assignment."""
+"""The leader's side of sessions: leases, view updates and in-force tracking."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from marigoldarch.clock import Millis
-from marigoldarch.control.commands import AssignPool
+from marigoldarch.control.commands import NodeJoined, NodeLeft
 from marigoldarch.control.machine import StateMachine
 from marigoldarch.effects import Effect, Record, Send
 from marigoldarch.identifiers import PoolId
@@ -20,56 +21,89 @@
 from marigoldarch.settings import ControlSettings
 
 
+class OwedGrant(NamedTuple):
+    """A lease asked for at `sent_ms` by a node that did not yet act on `revision`."""
+
+    sent_ms: Millis
+    revision: int
+
+
 @dataclass
 class Session:
     """A node's session as the leader sees it; it acts on no lease beyond `expires_ms`."""
 
     load: NodeLoad
     incarnation: str
+    replica_id: str
     revision: int
     expires_ms: Millis
+    seen_ms: Millis
+    owed: OwedGrant | None = None
 
 
 @dataclass
 class Sessions:
-    """All sessions of one leader's term."""
+    """All sessions of one leader's term.
+
+    Leases that earlier leaders granted have run out at `old_leases_end_ms`. Only nodes that the log
+    knows are granted leases, so that the next leader knows every node that can hold one.
+    """
 
     settings: ControlSettings
-    since_ms: Millis
+    old_leases_end_ms: Millis
     by_node: dict[str, Session] = field(default_factory=dict)
     wanted_pools: set[PoolId] = field(default_factory=set)
     holders: dict[tuple[str, str], Millis] = field(default_factory=dict)
+    departed: set[tuple[str, str]] = field(default_factory=set)
+    relinquished: dict[PoolId, int] = field(default_factory=dict)
     waits: dict[str, set[int]] = field(default_factory=dict)
-    proposed_pools: set[PoolId] = field(default_factory=set)
+    joining: set[str] = field(default_factory=set)
+    leaving: set[str] = field(default_factory=set)
+    gone_since_ms: dict[str, Millis] = field(default_factory=dict)
+    changing_nodes: set[str] = field(default_factory=set)
 
     def on_heartbeat(
         self, sender: str, heartbeat: Heartbeat, machine: StateMachine, now_ms: Millis
     ) -> list[Effect]:
         """Renew a session and answer with the lease and missing view updates."""
-        expires_ms = now_ms + self.settings.session_lease_ms + self.settings.clock_drift_ms
+        self.wanted_pools.update(PoolId(*pool) for pool in heartbeat.wanted_pools)
+        if sender in self.changing_nodes or sender not in machine.nodes:
+            self.joining.add(sender)
+            return [Send(sender, HeartbeatAck(heartbeat.sent_ms, 0.0, 0, []))]
         effects: list[Effect] = []
-        if sender not in self.by_node:
+        session = self.by_node.get(sender)
+        if session is None or session.incarnation != heartbeat.incarnation:
             effects.append(Record("session_opened", {"node": sender}))
-        self.by_node[sender] = Session(
-            heartbeat.load, heartbeat.incarnation, heartbeat.revision, expires_ms
-        )
-        self.holders[sender, heartbeat.incarnation] = expires_ms
-        self.wanted_pools.update(PoolId(*pool) for pool in heartbeat.wanted_pools)
+            expires_ms = session.expires_ms if session else float("-inf")
+            session = Session(heartbeat.load, heartbeat.incarnation, "", 0, expires_ms, now_ms)
+            self.by_node[sender] = session
+        session.load = heartbeat.load
+        session.seen_ms = now_ms
+        session.replica_id = heartbeat.replica_id
+        session.revision = heartbeat.revision
+        session.owed = OwedGrant(heartbeat.sent_ms, machine.view.revision)
         effects += self._bring_up_to_date(sender, heartbeat.revision, machine)
-        ack = HeartbeatAck(
-            heartbeat.sent_ms,
-            self.settings.session_lease_ms,
-            machine.view.revision,
-            [session.load for session in self.by_node.values()],
-        )
-        return [*effects, Send(sender, ack)]
-
-    def on_view_ack(self, sender: str, revision: int, now_ms: Millis) -> list[Effect]:
-        """Note the revision that a node acts on."""
+        return effects + self._grant_owed(sender, session, machine, now_ms)
+
+    def on_view_ack(
+        self, sender: str, revision: int, machine: StateMachine, now_ms: Millis
+    ) -> list[Effect]:
+        """Note the revision that a node acts on, and grant the lease that waited for it."""
+        session = self.by_node.get(sender)
+        if session is None:
+            return []
+        session.revision = max(session.revision, revision)
+        effects = self._grant_owed(sender, session, machine, now_ms)
+        return effects + self.answer_waits(machine, now_ms)
+
+    def on_leaving(self, sender: str, incarnation: str, now_ms: Millis) -> None:
+        """End the session of a node that acts no more, and forget the node."""
         session = self.by_node.get(sender)
-        if session is not None:
-            session.revision = max(session.revision, revision)
-        return self.answer_waits(now_ms)
+        if session is None or session.incarnation != incarnation:
+            return
+        del self.by_node[sender]
+        self.departed.add((sender, incarnation))
+        self.leaving.add(sender)
 
     def on_view_changed(self, machine: StateMachine) -> list[Effect]:
         """Push the newest updates to every node."""
@@ -78,14 +112,18 @@
             effects += self._bring_up_to_date(node, session.revision, machine)
         return effects
 
-    def on_await(self, sender: str, revision: int, now_ms: Millis) -> list[Effect]:
+    def on_await(
+        self, sender: str, revision: int, machine: StateMachine, now_ms: Millis
+    ) -> list[Effect]:
         """Remember who waits for a revision to be in force."""
         self.waits.setdefault(sender, set()).add(revision)
-        return self.answer_waits(now_ms)
+        return self.answer_waits(machine, now_ms)
 
-    def answer_waits(self, now_ms: Millis) -> list[Effect]:
+    def answer_waits(self, machine: StateMachine, now_ms: Millis) -> list[Effect]:
         """Tell waiting nodes which of their revisions are in force."""
-        in_force = self._in_force_revision(now_ms)
+        if not any(self.waits.values()):
+            return []
+        in_force = self.in_force_revision(machine, now_ms)
         effects: list[Effect] = []
         for node, revisions in self.waits.items():
             for revision in [wanted for wanted in revisions if wanted <= in_force]:
@@ -93,26 +131,93 @@
                 effects.append(Send(node, InForce(revision)))
         return effects
 
+    def in_force_revision(self, machine: StateMachine, now_ms: Millis) -> int:
+        """Return the highest revision that no lease contradicts.
+
+        A known node without a session here may still hold a lease of an earlier leader.
+        """
+        revisions = []
+        for node in machine.nodes:
+            session = self.by_node.get(node)
+            if session is not None and session.expires_ms > now_ms:
+                revisions.append(session.revision)
+            elif now_ms < self.old_leases_end_ms:
+                if session is None or session.revision == 0:
+                    return 0
+                revisions.append(session.revision)
+        return min(revisions, default=machine.view.revision)
+
     def expire(self, now_ms: Millis) -> list[Effect]:
         """Drop sessions whose lease has run out."""
-        expired = [node for node, held in self.by_node.items() if held.expires_ms <= now_ms]
+        expired = [
+            node
+            for node, held in self.by_node.items()
+            if max(held.expires_ms, held.seen_ms + self.settings.session_lease_ms) <= now_ms
+        ]
         for node in expired:
             del self.by_node[node]
         return [Record("session_expired", {"node": node}) for node in expired]
 
-    def due_assignments(self, machine: StateMachine, now_ms: Millis) -> list[AssignPool]:
-        """Return assignments for pools without a live scheduler."""
-        pools = self.wanted_pools | set(machine.view.assignments)
-        due = [pool for pool in sorted(pools) if self._needs_scheduler(pool, machine, now_ms)]
-        commands = []
-        for pool in due:
-            node = self._choose_node(pool, machine, [command.node for command in commands])
-            if node is None:
-                break
-            self.proposed_pools.add(pool)
-            commands.append(AssignPool(pool, node, self.by_node[node].incarnation))
+    def due_node_changes(
+        self, machine: StateMachine, now_ms: Millis
+    ) -> list[NodeJoined | NodeLeft]:
+        """Return the commands that make nodes known or forget them."""
+        commands: list[NodeJoined | NodeLeft] = []
+        for node in sorted(self.joining - self.changing_nodes):
+            if node not in machine.nodes:
+                commands.append(NodeJoined(node))
+        self.joining.clear()
+        for node in machine.nodes:
+            if node in self.by_node:
+                self.gone_since_ms.pop(node, None)
+            elif node not in self.changing_nodes and self._is_gone(node, now_ms):
+                commands.append(NodeLeft(node))
+        self.leaving.clear()
+        self.changing_nodes.update(command.node for command in commands)
         return commands
 
+    def on_node_changed(self, node: str) -> None:
+        """Note that a change of a known node was applied."""
+        self.changing_nodes.discard(node)
+        self.gone_since_ms.pop(node, None)
+
+    def _is_gone(self, node: str, now_ms: Millis) -> bool:
+        if now_ms < self.old_leases_end_ms:
+            return node in self.leaving
+        since_ms = self.gone_since_ms.setdefault(node, now_ms)
+        return node in self.leaving or now_ms >= since_ms + self.settings.forget_node_ms
+
+    def _grant_owed(
+        self, node: str, session: Session, machine: StateMachine, now_ms: Millis
+    ) -> list[Effect]:
+        """Grant the lease a node asked for, once it acts on the revision of that moment."""
+        owed = session.owed
+        if owed is None or session.revision < owed.revision:
+            return []
+        session.owed = None
+        settings = self.settings
+        session.expires_ms = now_ms + settings.session_lease_ms + settings.clock_drift_ms
+        self.holders[node, session.incarnation] = session.expires_ms
+        loads = self._loads_for(session.load)
+        revision = owed.revision
+        ack = HeartbeatAck(owed.sent_ms, settings.session_lease_ms, revision, loads)
+        return [Send(node, ack)]
+
+    def _loads_for(self, receiver: NodeLoad) -> list[NodeLoad]:
+        """Return a bounded list of nodes: those of the receiver's data centre go first."""
+        loads = [session.load for session in self.by_node.values()]
+        limit = self.settings.directory_nodes
+        if len(loads) <= limit:
+            return loads
+        own = receiver.address
+
+        def order(load: NodeLoad) -> tuple[bool, bool, str]:
+            address = load.address
+            is_remote = address.data_centre != own.data_centre
+            return is_remote, address.node < own.node, address.node
+
+        return sorted(loads, key=order)[:limit]
+
     def _bring_up_to_date(self, node: str, revision: int, machine: StateMachine) -> list[Effect]:
         if revision >= machine.view.revision:
             return []
@@ -120,47 +225,3 @@
         if updates is None:
             return [Send(node, ViewSnapshot(machine.view.to_plain()))]
         return [Send(node, ViewDelta(revision, updates))]
-
-    def _in_force_revision(self, now_ms: Millis) -> int:
-        """Return the highest revision that no lease contradicts.
-
-        Leases of an earlier leader may still run for one lease after this leader's start.
-        """
-        settings = self.settings
-        if now_ms < self.since_ms + settings.session_lease_ms + settings.clock_drift_ms:
-            return 0
-        revisions = [s.revision for s in self.by_node.values() if s.expires_ms > now_ms]
-        return min(revisions, default=0)
-
-    def _needs_scheduler(self, pool: PoolId, machine: StateMachine, now_ms: Millis) -> bool:
-        if pool in self.proposed_pools:
-            return False
-        assignment = machine.view.assignments.get(pool)
-        if assignment is None:
-            return True
-        session = self.by_node.get(assignment.node)
-        if session is not None and session.incarnation == assignment.incarnation:
-            return False
-        settings = self.settings
-        earliest_ms = self.since_ms + settings.session_lease_ms + settings.clock_drift_ms
-        held_until_ms = self.holders.get((assignment.node, assignment.incarnation), 0.0)
-        return now_ms >= max(earliest_ms, held_until_ms)
-
-    def _choose_node(
-        self, pool: PoolId, machine: StateMachine, just_chosen: list[str]
-    ) -> str | None:
-        counts = dict.fromkeys(self.by_node, 0)
-        for assignment in machine.view.assignments.values():
-            if assignment.node in counts:
-                counts[assignment.node] += 1
-        for node in just_chosen:
-            counts[node] += 1
-        staying = [node for node, held in self.by_node.items() if not held.load.is_leaving]
-        if not staying:
-            return None
-
-        def order(node: str) -> tuple[bool, int, str]:
-            is_remote = self.by_node[node].load.address.data_centre != pool.data_centre
-            return is_remote, counts[node], node
-
-        return min(staying, key=order)
--- a/packages/marigoldarch/marigoldarch/control/view.py
+++ b/packages/marigoldarch/marigoldarch/control/view.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import hmac
 from typing import Any, NamedTuple
 
 from expression import Result
 
-from marigoldarch.control.commands import COMMANDS, AssignPool, Command, Declare
+from marigoldarch.control.commands import COMMANDS, AssignPool, Command, Configure, Declare
 from marigoldarch.declarations import loader
 from marigoldarch.declarations.model import (
     CustomerDeclaration,
     KindDeclaration,
     MethodDeclaration,
+    OperatorDeclaration,
     TeamDeclaration,
 )
 from marigoldarch.identifiers import PoolId
@@ -26,6 +28,14 @@
     fence: int
 
 
+class Change(NamedTuple):
+    """A change of a subtree: the revision it made, its identity, and who made it."""
+
+    revision: int
+    change_id: str
+    operator: str
+
+
 class TeamState(NamedTuple):
     """A team's subtree, the revision that set it, and the change that did."""
 
@@ -33,6 +43,7 @@
     change_id: str
     operator: str
     declaration: TeamDeclaration
+    plain: dict[str, Any]
 
 
 class CustomerRecord(NamedTuple):
@@ -43,14 +54,22 @@
     declaration: CustomerDeclaration
 
 
+HISTORY_LIMIT = 32
+"""How many changes of each subtree are remembered. All replicas must agree on it."""
+
+
 class ClusterView:
-    """Teams and pool assignments at one revision; a revision is the log index that made it."""
+    """Teams, operators, voters and pool assignments at one revision; a revision is the log index that made it."""
 
     def __init__(self) -> None:
         self._revision = 0
         self._teams: dict[str, TeamState] = {}
         self._assignments: dict[PoolId, Assignment] = {}
         self._customers: dict[str, CustomerRecord] = {}
+        self._voters: tuple[str, ...] = ()
+        self._operators: dict[str, OperatorDeclaration] = {}
+        self._operators_plain: dict[str, Any] = {}
+        self._changes: dict[str, list[Change]] = {}
 
     @property
     def revision(self) -> int:
@@ -67,6 +86,39 @@
         """Return the scheduler of each pool."""
         return self._assignments
 
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Return the nodes that hold a voting replica of the log."""
+        return self._voters
+
+    @property
+    def operators(self) -> dict[str, OperatorDeclaration]:
+        """Return the declared operators by name."""
+        return self._operators
+
+    def changes(self, team: str) -> list[Change]:
+        """Return the latest changes of a subtree, the oldest first."""
+        return self._changes.get(team, [])
+
+    def last_change(self, team: str) -> Change | None:
+        """Return the change that made a subtree what it is."""
+        changes = self._changes.get(team)
+        return changes[-1] if changes else None
+
+    def find_operator(self, key_sha256: str) -> str | None:
+        """Return the operator with this key digest."""
+        for name, operator in self._operators.items():
+            if any(hmac.compare_digest(key_sha256, digest) for digest in operator.key_sha256):
+                return name
+        return None
+
+    def may_change(self, operator: str, team: str) -> bool:
+        """Return whether a declared operator may change a team's subtree."""
+        declared = self._operators.get(operator)
+        if declared is None or team == loader.OPERATORS_SUBTREE:
+            return False
+        return team in declared.teams or loader.ALL_TEAMS in declared.teams
+
     def find_customer(self, key_sha256: str) -> CustomerRecord | None:
         """Return the customer with this key digest."""
         return self._customers.get(key_sha256)
@@ -102,7 +154,9 @@
         self._revision = revision
         match command:
             case Declare():
-                self._set_team(revision, command)
+                self._declare(revision, command)
+            case Configure(configuration=configuration):
+                self._voters = tuple(voter.node for voter in configuration.voters)
             case AssignPool():
                 self._assignments[PoolId(*command.pool)] = Assignment(
                     command.node, command.incarnation, revision
@@ -115,15 +169,13 @@
         return {
             "revision": self._revision,
             "teams": [
-                [
-                    state.revision,
-                    state.change_id,
-                    state.operator,
-                    loader.to_plain(state.declaration),
-                ]
+                [state.revision, state.change_id, state.operator, state.plain]
                 for state in self._teams.values()
             ],
             "assignments": [[*pool, *value] for pool, value in self._assignments.items()],
+            "voters": self._voters,
+            "operators": self._operators_plain,
+            "changes": [[team, list(changes)] for team, changes in self._changes.items()],
         }
 
     @classmethod
@@ -131,19 +183,39 @@
         """Build a view from the form that `to_plain` gives."""
         view = cls()
         for revision, change_id, operator, declaration in plain["teams"]:
-            team = declaration["team"]
-            view._set_team(revision, Declare(change_id, operator, team, 0, declaration))
+            view._set_team(Change(revision, change_id, operator), declaration)
+        view._index_customers()
         for data_centre, name, node, incarnation, fence in plain["assignments"]:
             view._assignments[PoolId(data_centre, name)] = Assignment(node, incarnation, fence)
+        view._voters = tuple(plain["voters"])
+        view._set_operators(plain["operators"])
+        view._changes = {
+            team: [Change(*change) for change in changes] for team, changes in plain["changes"]
+        }
         view._revision = plain["revision"]
         return view
 
-    def _set_team(self, revision: int, command: Declare) -> None:
-        match loader.from_plain(command.declaration):
+    def _declare(self, revision: int, command: Declare) -> None:
+        change = Change(revision, command.change_id, command.operator)
+        self._changes.setdefault(command.team, []).append(change)
+        del self._changes[command.team][:-HISTORY_LIMIT]
+        if command.team == loader.OPERATORS_SUBTREE:
+            self._set_operators(command.declaration)
+            return
+        self._set_team(change, command.declaration)
+        self._index_customers()
+
+    def _set_operators(self, plain: dict[str, Any]) -> None:
+        match loader.operators_from_plain(plain):
+            case Result(tag="ok", ok=declared):
+                self._operators = dict(declared.operators)
+                self._operators_plain = plain
+
+    def _set_team(self, change: Change, plain: dict[str, Any]) -> None:
+        match loader.from_plain(plain):
             case Result(tag="ok", ok=declaration):
-                state = TeamState(revision, command.change_id, command.operator, declaration)
-                self._teams[command.team] = state
-                self._index_customers()
+                state = TeamState(*change, declaration, plain)
+                self._teams[declaration.team] = state
             case _:
                 # Only validated declarations are proposed; an invalid one changes nothing.
                 pass
--- a/packages/marigoldarch/marigoldarch/declarations/loader.py
+++ b/packages/marigoldarch/marigoldarch/declarations/loader.py
@@ -9,9 +9,15 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from marigoldarch.declarations.model import TeamDeclaration
+from marigoldarch.declarations.model import OperatorsDeclaration, TeamDeclaration
 from marigoldarch.exceptions import DeclarationError
 
+OPERATORS_SUBTREE = "_operators"
+"""The subtree of the operators; no team can have this name."""
+
+ALL_TEAMS = "*"
+"""Stands for every team in the rights of an operator."""
+
 _NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$")
 _SHA256 = re.compile(r"^[0-9a-f]{64}$")
 
@@ -35,6 +41,30 @@
     return Error(DeclarationError(problem)) if problem else Ok(declaration)
 
 
+def operators_from_plain(plain: Any) -> Result[OperatorsDeclaration, DeclarationError]:
+    """Validate plain types as the declaration of all operators."""
+    try:
+        declaration = msgspec.convert(plain, OperatorsDeclaration)
+    except msgspec.ValidationError as error:
+        return Error(DeclarationError(str(error)))
+    for name, operator in declaration.operators.items():
+        teams = [team for team in operator.teams if team != ALL_TEAMS]
+        if not all(_NAME.match(item) for item in [name, *teams]):
+            problem = f"operators.{name}: names must be 1 to 64 of a-z, 0-9, '.', '_' and '-'"
+            return Error(DeclarationError(problem))
+        if not all(_SHA256.match(digest) for digest in operator.key_sha256):
+            problem = f"operators.{name}.key_sha256 must hold lower-case SHA-256 digests"
+            return Error(DeclarationError(problem))
+    return Ok(declaration)
+
+
+def subtree_of(plain: Any) -> Result[str, DeclarationError]:
+    """Validate a declaration of either sort and return the subtree that it replaces."""
+    if isinstance(plain, dict) and "operators" in plain:
+        return operators_from_plain(plain).map(lambda _: OPERATORS_SUBTREE)
+    return from_plain(plain).map(lambda declaration: declaration.team)
+
+
 def to_plain(declaration: TeamDeclaration) -> dict[str, Any]:
     """Return the declaration as plain JSON types."""
     return msgspec.to_builtins(declaration)
--- a/packages/marigoldarch/marigoldarch/declarations/model.py
+++ b/packages/marigoldarch/marigoldarch/declarations/model.py
@@ -65,3 +65,16 @@
     kinds: dict[str, KindDeclaration] = {}
     customers: dict[str, CustomerDeclaration] = {}
     services: dict[str, ServiceDeclaration] = {}
+
+
+class OperatorDeclaration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator: SHA-256 digests of its keys, and the teams whose subtrees it may change."""
+
+    key_sha256: tuple[str, ...] = ()
+    teams: tuple[str, ...] = ()
+
+
+class OperatorsDeclaration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All operators of the installation; only the root operator may change them."""
+
+    operators: dict[str, OperatorDeclaration] = {}
--- a/packages/marigoldarch/marigoldarch/effects.py
+++ b/packages/marigoldarch/marigoldarch/effects.py
@@ -7,6 +7,7 @@
 
 from marigoldarch.clock import Millis
 from marigoldarch.control.commands import Entry
+from marigoldarch.control.configuration import Snapshot
 from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
 from marigoldarch.messages import Message
 from marigoldarch.outcomes import Outcome
@@ -34,7 +35,7 @@
     index: int
 
 
-LogRecord = VoteRecord | TruncateRecord | Entry
+LogRecord = VoteRecord | TruncateRecord | Snapshot | Entry
 
 
 @dataclass(frozen=True)
@@ -45,6 +46,18 @@
     records: tuple[LogRecord, ...]
 
 
+@dataclass(frozen=True)
+class Checkpoint:
+    """Replace all records of the log by these, in one step; answered by `Persisted`.
+
+    The records are a vote, a snapshot and the entries after it. Persists and checkpoints are
+    carried out in the order of their ids.
+    """
+
+    persist_id: int
+    records: tuple[LogRecord, ...]
+
+
 @dataclass(frozen=True)
 class Reply:
     """Give the caller of a request its final outcome."""
@@ -121,6 +134,7 @@
 Effect = (
     Send
     | Persist
+    | Checkpoint
     | Reply
     | CallTarget
     | CancelCall
--- a/packages/marigoldarch/marigoldarch/entry/reducer.py
+++ b/packages/marigoldarch/marigoldarch/entry/reducer.py
@@ -15,10 +15,12 @@
     LedgerAbandon,
     LedgerAnswered,
     LedgerFinish,
+    LedgerFull,
     LedgerMismatch,
     LedgerRunning,
     LedgerStart,
     LedgerStarted,
+    LedgerUnknown,
 )
 from marigoldarch.effects import CallTarget, CancelCall, Effect, Record, Reply, Send
 from marigoldarch.entry.admission import admit
@@ -283,6 +285,7 @@
         call.request_id,
         request.targets[0].target,
         call.wall_ms + int(request.deadline_ms - now_ms),
+        int(request.deadline_ms - now_ms),
     )
     return _propose(state, request, "start", command, now_ms)
 
@@ -319,6 +322,10 @@
             outcome: Outcome = Answered(answer, replayed=True)
         case LedgerRunning():
             outcome = OutcomeUnknown(FailureReason.RUNNING_ELSEWHERE)
+        case LedgerUnknown():
+            outcome = OutcomeUnknown(FailureReason.NOT_RECORDED)
+        case LedgerFull(retry_after_ms=retry_after_ms):
+            outcome = NotRun(RefusalReason.LEDGER_UNAVAILABLE, float(retry_after_ms))
         case LedgerMismatch():
             outcome = NotRun(RefusalReason.IDEMPOTENCY_KEY_REUSED)
         case Done() if request.phase is Phase.LEDGER_FINISH:
--- a/packages/marigoldarch/marigoldarch/events.py
+++ b/packages/marigoldarch/marigoldarch/events.py
@@ -161,6 +161,18 @@
     base_revision: int
     declaration: dict[str, Any]
     timeout_ms: Millis
+    has_all_rights: bool = True
+
+
+@dataclass(frozen=True)
+class RepairRequested:
+    """An operator asks to replace the lost replica on a node by the one on another or the same."""
+
+    at_ms: Millis
+    request_id: str
+    lost: str
+    replacement: str
+    timeout_ms: Millis
 
 
 @dataclass(frozen=True)
@@ -184,5 +196,6 @@
     | CacheEventsArrived
     | TargetCommandEnded
     | DeclareRequested
+    | RepairRequested
     | DrainRequested
 )
--- a/packages/marigoldarch/marigoldarch/exceptions.py
+++ b/packages/marigoldarch/marigoldarch/exceptions.py
@@ -23,6 +23,10 @@
     """The data folder cannot be used."""
 
 
+class DiskFullError(StorageError):
+    """The disk has no room for the log; nothing that was not synced is acknowledged."""
+
+
 class DamagedLogError(StorageError):
     """A record before the tail of the log is damaged."""
 
--- a/packages/marigoldarch/marigoldarch/identifiers.py
+++ b/packages/marigoldarch/marigoldarch/identifiers.py
@@ -5,6 +5,16 @@
 from typing import NamedTuple
 
 
+class ReplicaName(NamedTuple):
+    """A replica of the log: its node, and the random identity of its data folder."""
+
+    node: str
+    replica_id: str
+
+    def __str__(self) -> str:
+        return f"{self.node}/{self.replica_id}"
+
+
 class PoolId(NamedTuple):
     """A pool: the targets of one model or plain service in one data centre."""
 
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -12,6 +12,8 @@
 from marigoldarch.clock import Millis
 from marigoldarch.codec import Codec
 from marigoldarch.control.commands import Entry
+from marigoldarch.control.configuration import Configuration
+from marigoldarch.control.repair_state import RepairState
 from marigoldarch.identifiers import NodeAddress, PermitId, PoolId, TargetAddress
 
 
@@ -23,15 +25,23 @@
     last_index: int
     last_term: int
     is_probe: bool
+    from_replica: str
+    to_replica: str
 
 
 @dataclass(frozen=True)
 class VoteReply:
-    """Answer a vote request."""
+    """Answer a vote request.
+
+    `grants_end_in_ms` is the time until no earlier leader that the voter knows of can grant a
+    lease; it is negative when that time has passed.
+    """
 
     term: int
     is_granted: bool
     is_probe: bool
+    from_replica: str
+    grants_end_in_ms: Millis
 
 
 @dataclass(frozen=True)
@@ -44,6 +54,7 @@
     entries: list[Entry]
     commit: int
     sent_ms: Millis
+    to_replica: str
 
 
 @dataclass(frozen=True)
@@ -54,6 +65,48 @@
     is_success: bool
     match_index: int
     sent_ms: Millis
+    from_replica: str
+
+
+@dataclass(frozen=True)
+class SnapshotPiece:
+    """A piece of the snapshot at `index`; lengths and offsets are in characters of its text."""
+
+    term: int
+    index: int
+    index_term: int
+    configuration: Configuration
+    length: int
+    offset: int
+    data: str
+    sent_ms: Millis
+    to_replica: str
+
+
+@dataclass(frozen=True)
+class SnapshotReply:
+    """Name the offset of the next piece wanted."""
+
+    term: int
+    index: int
+    offset: int
+    sent_ms: Millis
+    from_replica: str
+
+
+@dataclass(frozen=True)
+class BootstrapQuery:
+    """Ask a listed voter at an installation's first start whether its disk is blank."""
+
+    coordinator_replica: str
+
+
+@dataclass(frozen=True)
+class BootstrapReply:
+    """Tell the coordinator that asked that this replica has a blank disk."""
+
+    coordinator_replica: str
+    from_replica: str
 
 
 @dataclass(frozen=True)
@@ -104,11 +157,16 @@
     revision: int
     wanted_pools: list[PoolId]
     sent_ms: Millis
+    replica_id: str = ""
 
 
 @dataclass(frozen=True)
 class HeartbeatAck:
-    """Grant a lease of `lease_ms` from the heartbeat's `sent_ms` on."""
+    """Grant a lease of `lease_ms` from the heartbeat's `sent_ms` on.
+
+    A lease of 0 asks to come again soon. `nodes` is bounded: those of the receiver's data centre go
+    first.
+    """
 
     sent_ms: Millis
     lease_ms: Millis
@@ -116,6 +174,38 @@
     nodes: list[NodeLoad]
 
 
+@dataclass(frozen=True)
+class PoolRelinquished:
+    """Give up a pool held under `fence`; the sender has stopped acting on it for good."""
+
+    pool: PoolId
+    fence: int
+
+
+@dataclass(frozen=True)
+class NodeLeaving:
+    """Give up the session: the sender acts on its lease no more."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class RepairRequest:
+    """Ask the leader for the next step of a repair; resent until the state is final."""
+
+    lost: str
+    replacement: str
+
+
+@dataclass(frozen=True)
+class RepairReply:
+    """Report how far a repair is."""
+
+    lost: str
+    replacement: str
+    state: RepairState
+
+
 @dataclass(frozen=True)
 class ViewDelta:
     """Bring a node's view from `base_revision` forward."""
@@ -264,11 +354,19 @@
     VoteReply,
     AppendRequest,
     AppendReply,
+    SnapshotPiece,
+    SnapshotReply,
+    BootstrapQuery,
+    BootstrapReply,
     Propose,
     ProposeReply,
     NotLeader,
     Heartbeat,
     HeartbeatAck,
+    PoolRelinquished,
+    NodeLeaving,
+    RepairRequest,
+    RepairReply,
     ViewDelta,
     ViewSnapshot,
     ViewAck,
@@ -291,11 +389,19 @@
     | VoteReply
     | AppendRequest
     | AppendReply
+    | SnapshotPiece
+    | SnapshotReply
+    | BootstrapQuery
+    | BootstrapReply
     | Propose
     | ProposeReply
     | NotLeader
     | Heartbeat
     | HeartbeatAck
+    | PoolRelinquished
+    | NodeLeaving
+    | RepairRequest
+    | RepairReply
     | ViewDelta
     | ViewSnapshot
     | ViewAck
--- a/packages/marigoldarch/marigoldarch/reducer.py
+++ b/packages/marigoldarch/marigoldarch/reducer.py
@@ -6,8 +6,8 @@
 from collections import deque
 
 from marigoldarch.clock import Millis
+from marigoldarch.control.durable import DurableState
 from marigoldarch.control.reducer import ControlState, reduce_control
-from marigoldarch.control.replica import DurableState
 from marigoldarch.effects import Effect, Exit, Record, Send
 from marigoldarch.entry.directory import DirectoryAnswer, answer
 from marigoldarch.entry.reducer import EntryState, reduce_entry
--- a/packages/marigoldarch/marigoldarch/settings.py
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -21,6 +21,15 @@
     proposal_retry_ms: Millis = 300.0
     append_batch_entries: int = 256
     view_history_entries: int = 1024
+    snapshot_entries: int = 4096
+    log_tail_entries: int = 1024
+    snapshot_piece_chars: int = 128 * 1024
+    bootstrap_interval_ms: Millis = 100.0
+    forget_node_ms: Millis = 60_000.0
+    join_retry_ms: Millis = 100.0
+    directory_nodes: int = 32
+    ledger_retention_ms: Millis = 72 * 3_600_000.0
+    ledger_max_bytes: int = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -56,6 +65,7 @@
     control: ControlSettings = field(default_factory=ControlSettings)
     entry: EntrySettings = field(default_factory=EntrySettings)
     pools: PoolSettings = field(default_factory=PoolSettings)
+    has_data_folder: bool = False
 
     @property
     def node(self) -> str:
@@ -64,5 +74,10 @@
 
     @property
     def is_voter(self) -> bool:
-        """Return whether this node holds a replica of the log."""
+        """Return whether this node holds a replica of the log from the first start on."""
         return self.node in self.voters
+
+    @property
+    def hosts_replica(self) -> bool:
+        """Return whether this node holds a replica of the log, or can become one by a repair."""
+        return self.is_voter or self.has_data_folder
--- a/packages/marigoldarch/marigoldarch/tests/cluster.py
+++ b/packages/marigoldarch/marigoldarch/tests/cluster.py
@@ -7,22 +7,14 @@
 
 from marigoldarch.clock import ManualClock, Millis
 from marigoldarch.codec import decode_json, encode_json
-from marigoldarch.control.commands import Entry
-from marigoldarch.control.log import Log
-from marigoldarch.control.replica import DurableState
-from marigoldarch.effects import (
-    Effect,
-    LogRecord,
-    Persist,
-    Send,
-    TruncateRecord,
-    VoteRecord,
-)
+from marigoldarch.control.configuration import Snapshot
+from marigoldarch.control.durable import DurableState, replay
+from marigoldarch.effects import Checkpoint, Effect, LogRecord, Persist, Send
 from marigoldarch.events import Event, MessageArrived, Persisted, Started, Tick
 from marigoldarch.identifiers import NodeAddress
 from marigoldarch.messages import MESSAGES
 from marigoldarch.reducer import NodeState, reduce
-from marigoldarch.settings import CoreSettings
+from marigoldarch.settings import ControlSettings, CoreSettings
 
 
 class Delivery(NamedTuple):
@@ -36,27 +28,30 @@
 
 
 class Disk:
-    """The synced records of one node."""
+    """The synced records of one node under the random identity of its data folder."""
 
-    def __init__(self) -> None:
+    def __init__(self, replica_id: str) -> None:
+        self.replica_id = replica_id
         self.records: list[LogRecord] = []
 
+    def append(self, records: tuple[LogRecord, ...]) -> None:
+        """Add synced records."""
+        self.records.extend(records)
+
+    def replace(self, records: tuple[LogRecord, ...]) -> None:
+        """Replace all records in one step."""
+        self.records = [_as_written(record) for record in records]
+
     def read(self) -> DurableState:
         """Return the state that the records describe."""
-        state = DurableState()
-        entries: list[Entry] = []
-        for record in self.records:
-            match record:
-                case VoteRecord():
-                    state.term, state.voted_for = record.term, record.voted_for
-                case TruncateRecord(index=index):
-                    entries = [entry for entry in entries if entry.index < index]
-                case Entry():
-                    entries.append(record)
-        state.log = Log()
-        for entry in entries:
-            state.log.append(entry)
-        return state
+        return replay(self.records, self.replica_id)
+
+
+def _as_written(record: LogRecord) -> LogRecord:
+    """Return a record as it is read back; a snapshot's state turns into plain JSON types."""
+    if isinstance(record, Snapshot):
+        return record._replace(state=decode_json(encode_json(record.state)))
+    return record
 
 
 class MemoryNode:
@@ -65,7 +60,7 @@
     def __init__(self, settings: CoreSettings, disk: Disk) -> None:
         self.settings = settings
         self.disk = disk
-        self.state = NodeState(settings, disk.read() if settings.is_voter else None)
+        self.state = NodeState(settings, disk.read() if settings.hosts_replica else None)
         self.effects: list[Effect] = []
         self.held: list[Send] = []
         self.synced_id = 0
@@ -74,7 +69,14 @@
 class MemoryCluster:
     """Nodes, a network with seeded delays, and cuts between nodes."""
 
-    def __init__(self, nodes: int = 3, voters: int = 3, seed: int = 0) -> None:
+    def __init__(
+        self,
+        nodes: int = 3,
+        voters: int = 3,
+        seed: int = 0,
+        control: ControlSettings | None = None,
+        data_folders: tuple[str, ...] = (),
+    ) -> None:
         self.clock = ManualClock(1000.0)
         self.random = random.Random(seed)
         self.cuts: set[tuple[str, str]] = set()
@@ -88,8 +90,10 @@
             for number, name in enumerate(names)
         )
         self._voters = tuple(names[:voters])
+        self._control = control or ControlSettings()
+        self._data_folders = data_folders
         for name in names:
-            self.disks[name] = Disk()
+            self.empty_disk(name)
             self.start(name)
 
     @property
@@ -102,13 +106,24 @@
         self._serial += 1
         address = next(address for address in self._addresses if address.node == name)
         settings = CoreSettings(
-            address, self._voters, self._addresses, f"run{self._serial}", self._serial
+            address,
+            self._voters,
+            self._addresses,
+            f"run{self._serial}",
+            self._serial,
+            control=self._control,
+            has_data_folder=name in self._data_folders,
         )
         node = MemoryNode(settings, self.disks[name])
         self.nodes[name] = node
         self.submit(name, Started(self.now_ms))
         return node
 
+    def empty_disk(self, name: str) -> None:
+        """Replace a stopped node's disk by an empty one, which is a new replica."""
+        self._serial += 1
+        self.disks[name] = Disk(f"r{self._serial}")
+
     def kill(self, name: str) -> None:
         """Stop a node at once."""
         del self.nodes[name]
@@ -132,7 +147,10 @@
                 case Send():
                     self._send(name, effect)
                 case Persist():
-                    node.disk.records.extend(effect.records)
+                    node.disk.append(effect.records)
+                    collected += self._sync(name, effect.persist_id)
+                case Checkpoint():
+                    node.disk.replace(effect.records)
                     collected += self._sync(name, effect.persist_id)
                 case _:
                     collected.append(effect)
