--- a/packages/marigoldarch-node/marigoldarch_node/__main__.py
+++ b/packages/marigoldarch-node/marigoldarch_node/__main__.py
@@ -34,10 +34,17 @@
     try:
         trio.run(serve, settings)
     except* MarigoldarchError as errors:
-        print(f"marigoldarchd: {errors.exceptions[0]}", file=sys.stderr)
+        print(f"marigoldarchd: {_first_leaf(errors)}", file=sys.stderr)
         sys.exit(EXIT_FAILURE)
 
 
+def _first_leaf(error: BaseException) -> BaseException:
+    """Return the first error inside nested groups."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def main() -> None:
     """Enter from the command line."""
     fire.Fire(run, name="marigoldarchd")
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/control/replica_tests.py
@@ -0,0 +1,191 @@
+"""Tests of replicas: snapshots, identities, repair and elections, over the in-memory cluster."""
+
+from __future__ import annotations
+
+import unittest
+
+from marigoldarch.codec import encode_json
+from marigoldarch.tests.cluster import MemoryCluster
+from marigoldarch.tests.control.support import (
+    SMALL,
+    declare_many,
+    other_nodes,
+    repair,
+    replica_of,
+    replies,
+    teams_on,
+)
+
+
+class SnapshotTests(unittest.TestCase):
+    """Three voters that take a snapshot every twenty entries."""
+
+    def setUp(self) -> None:
+        self.cluster = MemoryCluster(control=SMALL)
+        self.cluster.run(3000)
+
+    def test_log_stays_bounded_in_memory_and_on_disk(self) -> None:
+        declare_many(self.cluster, "n1", 200)
+        for name in self.cluster.nodes:
+            self.assertLessEqual(len(replica_of(self.cluster, name).log), 30)
+            self.assertLessEqual(len(self.cluster.disks[name].records), 30)
+
+    def test_state_is_the_same_on_all_replicas_and_after_a_restart(self) -> None:
+        declare_many(self.cluster, "n1", 70)
+        follower = other_nodes(self.cluster, self.cluster.leader())[0]
+        self.cluster.kill(follower)
+        self.cluster.start(follower)
+        self.cluster.run(1000)
+        states = {
+            encode_json(node.state.control.machine.to_plain())
+            for node in self.cluster.nodes.values()
+        }
+        self.assertEqual(len(states), 1)
+
+    def test_replica_far_behind_gets_a_snapshot_in_pieces(self) -> None:
+        follower = other_nodes(self.cluster, self.cluster.leader())[0]
+        self.cluster.kill(follower)
+        declare_many(self.cluster, self.cluster.leader(), 200)
+        self.cluster.start(follower)
+        self.cluster.run(2000)
+        self.assertEqual(len(teams_on(self.cluster, follower)), 200)
+        kinds = [getattr(e, "kind", "") for e in self.cluster.nodes[follower].effects]
+        self.assertIn("snapshot_installed", kinds)
+
+    def test_whole_cluster_restarts_from_its_snapshots(self) -> None:
+        declare_many(self.cluster, "n1", 50)
+        for name in list(self.cluster.nodes):
+            self.cluster.kill(name)
+        for name in ("n1", "n2", "n3"):
+            self.cluster.start(name)
+        self.cluster.run(4000)
+        for name in self.cluster.nodes:
+            self.assertEqual(len(teams_on(self.cluster, name)), 50)
+
+
+class IdentityTests(unittest.TestCase):
+    """An emptied disk is a new replica."""
+
+    def setUp(self) -> None:
+        self.cluster = MemoryCluster()
+        self.cluster.run(3000)
+        declare_many(self.cluster, "n1", 5)
+
+    def test_emptied_disk_does_not_count_for_a_majority(self) -> None:
+        lost, other = other_nodes(self.cluster, self.cluster.leader())
+        self.cluster.kill(lost)
+        self.cluster.empty_disk(lost)
+        self.cluster.start(lost)
+        self.cluster.kill(other)
+        self.cluster.run(5000)
+        self.assertIsNone(self.cluster.leader())
+
+    def test_two_emptied_disks_do_not_start_an_installation_anew(self) -> None:
+        for name in ("n1", "n2"):
+            self.cluster.kill(name)
+            self.cluster.empty_disk(name)
+            self.cluster.start(name)
+        self.cluster.run(6000)
+        self.assertIsNone(self.cluster.leader())
+        self.assertEqual(len(teams_on(self.cluster, "n3")), 5)
+
+    def test_repair_replaces_an_emptied_replica_and_a_second_loss_is_harmless(self) -> None:
+        leader = self.cluster.leader()
+        lost, other = other_nodes(self.cluster, leader)
+        self.cluster.kill(lost)
+        self.cluster.empty_disk(lost)
+        self.cluster.start(lost)
+        self.cluster.run(1000)
+        repair(self.cluster, other, lost, lost)
+        self.cluster.run(5000)
+        self.assertEqual(replies(self.cluster, other)[-1]["status"], "done")
+        self.cluster.kill(leader)
+        self.cluster.empty_disk(leader)
+        self.cluster.run(5000)
+        self.assertIn(self.cluster.leader(), (lost, other))
+        self.assertEqual(len(teams_on(self.cluster, self.cluster.leader())), 5)
+
+    def test_repair_goes_on_after_the_leader_is_lost_in_its_middle(self) -> None:
+        cluster = MemoryCluster(nodes=6, voters=5)
+        cluster.run(3000)
+        declare_many(cluster, "n6", 5)
+        lost, *rest = other_nodes(cluster, cluster.leader(), "n6")
+        cluster.kill(lost)
+        cluster.empty_disk(lost)
+        cluster.start(lost)
+        cluster.run(600)
+        repair(cluster, "n6", lost, lost)
+        cluster.run(50)
+        cluster.kill(cluster.leader())
+        cluster.run(10_000)
+        self.assertEqual(replies(cluster, "n6")[-1]["status"], "done")
+        voters = replica_of(cluster, cluster.leader()).configuration.voters
+        self.assertIn(replica_of(cluster, lost).name, voters)
+        self.assertEqual(len(voters), 5)
+
+    def test_repair_onto_another_node_makes_it_a_voter(self) -> None:
+        cluster = MemoryCluster(nodes=4, voters=3, data_folders=("n4",))
+        cluster.run(3000)
+        declare_many(cluster, "n4", 5)
+        lost, other = other_nodes(cluster, cluster.leader(), "n4")
+        cluster.kill(lost)
+        repair(cluster, other, lost, "n4")
+        cluster.run(5000)
+        self.assertEqual(replies(cluster, other)[-1]["status"], "done")
+        cluster.kill(cluster.leader())
+        cluster.run(6000)
+        self.assertIn(cluster.leader(), (other, "n4"))
+        self.assertEqual(cluster.nodes["n4"].state.control.member.view.voters[-1], "n4")
+
+    def test_repair_of_an_unknown_replica_is_refused(self) -> None:
+        cluster = MemoryCluster(nodes=5, voters=3, data_folders=("n4",))
+        cluster.run(3000)
+        repair(cluster, "n5", "n5", "n4")
+        cluster.run(1000)
+        self.assertEqual(replies(cluster, "n5")[-1]["status"], "unknown_replica")
+
+    def test_repair_is_not_done_while_the_replacement_is_cut_off(self) -> None:
+        leader = self.cluster.leader()
+        lost, other = other_nodes(self.cluster, leader)
+        self.cluster.kill(lost)
+        self.cluster.empty_disk(lost)
+        self.cluster.start(lost)
+        self.cluster.run(1000)
+        repair(self.cluster, other, lost, lost)
+        self.cluster.cut(leader, lost)
+        self.cluster.run(3000)
+        self.assertEqual(replies(self.cluster, other), [])
+        voters = replica_of(self.cluster, leader).configuration.voters
+        self.assertNotIn(replica_of(self.cluster, lost).name, voters)
+
+
+class ElectionTests(unittest.TestCase):
+    """Leases of leaders."""
+
+    def test_restarted_voter_gives_no_vote_while_a_leader_lease_may_run(self) -> None:
+        cluster = MemoryCluster()
+        cluster.run(3000)
+        leader = cluster.leader()
+        voter, candidate = other_nodes(cluster, leader)
+        cluster.cut(leader, candidate)
+        cluster.run(900)
+        cluster.kill(voter)
+        cluster.start(voter)
+        for _ in range(50):
+            cluster.run(10)
+            is_leader = replica_of(cluster, candidate).is_leader
+            has_lease = replica_of(cluster, leader).has_leader_lease(cluster.now_ms)
+            self.assertFalse(is_leader and has_lease)
+
+    def test_cut_off_leader_steps_down_and_an_uncommitted_change_is_not_lost_twice(self) -> None:
+        cluster = MemoryCluster()
+        cluster.run(3000)
+        leader = cluster.leader()
+        for other in other_nodes(cluster, leader):
+            cluster.cut(leader, other)
+        cluster.run(4000)
+        self.assertFalse(replica_of(cluster, leader).is_leader)
+        self.assertNotEqual(cluster.leader(), leader)
+        cluster.heal()
+        cluster.run(2000)
+        self.assertEqual(len({replica_of(cluster, name).term for name in cluster.nodes}), 1)
