--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -20,6 +20,9 @@
 )
 from marigoldarch.settings import ControlSettings
 
+MISSED_HEARTBEATS = 2.4
+"""After how many heartbeat intervals of silence a node is no longer offered to callers."""
+
 
 class OwedGrant(NamedTuple):
     """A lease asked for at `sent_ms` by a node that did not yet act on `revision`."""
@@ -37,7 +40,7 @@
     replica_id: str
     revision: int
     expires_ms: Millis
-    seen_ms: Millis
+    heard_ms: Millis
     owed: OwedGrant | None = None
 
 
@@ -78,7 +81,7 @@
             session = Session(heartbeat.load, heartbeat.incarnation, "", 0, expires_ms, now_ms)
             self.by_node[sender] = session
         session.load = heartbeat.load
-        session.seen_ms = now_ms
+        session.heard_ms = now_ms
         session.replica_id = heartbeat.replica_id
         session.revision = heartbeat.revision
         session.owed = OwedGrant(heartbeat.sent_ms, machine.view.revision)
@@ -152,7 +155,7 @@
         expired = [
             node
             for node, held in self.by_node.items()
-            if max(held.expires_ms, held.seen_ms + self.settings.session_lease_ms) <= now_ms
+            if max(held.expires_ms, held.heard_ms + self.settings.session_lease_ms) <= now_ms
         ]
         for node in expired:
             del self.by_node[node]
@@ -198,14 +201,19 @@
         settings = self.settings
         session.expires_ms = now_ms + settings.session_lease_ms + settings.clock_drift_ms
         self.holders[node, session.incarnation] = session.expires_ms
-        loads = self._loads_for(session.load)
+        loads = self._loads_for(session.load, now_ms)
         revision = owed.revision
         ack = HeartbeatAck(owed.sent_ms, settings.session_lease_ms, revision, loads)
         return [Send(node, ack)]
 
-    def _loads_for(self, receiver: NodeLoad) -> list[NodeLoad]:
-        """Return a bounded list of nodes: those of the receiver's data centre go first."""
-        loads = [session.load for session in self.by_node.values()]
+    def _loads_for(self, receiver: NodeLoad, now_ms: Millis) -> list[NodeLoad]:
+        """Return the nodes that callers may be sent to: those that missed no two heartbeats.
+
+        A dead node thereby leaves the directory before its lease has run out. The list is bounded:
+        nodes of the receiver's data centre go first.
+        """
+        oldest_ms = now_ms - MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
+        loads = [item.load for item in self.by_node.values() if item.heard_ms >= oldest_ms]
         limit = self.settings.directory_nodes
         if len(loads) <= limit:
             return loads
