Add a virtual-time bench of scheduling policies

Cause: the policy for unlike lengths can be judged only against other policies under the same seeded load, and there was no way to run that.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format bench
 
 setup: $(VENV)/.stamp
 
@@ -26,3 +26,6 @@
 format: setup
 	$(BIN)/ruff check --fix packages tools
 	$(BIN)/black --quiet packages tools
+
+bench: setup
+	$(BIN)/python -m marigoldarch_fakes.bench
