Bound every request at the edge and contain what fails there

Cause: deep nesting, bodies that are not UTF-8 or never end, header floods, holdings that do not parse and absurd waits reached code that could not take them; a fault in the core was swallowed by the HTTP server while the state stayed half changed. Change: bounds on headers, bodies (size, time, all together), open requests and connections; a listener of our own that turns callers away over the bound and lets the kernel end dead peers; announcements are validated before the core, and a live target's name cannot be taken over; a core that fails takes no further event and ends the process with NodeFailedError; waiting operators cannot leak their channel. Measured: Hypothesis fuzz of all public routes, derandomized, 300 examples of up to 8 concurrent requests: no 500, no lost call.

--- a/packages/marigoldarch-node/marigoldarch_node/calls.py
+++ b/packages/marigoldarch-node/marigoldarch_node/calls.py
@@ -57,6 +57,10 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
+    def abandon(self) -> None:
+        """Let go of the frames: nobody reads them any more."""
+        self._receiver.close()
+
     def finish(self, outcome: Outcome) -> None:
         """Set the outcome and end the frames."""
         self._outcome = outcome
--- a/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
@@ -21,10 +21,13 @@
 
 KIND_HEADER = "x-marigoldarch-kind"
 DEADLINE_HEADER = "x-marigoldarch-deadline-ms"
-DATA_CENTRE_HEADER = "x-marigoldarch-data-centre"
+IDEMPOTENCY_HEADER = "idempotency-key"
 BYTES_PER_TOKEN = 4
 SERVICE_PREFIX = "/v1/services/"
 MAX_OUTPUT_TOKENS = 1_000_000
+MAX_NAME_CHARACTERS = 256
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_DEADLINE_MS = 1e10
 
 
 class CallerRoutes:
@@ -66,7 +69,7 @@
         info = CallInfo(
             _new_request_id(),
             hash_key(request.bearer),
-            request.headers.get(KIND_HEADER, ""),
+            _read_name(request, KIND_HEADER),
             model,
             adapter,
             version,
@@ -83,38 +86,42 @@
 
     async def _serve_service(self, request: HttpRequest) -> None:
         service, _, method = request.path[len(SERVICE_PREFIX) :].partition("/")
-        body = await request.read_body()
-        try:
-            decode_json(body)
-        except CodecError as error:
-            raise HttpError(400, "invalid_json", str(error)) from error
+        body = _decode_text(await request.read_body())
         info = CallInfo(
             _new_request_id(),
             hash_key(request.bearer),
-            request.headers.get(KIND_HEADER, ""),
+            _read_name(request, KIND_HEADER),
             service=service,
             method=method,
             deadline_ms=_parse_deadline(request),
-            idempotency_key=request.headers.get("idempotency-key", ""),
-            body_sha256=hashlib.sha256(method.encode() + b"\0" + body).hexdigest(),
+            idempotency_key=_read_name(request, IDEMPOTENCY_HEADER),
+            body_sha256=hashlib.sha256(f"{method}\0{body}".encode()).hexdigest(),
             wall_ms=self._runtime.clock.wall_ms(),
         )
-        payload = Payload(service=service, method=method, body=body.decode())
+        payload = Payload(service=service, method=method, body=body)
         await self._serve_call(request, info, payload, ServiceAnswer(request, info.request_id))
 
     async def _serve_call(
         self, request: HttpRequest, info: CallInfo, payload: Payload, answer: AnswerWriter
     ) -> None:
         call = self._runtime.calls.open(info.request_id, payload)
-        self._runtime.submit(CallArrived(self._runtime.clock.monotonic_ms(), info))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_caller, request, info.request_id)
-            await answer.write(call)
-            nursery.cancel_scope.cancel()
+        try:
+            self._runtime.submit(CallArrived(self._runtime.clock.monotonic_ms(), info))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_caller, request, info.request_id)
+                await answer.write(call)
+                nursery.cancel_scope.cancel()
+        finally:
+            call.abandon()
+            if call.outcome is None:
+                self._caller_gone(info.request_id)
 
     async def _watch_caller(self, request: HttpRequest, request_id: str) -> None:
         while (await request.receive())["type"] != "http.disconnect":
             pass
+        self._caller_gone(request_id)
+
+    def _caller_gone(self, request_id: str) -> None:
         self._runtime.submit(CallerGone(self._runtime.clock.monotonic_ms(), request_id))
 
     async def _serve_models(self, request: HttpRequest) -> None:
@@ -227,7 +234,14 @@
 
     async def write(self, call: Call) -> None:
         """Collect the frames and write the answer."""
-        texts = [frame.text async for frame in call.frames]
+        texts: list[str] = []
+        size = 0
+        async for frame in call.frames:
+            texts.append(frame.text)
+            size += len(frame.text)
+            if size > MAX_ANSWER_BYTES:
+                message = "the answer is too large to be sent whole; ask for a stream"
+                raise HttpError(502, "answer_too_large", message, run="failed")
         outcome: Outcome = call.outcome
         if not isinstance(outcome, Answered):
             await self._write_error(outcome)
@@ -263,6 +277,24 @@
     return f"req-{uuid.uuid4().hex}"
 
 
+def _decode_text(body: bytes) -> str:
+    """Return a JSON body as text; raise `HttpError` when it is not JSON in UTF-8."""
+    try:
+        decode_json(body)
+        return body.decode()
+    except (CodecError, UnicodeDecodeError) as error:
+        raise HttpError(400, "invalid_json", "the body must be JSON in UTF-8") from error
+
+
+def _read_name(request: HttpRequest, header: str) -> str:
+    """Return a header that holds a name or a key; empty when it is missing."""
+    value = request.headers.get(header, "")
+    if len(value) > MAX_NAME_CHARACTERS:
+        message = f"{header} must have at most {MAX_NAME_CHARACTERS} characters"
+        raise HttpError(400, "invalid_request", message)
+    return value
+
+
 def _as_object(plain: Any) -> dict[str, Any]:
     if not isinstance(plain, dict):
         raise HttpError(400, "invalid_request", "the body must be a JSON object")
@@ -284,8 +316,9 @@
 
 def _split_model(model: Any) -> tuple[str, str, str]:
     """Split `model[:adapter][@version]`."""
-    if not isinstance(model, str) or not model:
-        raise HttpError(400, "invalid_request", "model must be a string that is not empty")
+    if not isinstance(model, str) or not 0 < len(model) <= MAX_NAME_CHARACTERS:
+        message = f"model must be a string of 1 to {MAX_NAME_CHARACTERS} characters"
+        raise HttpError(400, "invalid_request", message)
     rest, _, version = model.partition("@")
     name, _, adapter = rest.partition(":")
     return name, adapter, version
@@ -299,6 +332,6 @@
         deadline_ms = float(raw)
     except ValueError:
         deadline_ms = 0.0
-    if not 0 < deadline_ms < 1e10:
+    if not 0 < deadline_ms < MAX_DEADLINE_MS:
         raise HttpError(400, "invalid_request", f"{DEADLINE_HEADER} must be a positive number")
     return deadline_ms
--- a/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import uuid
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import aioprometheus
 import msgspec
@@ -19,16 +19,20 @@
 
 MAX_DECLARATION_BYTES = 4 * 1024 * 1024
 DEFAULT_WAIT_MS = 10_000.0
+MAX_WAIT_MS = 60_000.0
+REPLY_MARGIN_MS = 2_000.0
+
+Label = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 
 
 class ApplyBody(msgspec.Struct, forbid_unknown_fields=True):
     """A change of one team's subtree, made from `base_revision`."""
 
-    change_id: str
-    operator: str
-    base_revision: int
+    change_id: Label
+    operator: Label
+    base_revision: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
     declaration: dict[str, Any]
-    wait_ms: float = DEFAULT_WAIT_MS
+    wait_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_MS)] = DEFAULT_WAIT_MS
 
 
 class OperatorRoutes:
@@ -54,24 +58,33 @@
     async def _serve_apply(self, request: HttpRequest) -> None:
         self._check_key(request)
         body = await self._read_apply(request)
+        answer = await self._declare(body)
+        status = {"in_force": 200, "committed": 202, "conflict": 409}.get(answer["status"], 504)
+        await request.send_json(status, answer)
+
+    async def _declare(self, body: ApplyBody) -> dict[str, Any]:
+        """Submit a change and wait for its answer, at most a margin longer than asked for."""
         request_id = f"op-{uuid.uuid4().hex}"
         sender, receiver = trio.open_memory_channel[dict[str, Any]](1)
         self._runtime.operator_replies[request_id] = sender
-        self._runtime.submit(
-            DeclareRequested(
-                self._runtime.clock.monotonic_ms(),
-                request_id,
-                body.change_id,
-                body.operator,
-                body.declaration["team"],
-                body.base_revision,
-                body.declaration,
-                body.wait_ms,
+        try:
+            self._runtime.submit(
+                DeclareRequested(
+                    self._runtime.clock.monotonic_ms(),
+                    request_id,
+                    body.change_id,
+                    body.operator,
+                    body.declaration["team"],
+                    body.base_revision,
+                    body.declaration,
+                    body.wait_ms,
+                )
             )
-        )
-        answer = await receiver.receive()
-        status = {"in_force": 200, "committed": 202, "conflict": 409}.get(answer["status"], 504)
-        await request.send_json(status, answer)
+            with trio.move_on_after((body.wait_ms + REPLY_MARGIN_MS) / 1000.0):
+                return await receiver.receive()
+            return {"status": "unknown"}
+        finally:
+            self._runtime.operator_replies.pop(request_id, None)
 
     async def _read_apply(self, request: HttpRequest) -> ApplyBody:
         plain = await request.read_json(MAX_DECLARATION_BYTES)
--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -21,6 +21,7 @@
     Send,
 )
 from marigoldarch.events import Event, MessageArrived, Persisted, Started, TargetCommandEnded, Tick
+from marigoldarch.exceptions import NodeFailedError
 from marigoldarch.reducer import NodeState, reduce
 from marigoldarch_node.attempts import Attempts
 from marigoldarch_node.calls import CallTable
@@ -60,6 +61,7 @@
             self._folder = DataFolder(settings.data_folder, core.node)
             durable = self._folder.open()
         self.state = NodeState(core, durable)
+        self._failure: NodeFailedError | None = None
         self._nursery: trio.Nursery | None = None
         self._persists: deque[Persist] = deque()
         self._persist_wakeup = trio.Event()
@@ -67,10 +69,27 @@
         self._held: deque[Send] = deque()
 
     def submit(self, event: Event) -> None:
-        """Reduce an event and carry out the effects."""
-        for effect in reduce(self.state, event):
+        """Reduce an event and carry out the effects.
+
+        Raises `NodeFailedError`, and stops the node, when the core fails on the event: its state
+        may then be half changed, and acting on it could break a promise.
+        """
+        if self._failure is not None:
+            raise self._failure
+        try:
+            effects = reduce(self.state, event)
+        except Exception as error:
+            self._fail(event, error)
+        for effect in effects:
             self._carry_out(effect)
 
+    def _fail(self, event: Event, error: Exception) -> None:
+        kind = type(event).__name__
+        log.critical("The core failed on {} with {}.", kind, type(error).__name__, exc_info=True)
+        self._failure = NodeFailedError(f"the core failed on {kind} with {type(error).__name__}")
+        self.stopped.set()
+        raise self._failure from error
+
     async def run(self) -> None:
         """Run until the node has stopped."""
         async with trio.open_nursery() as nursery:
@@ -83,6 +102,8 @@
             nursery.cancel_scope.cancel()
         if self._folder is not None:
             self._folder.close()
+        if self._failure is not None:
+            raise self._failure
 
     async def _tick(self) -> None:
         while True:
--- a/packages/marigoldarch-node/marigoldarch_node/server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/server.py
@@ -5,13 +5,12 @@
 import signal
 from typing import TYPE_CHECKING
 
-import hypercorn.trio
 import trio
-from hypercorn.config import Config
 
 from marigoldarch.events import DrainRequested
 from marigoldarch_node.edge.callers import CallerRoutes
 from marigoldarch_node.edge.http import Router
+from marigoldarch_node.edge.listener import Listener, ListenerSettings
 from marigoldarch_node.edge.operators import OperatorRoutes
 from marigoldarch_node.edge.targets import TargetRoutes
 from marigoldarch_node.logs import get_logger
@@ -20,9 +19,6 @@
 if TYPE_CHECKING:
     from marigoldarch_node.config.node import NodeSettings
 
-KEEP_ALIVE_S = 60.0
-SHUTDOWN_S = 1.0
-
 log = get_logger("server")
 
 
@@ -35,24 +31,15 @@
     peers = Router(runtime.links.routes)
     log.info("Node {} starts.", address.node)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_serve_app, public, address.caller_address, runtime)
-        nursery.start_soon(_serve_app, peers, address.peer_address, runtime)
+        for router, listen_at in (public, address.caller_address), (peers, address.peer_address):
+            listener = Listener(router, ListenerSettings(listen_at))
+            nursery.start_soon(listener.serve, runtime.stopped)
         nursery.start_soon(_watch_signals, runtime)
         await runtime.run()
         log.info("Node {} has stopped.", address.node)
         nursery.cancel_scope.cancel()
 
 
-async def _serve_app(router: Router, address: str, runtime: Runtime) -> None:
-    config = Config()
-    config.bind = [address]
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = SHUTDOWN_S
-    config.accesslog = None
-    config.errorlog = None
-    await hypercorn.trio.serve(router, config, shutdown_trigger=runtime.stopped.wait, mode="asgi")
-
-
 async def _watch_signals(runtime: Runtime) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
--- a/packages/marigoldarch/marigoldarch/codec.py
+++ b/packages/marigoldarch/marigoldarch/codec.py
@@ -40,5 +40,5 @@
     """Decode one JSON document; raise `CodecError` when it is malformed."""
     try:
         return msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise CodecError(f"malformed JSON: {error}") from error
--- a/packages/marigoldarch/marigoldarch/exceptions.py
+++ b/packages/marigoldarch/marigoldarch/exceptions.py
@@ -33,3 +33,7 @@
 
 class StreamError(MarigoldarchError):
     """A target's stream breaks the contract of permits, attempts and offsets."""
+
+
+class NodeFailedError(MarigoldarchError):
+    """An invariant of the core broke; the node stops rather than act on a damaged state."""
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -18,7 +18,7 @@
 )
 from marigoldarch.outcomes import RefusalReason
 from marigoldarch.settings import PoolSettings
-from marigoldarch.targets import Announcement
+from marigoldarch.targets import Announcement, is_impostor
 
 RECOVERY_MS: Millis = 700.0
 """How long a new scheduler waits for the live permits of entries before it grants."""
@@ -87,6 +87,8 @@
         """Take an announcement, and reclaim memory that no live permit accounts for."""
         effects: list[Effect] = []
         known = self.targets.get(announcement.target)
+        if known is not None and is_impostor(known.announcement, announcement):
+            return [Record("identity_conflict", {"target": announcement.target})]
         expires_ms = now_ms + announcement.ttl_ms
         if known is None:
             self.targets[announcement.target] = Target(announcement, expires_ms)
--- a/packages/marigoldarch/marigoldarch/targets.py
+++ b/packages/marigoldarch/marigoldarch/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import msgspec
@@ -10,6 +11,15 @@
 from marigoldarch.exceptions import CodecError
 from marigoldarch.identifiers import PoolId
 
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
+ADDRESS = re.compile(r"[A-Za-z0-9.-]{1,64}:[0-9]{1,5}\Z")
+PERMIT = re.compile(r"[0-9]{1,18}-[0-9]{1,18}\Z")
+MAX_TTL_MS = 60_000.0
+MAX_TOKENS = 10**12
+MAX_HOLDINGS = 100_000
+MAX_LABELS = 4096
+MAX_LABEL = 128
+
 
 class TargetLoad(msgspec.Struct, frozen=True):
     """A target's lagged load report, in streams and tokens."""
@@ -61,8 +71,40 @@
         return Error(CodecError(str(error)))
     if announcement.kind not in ("engine", "service"):
         return Error(CodecError("kind must be 'engine' or 'service'"))
-    if not announcement.target or not announcement.name or not announcement.address:
-        return Error(CodecError("target, name and address must not be empty"))
-    if not 0 < announcement.ttl_ms <= 60_000:
-        return Error(CodecError("ttl_ms must be above 0 and at most 60000"))
-    return Ok(announcement)
+    problem = _find_problem(announcement)
+    return Error(CodecError(problem)) if problem else Ok(announcement)
+
+
+def is_impostor(known: Announcement, announced: Announcement) -> bool:
+    """Return whether a live target's name is announced by another run at another address.
+
+    A restarted target has a new incarnation at its old address; one that moved waits until its
+    old announcement has run out.
+    """
+    return known.incarnation != announced.incarnation and known.address != announced.address
+
+
+def _find_problem(announced: Announcement) -> str:
+    for name in (announced.target, announced.incarnation, announced.name, announced.data_centre):
+        if not NAME.match(name):
+            return "target, incarnation, name and data_centre must be 1 to 64 of A-Z a-z 0-9 . _ -"
+    if not ADDRESS.match(announced.address):
+        return "address must be HOST:PORT"
+    if not 0 < announced.ttl_ms <= MAX_TTL_MS:
+        return f"ttl_ms must be above 0 and at most {MAX_TTL_MS:g}"
+    load = announced.load
+    numbers = (announced.memory_tokens, load.running, load.waiting, load.used_tokens)
+    if not all(0 <= number <= MAX_TOKENS for number in numbers):
+        return f"token and stream counts must be from 0 to {MAX_TOKENS}"
+    labels = (*announced.adapters, *announced.versions, announced.role)
+    if len(labels) > MAX_LABELS or not all(len(label) <= MAX_LABEL for label in labels):
+        return f"give at most {MAX_LABELS} adapters and versions of {MAX_LABEL} characters"
+    return _find_holdings_problem(announced.holdings or ())
+
+
+def _find_holdings_problem(holdings: tuple[str, ...]) -> str:
+    if len(holdings) > MAX_HOLDINGS:
+        return f"holdings must list at most {MAX_HOLDINGS} permits"
+    if not all(PERMIT.match(text) for text in holdings):
+        return "holdings must list permits as they were granted"
+    return ""
