--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -19,6 +19,9 @@
 )
 from marigoldarch.settings import ControlSettings
 
+MISSED_HEARTBEATS = 2.4
+"""After how many heartbeat intervals of silence a node is no longer offered to callers."""
+
 
 @dataclass
 class Session:
@@ -28,14 +31,20 @@
     incarnation: str
     revision: int
     expires_ms: Millis
+    heard_ms: Millis
 
 
 @dataclass
 class Sessions:
-    """All sessions of one leader's term."""
+    """All sessions of one leader's term.
+
+    `assumed` holds the nodes that the new leader knew of; it offers them to callers until they have
+    had time to send it a heartbeat.
+    """
 
     settings: ControlSettings
     since_ms: Millis
+    assumed: dict[str, NodeLoad] = field(default_factory=dict)
     by_node: dict[str, Session] = field(default_factory=dict)
     wanted_pools: set[PoolId] = field(default_factory=set)
     holders: dict[tuple[str, str], Millis] = field(default_factory=dict)
@@ -51,7 +60,7 @@
         if sender not in self.by_node:
             effects.append(Record("session_opened", {"node": sender}))
         self.by_node[sender] = Session(
-            heartbeat.load, heartbeat.incarnation, heartbeat.revision, expires_ms
+            heartbeat.load, heartbeat.incarnation, heartbeat.revision, expires_ms, now_ms
         )
         self.holders[sender, heartbeat.incarnation] = expires_ms
         self.wanted_pools.update(PoolId(*pool) for pool in heartbeat.wanted_pools)
@@ -60,7 +69,7 @@
             heartbeat.sent_ms,
             self.settings.session_lease_ms,
             machine.view.revision,
-            [session.load for session in self.by_node.values()],
+            self._responsive_nodes(now_ms),
         )
         return [*effects, Send(sender, ack)]
 
@@ -113,6 +122,20 @@
             commands.append(AssignPool(pool, node, self.by_node[node].incarnation))
         return commands
 
+    def _responsive_nodes(self, now_ms: Millis) -> list[NodeLoad]:
+        """Return the nodes that callers may be sent to: those that missed no two heartbeats.
+
+        A dead node thereby leaves the directory before its lease has run out.
+        """
+        silence_ms = MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
+        oldest_ms = now_ms - silence_ms
+        heard = {
+            node: item.load for node, item in self.by_node.items() if item.heard_ms >= oldest_ms
+        }
+        if now_ms < self.since_ms + silence_ms:
+            heard = self.assumed | heard
+        return list(heard.values())
+
     def _bring_up_to_date(self, node: str, revision: int, machine: StateMachine) -> list[Effect]:
         if revision >= machine.view.revision:
             return []
