--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -10,8 +10,10 @@
 from marigoldarch.effects import (
     CallTarget,
     CancelCall,
+    Checkpoint,
     Effect,
     Exit,
+    LogRecord,
     OperatorReply,
     OrderTarget,
     Persist,
@@ -21,6 +23,7 @@
     Send,
 )
 from marigoldarch.events import Event, MessageArrived, Persisted, Started, TargetCommandEnded, Tick
+from marigoldarch.exceptions import NodeFailedError
 from marigoldarch.reducer import NodeState, reduce
 from marigoldarch_node.attempts import Attempts
 from marigoldarch_node.calls import CallTable
@@ -56,21 +59,39 @@
         self.operator_replies: dict[str, trio.MemorySendChannel] = {}
         self._folder: DataFolder | None = None
         durable = None
-        if core.is_voter:
-            self._folder = DataFolder(settings.data_folder, core.node)
+        if core.hosts_replica:
+            self._folder = DataFolder(settings.data_folder, core.node, settings.installation)
             durable = self._folder.open()
         self.state = NodeState(core, durable)
+        self._failure: NodeFailedError | None = None
         self._nursery: trio.Nursery | None = None
-        self._persists: deque[Persist] = deque()
+        self._persists: deque[Persist | Checkpoint] = deque()
         self._persist_wakeup = trio.Event()
         self._synced_id = 0
         self._held: deque[Send] = deque()
 
     def submit(self, event: Event) -> None:
-        """Reduce an event and carry out the effects."""
-        for effect in reduce(self.state, event):
+        """Reduce an event and carry out the effects.
+
+        Raises `NodeFailedError`, and stops the node, when the core fails on the event: its state
+        may then be half changed, and acting on it could break a promise.
+        """
+        if self._failure is not None:
+            raise self._failure
+        try:
+            effects = reduce(self.state, event)
+        except Exception as error:
+            self._fail(event, error)
+        for effect in effects:
             self._carry_out(effect)
 
+    def _fail(self, event: Event, error: Exception) -> None:
+        kind = type(event).__name__
+        log.critical("The core failed on {} with {}.", kind, type(error).__name__, exc_info=True)
+        self._failure = NodeFailedError(f"the core failed on {kind} with {type(error).__name__}")
+        self.stopped.set()
+        raise self._failure from error
+
     async def run(self) -> None:
         """Run until the node has stopped."""
         async with trio.open_nursery() as nursery:
@@ -83,6 +104,8 @@
             nursery.cancel_scope.cancel()
         if self._folder is not None:
             self._folder.close()
+        if self._failure is not None:
+            raise self._failure
 
     async def _tick(self) -> None:
         while True:
@@ -93,7 +116,7 @@
         match effect:
             case Send():
                 self._send(effect)
-            case Persist():
+            case Persist() | Checkpoint():
                 self._persists.append(effect)
                 self._persist_wakeup.set()
             case Reply():
@@ -130,10 +153,22 @@
                 await self._persist_wakeup.wait()
             batch = list(self._persists)
             self._persists.clear()
-            records = [record for persist in batch for record in persist.records]
-            await trio.to_thread.run_sync(self._folder.append, records)
+            await trio.to_thread.run_sync(self._write_batch, batch)
             self._on_synced(batch[-1].persist_id)
 
+    def _write_batch(self, batch: list[Persist | Checkpoint]) -> None:
+        records: list[LogRecord] = []
+        for effect in batch:
+            match effect:
+                case Persist():
+                    records += effect.records
+                case Checkpoint():
+                    # A checkpoint holds all that was written before it.
+                    records.clear()
+                    self._folder.replace(list(effect.records))
+        if records:
+            self._folder.append(records)
+
     def _on_synced(self, persist_id: int) -> None:
         self._synced_id = persist_id
         still_held = [send for send in self._held if send.after > persist_id]
--- a/packages/marigoldarch/marigoldarch/declarations/model.py
+++ b/packages/marigoldarch/marigoldarch/declarations/model.py
@@ -58,10 +58,26 @@
 
 
 class TeamDeclaration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One team's whole subtree."""
+    """One team's whole subtree; the limits of its own hold over all its customers together."""
 
     team: str
+    rate_per_s: float = 0.0
+    concurrency: int = 0
+    tokens_per_s: float = 0.0
     models: dict[str, ModelDeclaration] = {}
     kinds: dict[str, KindDeclaration] = {}
     customers: dict[str, CustomerDeclaration] = {}
     services: dict[str, ServiceDeclaration] = {}
+
+
+class OperatorDeclaration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator: SHA-256 digests of its keys, and the teams whose subtrees it may change."""
+
+    key_sha256: tuple[str, ...] = ()
+    teams: tuple[str, ...] = ()
+
+
+class OperatorsDeclaration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All operators of the installation; only the root operator may change them."""
+
+    operators: dict[str, OperatorDeclaration] = {}
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -12,6 +12,8 @@
 from marigoldarch.clock import Millis
 from marigoldarch.codec import Codec
 from marigoldarch.control.commands import Entry
+from marigoldarch.control.configuration import Configuration
+from marigoldarch.control.repair_state import RepairState
 from marigoldarch.identifiers import NodeAddress, PermitId, PoolId, TargetAddress
 
 
@@ -23,15 +25,23 @@
     last_index: int
     last_term: int
     is_probe: bool
+    from_replica: str
+    to_replica: str
 
 
 @dataclass(frozen=True)
 class VoteReply:
-    """Answer a vote request."""
+    """Answer a vote request.
+
+    `grants_end_in_ms` is the time until no earlier leader that the voter knows of can grant a
+    lease; it is negative when that time has passed.
+    """
 
     term: int
     is_granted: bool
     is_probe: bool
+    from_replica: str
+    grants_end_in_ms: Millis
 
 
 @dataclass(frozen=True)
@@ -44,6 +54,7 @@
     entries: list[Entry]
     commit: int
     sent_ms: Millis
+    to_replica: str
 
 
 @dataclass(frozen=True)
@@ -54,6 +65,48 @@
     is_success: bool
     match_index: int
     sent_ms: Millis
+    from_replica: str
+
+
+@dataclass(frozen=True)
+class SnapshotPiece:
+    """A piece of the snapshot at `index`; lengths and offsets are in characters of its text."""
+
+    term: int
+    index: int
+    index_term: int
+    configuration: Configuration
+    length: int
+    offset: int
+    data: str
+    sent_ms: Millis
+    to_replica: str
+
+
+@dataclass(frozen=True)
+class SnapshotReply:
+    """Name the offset of the next piece wanted."""
+
+    term: int
+    index: int
+    offset: int
+    sent_ms: Millis
+    from_replica: str
+
+
+@dataclass(frozen=True)
+class BootstrapQuery:
+    """Ask a listed voter at an installation's first start whether its disk is blank."""
+
+    coordinator_replica: str
+
+
+@dataclass(frozen=True)
+class BootstrapReply:
+    """Tell the coordinator that asked that this replica has a blank disk."""
+
+    coordinator_replica: str
+    from_replica: str
 
 
 @dataclass(frozen=True)
@@ -104,11 +157,16 @@
     revision: int
     wanted_pools: list[PoolId]
     sent_ms: Millis
+    replica_id: str = ""
 
 
 @dataclass(frozen=True)
 class HeartbeatAck:
-    """Grant a lease of `lease_ms` from the heartbeat's `sent_ms` on."""
+    """Grant a lease of `lease_ms` from the heartbeat's `sent_ms` on.
+
+    A lease of 0 asks to come again soon. `nodes` is bounded: those of the receiver's data centre go
+    first.
+    """
 
     sent_ms: Millis
     lease_ms: Millis
@@ -116,6 +174,38 @@
     nodes: list[NodeLoad]
 
 
+@dataclass(frozen=True)
+class PoolRelinquished:
+    """Give up a pool held under `fence`; the sender has stopped acting on it for good."""
+
+    pool: PoolId
+    fence: int
+
+
+@dataclass(frozen=True)
+class NodeLeaving:
+    """Give up the session: the sender acts on its lease no more."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class RepairRequest:
+    """Ask the leader for the next step of a repair; resent until the state is final."""
+
+    lost: str
+    replacement: str
+
+
+@dataclass(frozen=True)
+class RepairReply:
+    """Report how far a repair is."""
+
+    lost: str
+    replacement: str
+    state: RepairState
+
+
 @dataclass(frozen=True)
 class ViewDelta:
     """Bring a node's view from `base_revision` forward."""
@@ -153,7 +243,10 @@
 
 
 class WorkItem(NamedTuple):
-    """What a scheduler needs to know of a request; token counts, and time left in milliseconds."""
+    """What a scheduler needs to know of a request; token counts, and time left in milliseconds.
+
+    `asked_ms` is the entry's own clock at this sending, for the grant to echo.
+    """
 
     request_id: str
     attempt: int
@@ -170,6 +263,7 @@
     version: str = ""
     prefix: tuple[str, ...] = ()
     avoid: tuple[str, ...] = ()
+    asked_ms: Millis = 0.0
 
 
 @dataclass(frozen=True)
@@ -182,13 +276,28 @@
 
 @dataclass(frozen=True)
 class PermitGranted:
-    """Allow one attempt on `targets`; more than one target is a gang whose first streams."""
+    """Allow one attempt on `targets`; more than one target is a gang whose first streams.
+
+    `asked_ms` echoes the latest `PermitRequest`: an entry uses no grant whose request it sent too
+    long ago, so that the scheduler may drop a permit that its entry has not listed for longer.
+    """
 
     pool: PoolId
     request_id: str
     attempt: int
     permit: PermitId
     targets: list[TargetAddress]
+    asked_ms: Millis = 0.0
+
+
+@dataclass(frozen=True)
+class PermitQueued:
+    """Acknowledge a waiting request, so that its entry may ask less often; wait in milliseconds."""
+
+    pool: PoolId
+    request_id: str
+    attempt: int
+    wait_estimate_ms: Millis
 
 
 @dataclass(frozen=True)
@@ -233,11 +342,59 @@
 
 @dataclass(frozen=True)
 class PermitsHeld:
-    """List all live permits of one entry in one pool: a renewal, or recovery of a new scheduler."""
+    """List all live permits of one entry in one pool: a renewal, or recovery of a new scheduler.
+
+    Sent at an interval while there are any, with their ids in `renewed` only, and once for each new
+    `epoch`, even if empty, with all that its scheduler has to know in `held`.
+    """
 
     pool: PoolId
     epoch: int
     held: list[HeldPermit]
+    renewed: list[PermitId] = field(default_factory=list)
+
+
+class LimitNeed(NamedTuple):
+    """What an entry needs under one limit.
+
+    `requests` and `tokens` come on top of earlier shares, `first_tokens` of them for the oldest
+    waiting request alone; `slots` is the whole number of requests in progress that the entry wants
+    to be allowed, `used_slots` of which it has in progress already.
+    """
+
+    subject: str
+    requests: float
+    tokens: float
+    first_tokens: float
+    slots: int
+    used_slots: int
+
+
+class LimitShare(NamedTuple):
+    """What a keeper lends; `slots` is the whole number, the others come on top."""
+
+    subject: str
+    requests: float
+    tokens: float
+    slots: int
+    retry_after_ms: Millis
+
+
+@dataclass(frozen=True)
+class LimitAsk:
+    """Ask the keeper of some limits for shares; `round` is echoed."""
+
+    round: int
+    needs: list[LimitNeed]
+
+
+@dataclass(frozen=True)
+class LimitAnswer:
+    """Lend shares for `lease_ms` from the sending of the ask on."""
+
+    round: int
+    lease_ms: Millis
+    shares: list[LimitShare]
 
 
 @dataclass(frozen=True)
@@ -264,11 +421,19 @@
     VoteReply,
     AppendRequest,
     AppendReply,
+    SnapshotPiece,
+    SnapshotReply,
+    BootstrapQuery,
+    BootstrapReply,
     Propose,
     ProposeReply,
     NotLeader,
     Heartbeat,
     HeartbeatAck,
+    PoolRelinquished,
+    NodeLeaving,
+    RepairRequest,
+    RepairReply,
     ViewDelta,
     ViewSnapshot,
     ViewAck,
@@ -276,10 +441,13 @@
     InForce,
     PermitRequest,
     PermitGranted,
+    PermitQueued,
     PermitRefused,
     PermitWithdrawn,
     PermitReleased,
     PermitsHeld,
+    LimitAsk,
+    LimitAnswer,
     TargetReport,
     CacheReport,
 )
@@ -291,11 +459,19 @@
     | VoteReply
     | AppendRequest
     | AppendReply
+    | SnapshotPiece
+    | SnapshotReply
+    | BootstrapQuery
+    | BootstrapReply
     | Propose
     | ProposeReply
     | NotLeader
     | Heartbeat
     | HeartbeatAck
+    | PoolRelinquished
+    | NodeLeaving
+    | RepairRequest
+    | RepairReply
     | ViewDelta
     | ViewSnapshot
     | ViewAck
@@ -303,10 +479,13 @@
     | InForce
     | PermitRequest
     | PermitGranted
+    | PermitQueued
     | PermitRefused
     | PermitWithdrawn
     | PermitReleased
     | PermitsHeld
+    | LimitAsk
+    | LimitAnswer
     | TargetReport
     | CacheReport
 )
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/machine.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/machine.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
@@ -27,6 +27,7 @@
     deadline=None,
     database=None,
     derandomize=True,
+    phases=(Phase.explicit, Phase.generate),
     suppress_health_check=list(HealthCheck),
 )
 
@@ -99,6 +100,11 @@
         running = self.cluster.running
         return running[number % len(running)] if running else None
 
+    def resume(self, name: str) -> None:
+        """Let a paused process run on, and check before anything else happens."""
+        self.cluster.resume(name)
+        self.guarded(self.check)
+
     def end_faults(self) -> None:
         """Heal the network, and let every node run."""
         self.cluster.network.faults.drop = 0.0
@@ -109,7 +115,7 @@
             if name not in self.cluster.nodes:
                 self.cluster.start(name)
             elif self.cluster.nodes[name].is_paused:
-                self.cluster.resume(name)
+                self.resume(name)
 
     @rule(duration_ms=st.sampled_from([40.0, 200.0, 700.0, 2200.0]))
     def let_run(self, duration_ms: Millis) -> None:
@@ -131,7 +137,7 @@
         if name not in self.cluster.nodes:
             self.cluster.start(name)
         elif self.cluster.nodes[name].is_paused:
-            self.cluster.resume(name)
+            self.resume(name)
 
     @rule(number=NUMBERS)
     def kill_and_restart(self, number: int) -> None:
