--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/broken_control_tests.py
@@ -0,0 +1,206 @@
+"""Every predicate of the log, the declarations and the ledger catches its fault."""
+
+from __future__ import annotations
+
+import unittest
+from functools import partial
+from typing import Any
+from unittest.mock import PropertyMock, patch
+
+from marigoldarch.control.configuration import Configuration
+from marigoldarch.control.ledger import Ledger
+from marigoldarch.control.machine import StateMachine
+from marigoldarch.control.member import Member
+from marigoldarch.control.replica import Replica
+from marigoldarch.control.replication import NEVER_MS
+from marigoldarch.control.sessions import Sessions
+from marigoldarch.effects import Send, VoteRecord
+from marigoldarch.entry import permit_calls
+from marigoldarch.entry import reducer as entry_reducer
+from marigoldarch.entry.request import Request
+from marigoldarch.tests import disk
+from marigoldarch.tests.fuzz.broken import find_breach, run_script
+from marigoldarch.tests.fuzz.declarations_tests import DeclarationMachine
+from marigoldarch.tests.fuzz.ledger_tests import LedgerMachine
+from marigoldarch.tests.fuzz.log_tests import LogMachine
+
+
+def crash_before_sync(machine: LogMachine) -> None:
+    """Crash every replica while a proposed entry is not synced anywhere."""
+    machine.cluster.sync_delay_ms = 400.0
+    machine.propose_to_leader()
+    machine.advance(60.0)
+    for name in machine.cluster.names:
+        machine.cluster.kill(name)
+    for name in machine.cluster.names:
+        machine.cluster.start(name)
+
+
+def restart_voter_in_election(machine: LogMachine, wait_ms: float) -> None:
+    """Cut one follower off the leader, then restart the other and cut it off too."""
+    cluster = machine.cluster
+    leader = cluster.leader()
+    restarted, lonely = [name for name in cluster.names if name != leader]
+    cluster.cut(leader, lonely)
+    machine.advance(wait_ms)
+    cluster.kill(restarted)
+    cluster.cut(leader, restarted)
+    cluster.start(restarted)
+    machine.advance(600.0)
+
+
+def post_two_bodies(machine: LedgerMachine) -> None:
+    """Post under one key twice, the second time with another body."""
+    machine.post(0)
+    machine.advance(700.0)
+    machine.post_again(1, 0, True)
+    machine.advance(700.0)
+
+
+class BrokenLogTests(unittest.TestCase):
+    """Broken variants of the replicated log."""
+
+    def test_acknowledging_before_the_sync_is_caught(self) -> None:
+        original = Replica._append_reply
+
+        def reply_at_once(*args: Any, **fields: Any) -> Send:
+            send = original(*args, **fields)
+            return Send(send.node, send.message)
+
+        fault = patch.object(Replica, "_append_reply", reply_at_once)
+        self.assertRegex(run_script(LogMachine, fault, crash_before_sync), "applied another entry")
+
+    def test_forgetting_a_vote_is_caught(self) -> None:
+        original = disk.replay
+
+        def replay_without_votes(records: list, replica_id: str) -> Any:
+            kept = [record for record in records if not isinstance(record, VoteRecord)]
+            return original(kept, replica_id)
+
+        breach = find_breach(LogMachine, patch.object(disk, "replay", replay_without_votes))
+        self.assertRegex(breach, "lead term|applied another entry|several leaders")
+
+    def test_voting_right_after_a_restart_is_caught(self) -> None:
+        original = Replica.start
+
+        def start_without_patience(replica: Replica, now_ms: float) -> list:
+            effects = original(replica, now_ms)
+            replica._leader_contact_ms = NEVER_MS
+            return effects
+
+        breaches = set()
+        for wait_ms in range(400, 1300, 60):
+            fault = patch.object(Replica, "start", start_without_patience)
+            script = partial(restart_voter_in_election, wait_ms=wait_ms)
+            breaches.add(run_script(LogMachine, fault, script))
+        self.assertIn("several leaders hold a lease", "".join(breaches))
+
+    def test_deciding_without_a_majority_is_caught(self) -> None:
+        fault = patch.object(Configuration, "majority", PropertyMock(return_value=1))
+        self.assertRegex(find_breach(LogMachine, fault), "lead|applied another entry")
+
+
+class BrokenDeclarationTests(unittest.TestCase):
+    """Broken variants of declarations."""
+
+    def test_reporting_in_force_too_early_is_caught(self) -> None:
+        def in_force_at_once(sessions: Sessions, machine: StateMachine, now_ms: float) -> int:
+            return machine.view.revision
+
+        fault = patch.object(Sessions, "in_force_revision", in_force_at_once)
+        self.assertIn("acts on", find_breach(DeclarationMachine, fault))
+
+    def test_acting_without_a_lease_is_caught(self) -> None:
+        fault = patch.object(Member, "has_lease", lambda member, now_ms: True)
+        self.assertRegex(find_breach(DeclarationMachine, fault), "acts on|went back")
+
+    def test_ignoring_the_leases_of_the_earlier_leader_is_caught(self) -> None:
+        fault = patch.object(Replica, "grants_end_ms", PropertyMock(return_value=NEVER_MS))
+        self.assertIn("acts on", find_breach(DeclarationMachine, fault))
+
+    def test_granting_a_lease_on_an_old_revision_is_caught(self) -> None:
+        original = Member.on_heartbeat_ack
+
+        def take_any_lease(member: Member, sender: str, ack: Any, now_ms: float) -> list:
+            plain = type(ack)(ack.sent_ms, ack.lease_ms, 0, ack.nodes)
+            return original(member, sender, plain, now_ms)
+
+        def grant_any(sessions: Sessions, sender: str, heartbeat: Any, *rest: Any) -> list:
+            newest = type(heartbeat)(
+                heartbeat.load,
+                heartbeat.incarnation,
+                rest[0].view.revision,
+                heartbeat.wanted_pools,
+                heartbeat.sent_ms,
+                heartbeat.replica_id,
+            )
+            return on_heartbeat(sessions, sender, newest, *rest)
+
+        on_heartbeat = Sessions.on_heartbeat
+        with patch.object(Member, "on_heartbeat_ack", take_any_lease):
+            fault = patch.object(Sessions, "on_heartbeat", grant_any)
+            self.assertRegex(find_breach(DeclarationMachine, fault), "acts on|went back")
+
+    def test_ignoring_the_base_revision_is_caught(self) -> None:
+        original = StateMachine._try_declare
+
+        def without_base(machine: StateMachine, index: int, command: Any) -> Any:
+            last = machine.view.last_change(command.team)
+            object.__setattr__(command, "base_revision", last.revision if last else 0)
+            return original(machine, index, command)
+
+        fault = patch.object(StateMachine, "_try_declare", without_base)
+        self.assertIn("several changes won", find_breach(DeclarationMachine, fault))
+
+
+class BrokenLedgerTests(unittest.TestCase):
+    """Broken variants of the at-most-once ledger."""
+
+    def test_sending_before_the_start_is_committed_is_caught(self) -> None:
+        fault = patch.object(permit_calls.ledger_calls, "start", permit_calls._call_target)
+        self.assertIn("executed more than once", find_breach(LedgerMachine, fault))
+
+    def test_forgetting_started_calls_is_caught(self) -> None:
+        original = Ledger.start
+
+        def start_anew(ledger: Ledger, command: Any, now_ms: int) -> Any:
+            ledger._records.clear()
+            return original(ledger, command, now_ms)
+
+        fault = patch.object(Ledger, "start", start_anew)
+        self.assertIn("executed more than once", find_breach(LedgerMachine, fault))
+
+    def test_answering_another_body_is_caught(self) -> None:
+        original = Ledger.start
+
+        def start_any_body(ledger: Ledger, command: Any, now_ms: int) -> Any:
+            record = ledger._records.get((command.customer, command.key))
+            if record is not None:
+                object.__setattr__(command, "digest", record.start.digest)
+            return original(ledger, command, now_ms)
+
+        fault = patch.object(Ledger, "start", start_any_body)
+        breach = run_script(LedgerMachine, fault, post_two_bodies)
+        self.assertIn("the answer of another body", breach)
+
+    def test_calling_a_sent_request_not_run_is_caught(self) -> None:
+        fault = patch.object(Request, "may_have_run", PropertyMock(return_value=False))
+        self.assertIn("but was run", find_breach(LedgerMachine, fault))
+
+    def test_missing_a_deadline_is_caught(self) -> None:
+        fault = patch.object(entry_reducer, "_stop", lambda *args: [])
+        self.assertIn("no outcome by their deadline", find_breach(LedgerMachine, fault))
+
+    def test_keeping_the_key_of_an_unsent_call_is_caught(self) -> None:
+        fault = patch.object(permit_calls.ledger_calls, "abandon", lambda *args: [])
+        self.assertIn("was never run, but is now", find_breach(LedgerMachine, fault))
+
+    def test_answering_twice_is_caught(self) -> None:
+        original = permit_calls.finish
+
+        def finish_twice(*args: Any) -> list:
+            effects = original(*args)
+            return [*effects, effects[-1]]
+
+        fault = patch.object(permit_calls, "finish", finish_twice)
+        self.assertIn("a second outcome", find_breach(LedgerMachine, fault))
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/fake_service.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/fake_service.py
@@ -73,9 +73,11 @@
             self.announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS
             self._announce()
         for call in list(self.pending):
+            if self._is_caller_paused(call):
+                continue
             if not call.is_executed and call.due_ms <= now_ms:
                 self._arrive(call)
-            if call.is_executed and call.answer_ms <= now_ms:
+            elif call.is_executed and call.answer_ms <= now_ms:
                 self._answer(call)
 
     def _announce(self) -> None:
@@ -122,6 +124,11 @@
             )
             self.cluster.submit(call.node, event)
 
+    def _is_caller_paused(self, call: PendingCall) -> bool:
+        """Return whether the calling process does not run; its calls then wait for it."""
+        node = self.cluster.nodes.get(call.node)
+        return node is not None and node.is_paused
+
     def _is_caller_up(self, call: PendingCall) -> bool:
         node = self.cluster.nodes.get(call.node)
         return node is not None and node.settings.incarnation == call.incarnation
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/machine.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/machine.py
@@ -50,6 +50,7 @@
     @initialize(seed=st.integers(0, 2**16), drift=st.booleans())
     def set_up(self, seed: int, drift: bool) -> None:
         """Start a cluster and let it elect a leader."""
+        STATISTICS["examples"] += 1
         self.cluster = MemoryCluster(self.node_count, self.voter_count, seed)
         self.cluster.sync_delay_ms = self.sync_delay_ms
         if drift:
