Hand pools over in a graceful stop

Cause: a leaving node kept its pools until its lease ran out after its exit, so that other entries waited for permits for over two seconds. Change: a module of its own for the stop; pools are relinquished once the leader knows that the node leaves and while another node stays; the node gives its lease up and exits after its last messages. The test of the exit waits for the 300 ms that the last messages are now given.

--- a/packages/marigoldarch/marigoldarch/reducer.py
+++ b/packages/marigoldarch/marigoldarch/reducer.py
@@ -8,17 +8,15 @@
 from marigoldarch.clock import Millis
 from marigoldarch.control.durable import DurableState
 from marigoldarch.control.reducer import ControlState, reduce_control
-from marigoldarch.effects import Effect, Exit, Record, Send
+from marigoldarch.drain import Drain
+from marigoldarch.effects import Effect, Send
 from marigoldarch.entry.directory import DirectoryAnswer, answer
 from marigoldarch.entry.reducer import reduce_entry
 from marigoldarch.entry.state import EntryState
-from marigoldarch.events import DrainRequested, Event, MessageArrived, Tick
+from marigoldarch.events import Event, MessageArrived
 from marigoldarch.pools.reducer import PoolsState, reduce_pools
 from marigoldarch.settings import CoreSettings
 
-DRAIN_MARGIN_MS: Millis = 1500.0
-"""How long it may take until every directory leaves a leaving node out: two heartbeats and slack."""
-
 
 class NodeState:
     """The whole state of one node's core."""
@@ -28,25 +26,23 @@
         self.control = ControlState(settings, durable)
         self.pools = PoolsState(settings)
         self.entry = EntryState(settings, self.control.member, self.control.proposals)
-        self.drain_since_ms: Millis | None = None
+        self.drain = Drain(settings.entry)
         self.chooser = random.Random(settings.seed)
 
     @property
     def is_leaving(self) -> bool:
         """Return whether the node is on its way out."""
-        return self.drain_since_ms is not None
+        return self.drain.is_leaving
 
     @property
     def active(self) -> int:
         """Return how many requests are in progress here."""
         return len(self.entry.requests)
 
-    def is_closed(self, now_ms: Millis) -> bool:
-        """Return whether no caller can still hold a directory answer that names this node."""
-        if self.drain_since_ms is None:
-            return False
-        wait_ms = self.settings.entry.directory_ttl_ms + DRAIN_MARGIN_MS
-        return now_ms >= self.drain_since_ms + wait_ms
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing is in progress here, and the ledger has all that it is owed."""
+        return self.active == 0 and not self.control.proposals.pending_ids
 
     def ask_directory(self, data_centre: str, now_ms: Millis) -> DirectoryAnswer | None:
         """Return the addresses that a caller in `data_centre` should use.
@@ -80,20 +76,6 @@
 def _reduce_one(state: NodeState, event: Event) -> list[Effect]:
     effects = reduce_control(state.control, event, state.active, state.is_leaving)
     effects += reduce_pools(state.pools, event, state.control.member)
-    effects += reduce_entry(state.entry, event, is_closed=state.is_closed(event.at_ms))
-    effects += _reduce_drain(state, event)
+    effects += reduce_entry(state.entry, event, is_closed=state.drain.is_closed(event.at_ms))
+    effects += state.drain.reduce(event, state.control.member, is_idle=state.is_idle)
     return effects
-
-
-def _reduce_drain(state: NodeState, event: Event) -> list[Effect]:
-    match event:
-        case DrainRequested(at_ms=now_ms) if not state.is_leaving:
-            state.drain_since_ms = now_ms
-            return [Record("drain_started")]
-        case Tick(at_ms=now_ms) if state.is_closed(now_ms) and _is_idle(state):
-            return [Record("drain_finished"), Exit()]
-    return []
-
-
-def _is_idle(state: NodeState) -> bool:
-    return state.active == 0 and not state.control.proposals.pending_ids
--- a/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
@@ -287,6 +287,7 @@
         self.assertFalse(any(isinstance(e, Exit) for e in self.cluster.nodes["n2"].effects))
         self.answer("r1", self.target_calls("r1")[0])
         self.assertEqual(self.outcomes("r1"), [Answered("", 10)])
+        self.run_for(500)
         self.assertTrue(any(isinstance(e, Exit) for e in self.cluster.nodes["n2"].effects))
 
     def test_dead_node_leaves_the_directory_within_two_seconds(self) -> None:
