--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format capacity
 
 setup: $(VENV)/.stamp
 
@@ -26,3 +26,6 @@
 format: setup
 	$(BIN)/ruff check --fix packages tools
 	$(BIN)/black --quiet packages tools
+
+capacity: setup
+	$(BIN)/python -m marigoldarch_fakes.capacity
--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity measurements: slopes of processor time, bytes and memory, and what they come to."""
--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/control.py
@@ -0,0 +1,266 @@
+"""Slopes of the control part: heartbeats, changes, the view, the ledger and the time line."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+from marigoldarch.control.commands import COMMANDS, Declare, Entry, LedgerFinish, LedgerStart
+from marigoldarch.control.ledger import Ledger
+from marigoldarch.control.view import ClusterView
+from marigoldarch.effects import Effect, Record
+from marigoldarch.events import DeclareRequested
+from marigoldarch.messages import AppendRequest, Propose, ViewAck, ViewDelta, ViewSnapshot
+from marigoldarch_fakes.capacity import sizes
+from marigoldarch_fakes.capacity.core import (
+    CoreDriver,
+    best_time_us,
+    encode,
+    memory_bytes,
+    message_time_us,
+    sent_bytes,
+)
+from marigoldarch_fakes.capacity.slopes import Slope, measure
+from marigoldarch_node.timeline.recorder import Recorder
+
+NODE_COUNTS = (40, 80, 160, 320)
+CUSTOMER_COUNTS = (500, 1000, 2000, 4000)
+TEAM_CUSTOMERS = (125, 250, 500, 1000)
+LEDGER_COUNTS = (1000, 2000, 4000, 8000)
+EVENT_COUNTS = (1000, 2000, 4000, 8000)
+TIMED_RUNS = 40
+CUSTOMERS_PER_TEAM = sizes.CUSTOMERS // sizes.TEAMS
+KEPT_LEDGER_CALLS = 100_000
+"""Ledger records that the memory of a voter is worked out for."""
+
+
+def make_declaration(team: str, customers: int) -> dict[str, Any]:
+    """Return a team's declaration with this many customers."""
+    return {
+        "team": team,
+        "models": {f"model{number}": {"versions": ["1"]} for number in range(sizes.MODELS)},
+        "kinds": {
+            "quiz": {"rank": 0, "deadline_ms": 10_000},
+            "binder": {"rank": 2, "deadline_ms": 3_600_000},
+        },
+        "customers": {
+            f"{team}-customer{number}": {
+                "key_sha256": [hashlib.sha256(f"{team}/{number}".encode()).hexdigest()],
+                "kinds": ["quiz", "binder"],
+                "rate_per_s": 5.0,
+                "concurrency": 20,
+            }
+            for number in range(customers)
+        },
+        "services": {"gradebook": {"methods": {"post": {}, "look": {"idempotent": True}}}},
+    }
+
+
+def declare(driver: CoreDriver, team: str, customers: int, base: int = 0) -> list[Effect]:
+    """Commit a declaration; return the effects for other nodes."""
+    change_id = f"{team}-{base}-{customers}"
+    return driver.submit(
+        DeclareRequested(
+            driver.now_ms,
+            f"op-{change_id}",
+            change_id,
+            "ada",
+            team,
+            base,
+            make_declaration(team, customers),
+            8000.0,
+        )
+    )
+
+
+def make_view(customers: int) -> ClusterView:
+    """Return a view of teams of a thousand customers each, or of one smaller team."""
+    view = ClusterView()
+    revision = 0
+    while customers > 0:
+        revision += 1
+        count = min(customers, CUSTOMERS_PER_TEAM)
+        team = f"team{revision}"
+        view.apply_command(revision, Declare("c", "ada", team, 0, make_declaration(team, count)))
+        customers -= count
+    return view
+
+
+def _heartbeat_time(nodes: int) -> float:
+    driver = CoreDriver(nodes)
+    driver.join_all()
+    sender = driver.addresses[5].node
+    heartbeat = driver.make_heartbeat(5)
+    return min(message_time_us(driver, sender, heartbeat) for _ in range(TIMED_RUNS))
+
+
+def _heartbeat_ack_bytes(nodes: int) -> float:
+    driver = CoreDriver(nodes)
+    driver.join_all()
+    return sent_bytes(driver.heartbeat(5))
+
+
+def _change_bytes(nodes: int) -> float:
+    driver = CoreDriver(nodes)
+    driver.join_all()
+    return sent_bytes(declare(driver, "guild", 10))
+
+
+def _change_time(nodes: int) -> float:
+    driver = CoreDriver(nodes)
+    driver.join_all()
+    return best_time_us(lambda: [encode(e.message) for e in _declare_next(driver)], 1)
+
+
+def _declare_next(driver: CoreDriver) -> list[Any]:
+    teams = driver.state.control.machine.view.teams
+    base = teams["guild"].revision if "guild" in teams else 0
+    effects = declare(driver, "guild", 10, base)
+    return [effect for effect in effects if hasattr(effect, "message")]
+
+
+def _ack_time(nodes: int) -> float:
+    driver = CoreDriver(nodes)
+    driver.join_all()
+    declare(driver, "guild", 10)
+    revision = driver.state.control.machine.view.revision
+    sender = driver.addresses[5].node
+    return min(message_time_us(driver, sender, ViewAck(revision)) for _ in range(TIMED_RUNS))
+
+
+def _delta_bytes(customers: int) -> float:
+    driver = CoreDriver(2)
+    driver.join_all()
+    effects = declare(driver, "guild", customers)
+    return sum(
+        len(encode(effect.message))
+        for effect in effects
+        if isinstance(getattr(effect, "message", None), ViewDelta)
+    )
+
+
+def _apply_time(customers: int) -> float:
+    view = make_view(customers)
+    command = Declare("c", "ada", "small", 0, make_declaration("small", 1))
+    return best_time_us(lambda: view.apply_command(view.revision + 1, command), 5)
+
+
+def _snapshot_bytes(customers: int) -> float:
+    return len(encode_view(customers))
+
+
+def encode_view(customers: int) -> bytes:
+    """Return the encoded snapshot of a view."""
+    return encode(ViewSnapshot(make_view(customers).to_plain()))
+
+
+def _idle_tick_time(nodes: int) -> float:
+    driver = CoreDriver(nodes)
+    driver.join_all()
+    return best_time_us(lambda: driver.advance(50.0), TIMED_RUNS)
+
+
+def _ledger_start(number: int) -> LedgerStart:
+    digest = hashlib.sha256(str(number).encode()).hexdigest()
+    key = f"key-{number:08}"
+    return LedgerStart("harbor", key, digest, "node0001", f"req-{digest[:32]}", "gradebook1", 10**12)
+
+
+def _build_ledger(calls: int) -> Ledger:
+    ledger = Ledger()
+    for number in range(calls):
+        start = _ledger_start(number)
+        ledger.start(start)
+        answer = f'{{"posted":{number}}}'
+        ledger.finish(LedgerFinish(start.customer, start.key, start.request_id, answer))
+    return ledger
+
+
+def _ledger_time(calls: int) -> float:
+    driver = CoreDriver(1)
+    commands = [COMMANDS.to_plain(_ledger_start(number)) for number in range(calls)]
+    proposals = iter([Propose(f"p{number}", plain) for number, plain in enumerate(commands)])
+    return best_time_us(
+        lambda: message_time_us(driver, "node0001", next(proposals)), calls // 4
+    )
+
+
+def _append_bytes(entries: int) -> float:
+    plain = [Entry(n + 1, 3, COMMANDS.to_plain(_ledger_start(n))) for n in range(entries)]
+    return len(encode(AppendRequest(3, 0, 3, plain, 0, 1234.5)))
+
+
+def _timeline_event() -> Record:
+    return Record(
+        "permit_granted",
+        {"request": f"req-{'0' * 32}", "permit": "120-34567", "targets": ["engine1"]},
+    )
+
+
+def _timeline_time(events: int) -> float:
+    recorder = Recorder("node0001")
+    event = _timeline_event()
+    return best_time_us(lambda: recorder.record(event, 10**12), events)
+
+
+def _timeline_memory(events: int) -> float:
+    def build() -> Recorder:
+        recorder = Recorder("node0001")
+        for _ in range(events):
+            recorder.record(_timeline_event(), 10**12)
+        return recorder
+
+    return memory_bytes(build)
+
+
+def control_slopes() -> list[Slope]:
+    """Measure every slope of the control part."""
+    nodes = sizes.NODES
+    customers = sizes.CUSTOMERS
+    return [
+        measure("leader: one heartbeat", "nodes", "us", NODE_COUNTS, nodes, _heartbeat_time),
+        measure(
+            "leader: answer to a heartbeat", "nodes", "bytes", NODE_COUNTS, nodes, _heartbeat_ack_bytes
+        ),
+        measure("leader: one tick", "nodes", "us", NODE_COUNTS, nodes, _idle_tick_time),
+        measure("leader: a change to all nodes", "nodes", "us", NODE_COUNTS, nodes, _change_time),
+        measure(
+            "leader: a change of a team of 10 customers",
+            "nodes",
+            "bytes",
+            NODE_COUNTS,
+            nodes,
+            _change_bytes,
+        ),
+        measure("leader: one acknowledged change", "nodes", "us", NODE_COUNTS, nodes, _ack_time),
+        measure(
+            "node: delta of a changed team",
+            "customers of the team",
+            "bytes",
+            TEAM_CUSTOMERS,
+            CUSTOMERS_PER_TEAM,
+            _delta_bytes,
+        ),
+        measure("node: apply a small change", "customers", "us", CUSTOMER_COUNTS, customers, _apply_time),
+        measure(
+            "node: view in memory",
+            "customers",
+            "bytes",
+            CUSTOMER_COUNTS,
+            customers,
+            lambda count: memory_bytes(lambda: make_view(count)),
+        ),
+        measure("node: view snapshot", "customers", "bytes", CUSTOMER_COUNTS, customers, _snapshot_bytes),
+        measure(
+            "voter: ledger in memory",
+            "finished calls",
+            "bytes",
+            LEDGER_COUNTS,
+            KEPT_LEDGER_CALLS,
+            lambda count: memory_bytes(lambda: _build_ledger(count)),
+        ),
+        measure("leader: a ledger command", "calls kept", "us", LEDGER_COUNTS, KEPT_LEDGER_CALLS, _ledger_time),
+        measure("leader: append to a voter", "entries", "bytes", (1, 4, 16, 64), 256, _append_bytes),
+        measure("time line: one event", "events", "us", EVENT_COUNTS, 20_000, _timeline_time),
+        measure("time line: buffer", "events", "bytes", EVENT_COUNTS, 20_000, _timeline_memory),
+    ]
--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/core.py
@@ -0,0 +1,140 @@
+"""One node's core, driven in process, with its processor time and bytes counted."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from marigoldarch.clock import Millis
+from marigoldarch.codec import decode_json, encode_json
+from marigoldarch.effects import Effect, Persist, Send
+from marigoldarch.events import Event, MessageArrived, Persisted, Started, Tick
+from marigoldarch.identifiers import NodeAddress
+from marigoldarch.messages import MESSAGES, Heartbeat, Message, NodeLoad
+from marigoldarch.reducer import NodeState, reduce
+from marigoldarch.settings import CoreSettings
+
+START_MS: Millis = 1000.0
+STEP_MS: Millis = 50.0
+BOOT_MS: Millis = 5000.0
+REPEATS = 3
+NS_PER_US = 1000.0
+
+
+def node_address(number: int) -> NodeAddress:
+    """Return the address of the node `number`."""
+    caller = f"10.{number // 250}.{number % 250}.1:20001"
+    return NodeAddress(f"node{number:04}", f"dc{number % 23:02}", caller, caller.replace("1:", "2:"))
+
+
+class CoreDriver:
+    """The core of the first node of `nodes`, which is the only voter, with an instant disk."""
+
+    def __init__(self, nodes: int = 1) -> None:
+        addresses = tuple(node_address(number) for number in range(nodes))
+        own = addresses[0]
+        settings = CoreSettings(own, (own.node,), addresses, "run1", 1)
+        self.addresses = addresses
+        self.now_ms: Millis = START_MS
+        self.state = NodeState(settings)
+        self.others_effects: list[Effect] = []
+        self.submit(Started(self.now_ms))
+        self.advance(BOOT_MS)
+
+    @property
+    def node(self) -> str:
+        """Return the name of the driven node."""
+        return self.addresses[0].node
+
+    def submit(self, event: Event) -> list[Effect]:
+        """Reduce an event, sync what it persists at once, and return all other effects."""
+        others: list[Effect] = []
+        for effect in reduce(self.state, event):
+            match effect:
+                case Persist(persist_id=persist_id):
+                    others += self.submit(Persisted(self.now_ms, persist_id))
+                case Send(node=self.node, message=message):
+                    others += self.submit(MessageArrived(self.now_ms, self.node, message))
+                case _:
+                    others.append(effect)
+        return others
+
+    def arrive(self, sender: str, message: Message) -> list[Effect]:
+        """Let a message of another node arrive."""
+        return self.submit(MessageArrived(self.now_ms, sender, message))
+
+    def advance(self, duration_ms: Millis) -> list[Effect]:
+        """Let time pass in ticks."""
+        effects: list[Effect] = []
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += STEP_MS
+            effects += self.submit(Tick(self.now_ms))
+        return effects
+
+    def heartbeat(self, number: int) -> list[Effect]:
+        """Let the heartbeat of another node arrive."""
+        return self.arrive(self.addresses[number].node, self.make_heartbeat(number))
+
+    def make_heartbeat(self, number: int) -> Heartbeat:
+        """Return a heartbeat of the node `number` at the newest revision."""
+        revision = self.state.control.machine.view.revision
+        load = NodeLoad(self.addresses[number], 250, False)
+        return Heartbeat(load, f"run{number}", revision, [], self.now_ms)
+
+    def join_all(self) -> None:
+        """Let every other node open its session."""
+        for number in range(1, len(self.addresses)):
+            self.heartbeat(number)
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message as the peer links do."""
+    return encode_json([MESSAGES.to_plain(message)]) + b"\n"
+
+
+def decode(data: bytes) -> list[Any]:
+    """Decode a batch as the peer links do."""
+    return [MESSAGES.from_plain(plain) for plain in decode_json(data)]
+
+
+def sent_bytes(effects: list[Effect]) -> int:
+    """Return the encoded size of all messages among the effects."""
+    return sum(len(encode(effect.message)) for effect in effects if isinstance(effect, Send))
+
+
+def message_time_us(driver: CoreDriver, sender: str, message: Message) -> float:
+    """Return the processor time to decode a message, reduce it and encode what it causes."""
+    data = encode(message)
+    started = time.process_time_ns()
+    (decoded,) = decode(data)
+    effects = driver.arrive(sender, decoded)
+    for effect in effects:
+        if isinstance(effect, Send):
+            encode(effect.message)
+    return (time.process_time_ns() - started) / NS_PER_US
+
+
+def best_time_us(action: Callable[[], Any], count: int) -> float:
+    """Return the least mean processor time of `count` runs of an action, of a few tries."""
+    times: list[float] = []
+    for _ in range(REPEATS):
+        started = time.process_time_ns()
+        for _ in range(count):
+            action()
+        times.append((time.process_time_ns() - started) / NS_PER_US / count)
+    return min(times)
+
+
+def memory_bytes(build: Callable[[], Any]) -> float:
+    """Return how much traced memory the value that `build` returns keeps alive."""
+    tracemalloc.start()
+    try:
+        kept = build()
+        current, _ = tracemalloc.get_traced_memory()
+        del kept
+    finally:
+        tracemalloc.stop()
+    return float(current)
--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/serving.py
@@ -0,0 +1,273 @@
+"""Slopes of the serving part: schedulers, entries, the directory and target announcements."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+
+from marigoldarch.effects import CallTarget, Send
+from marigoldarch.entry.directory import answer
+from marigoldarch.events import CallArrived, CallInfo, TargetAnnounced, TargetAnswered
+from marigoldarch.identifiers import PoolId
+from marigoldarch.messages import (
+    HeldPermit,
+    NodeLoad,
+    PermitReleased,
+    PermitRequest,
+    PermitsHeld,
+    TargetReport,
+    WorkItem,
+)
+from marigoldarch.targets import Announcement, TargetLoad
+from marigoldarch_fakes.capacity import sizes
+from marigoldarch_fakes.capacity.control import declare, make_declaration
+from marigoldarch_fakes.capacity.core import (
+    CoreDriver,
+    best_time_us,
+    encode,
+    memory_bytes,
+    message_time_us,
+    node_address,
+    sent_bytes,
+)
+from marigoldarch_fakes.capacity.slopes import Slope, measure
+
+TARGET_COUNTS = (20, 40, 80, 160)
+REQUEST_COUNTS = (50, 100, 200, 400)
+STREAM_COUNTS = (10, 20, 40, 80)
+NODE_COUNTS = (40, 80, 160, 320)
+TIMED_RUNS = 40
+POOL = PoolId("dc00", "model0")
+RECOVERY_LIMIT_MS = 3000.0
+TARGET_STREAMS = sizes.REQUESTS_PER_S * sizes.REQUEST_SECONDS / sizes.TARGETS
+
+
+def make_announcement(number: int, streams: int = 10) -> Announcement:
+    """Return the announcement of an engine that runs this many streams."""
+    return Announcement(
+        f"engine{number:05}",
+        "run1",
+        "engine",
+        POOL.name,
+        f"10.9.{number // 250}.{number % 250}:21001",
+        POOL.data_centre,
+        ttl_ms=60_000.0,
+        memory_tokens=1_000_000,
+        versions=("1",),
+        load=TargetLoad(streams, 0, streams * 1000),
+        holdings=(),
+    )
+
+
+def make_item(number: int) -> WorkItem:
+    """Return a short request as the scheduler sees it."""
+    return WorkItem(
+        f"req-{number:032}",
+        1,
+        "guild-customer1",
+        "guild",
+        "quiz",
+        0,
+        1.0,
+        1000,
+        int(sizes.REQUEST_TOKENS),
+        60_000.0,
+        "model0",
+    )
+
+
+def make_pool(targets: int) -> CoreDriver:
+    """Return a node that holds a pool of this many engines and is ready to grant."""
+    driver = CoreDriver(2)
+    declare(driver, "guild", 10)
+    for _ in range(2):
+        for number in range(targets):
+            driver.submit(TargetAnnounced(driver.now_ms, make_announcement(number)))
+        driver.advance(RECOVERY_LIMIT_MS)
+    return driver
+
+
+def _report_time(targets: int) -> float:
+    driver = make_pool(targets)
+    report = TargetReport(POOL, msgspec.to_builtins(make_announcement(3)))
+    return min(message_time_us(driver, "node0001", report) for _ in range(TIMED_RUNS))
+
+
+def _grant_time(targets: int) -> float:
+    driver = make_pool(targets)
+    times: list[float] = []
+    for number in range(TIMED_RUNS):
+        request = PermitRequest(POOL, make_item(number))
+        asked = message_time_us(driver, "node0001", request)
+        (permit,) = _permits(driver)
+        released = PermitReleased(POOL, make_item(number).request_id, 1, permit)
+        times.append(asked + message_time_us(driver, "node0001", released))
+    return min(times)
+
+
+def _permits(driver: CoreDriver) -> list[Any]:
+    return list(driver.state.pools.schedulers[POOL].permits)
+
+
+def _scheduler_tick_time(targets: int) -> float:
+    driver = make_pool(targets)
+    return best_time_us(lambda: driver.advance(50.0), TIMED_RUNS)
+
+
+def _permit_bytes(requests: int) -> float:
+    """Return the bytes of asking for, granting and releasing permits, over all requests."""
+    driver = make_pool(4)
+    total = 0
+    for number in range(requests):
+        request = PermitRequest(POOL, make_item(number))
+        granted = driver.arrive("node0001", request)
+        permit = next(e.message.permit for e in granted if isinstance(e, Send))
+        released = PermitReleased(POOL, make_item(number).request_id, 1, permit)
+        total += len(encode(request)) + sent_bytes(granted) + len(encode(released))
+        driver.arrive("node0001", released)
+    return total
+
+
+def make_entry(requests: int) -> CoreDriver:
+    """Return a node with this many requests in progress, each on an engine."""
+    driver = make_pool(max(4, requests // 20))
+    for number in range(requests):
+        driver.submit(CallArrived(driver.now_ms, make_call(number)))
+    return driver
+
+
+def make_call(number: int) -> CallInfo:
+    """Return a caller's short prompt."""
+    declared = make_declaration("guild", 2)["customers"]["guild-customer1"]
+    return CallInfo(
+        f"req-{number:032}",
+        declared["key_sha256"][0],
+        "quiz",
+        "model0",
+        prompt_tokens=1000,
+        output_tokens=int(sizes.REQUEST_TOKENS),
+    )
+
+
+def _request_time(requests: int) -> float:
+    """Return the time of a whole request, entry and scheduler together."""
+    driver = make_entry(requests)
+    numbers = iter(range(10**6, 10**7))
+
+    def run_one() -> None:
+        call = make_call(next(numbers))
+        effects = driver.submit(CallArrived(driver.now_ms, call))
+        if not any(isinstance(effect, CallTarget) for effect in effects):
+            raise RuntimeError("the request was not started")
+        driver.submit(TargetAnswered(driver.now_ms, call.request_id, 1, 10))
+
+    return best_time_us(run_one, TIMED_RUNS)
+
+
+def _entry_tick_time(requests: int) -> float:
+    driver = make_entry(requests)
+    return best_time_us(lambda: driver.advance(50.0), TIMED_RUNS)
+
+
+def _held_bytes(requests: int) -> float:
+    """Return the bytes of one renewal of all permits of an entry."""
+    driver = make_entry(requests)
+    held = [
+        HeldPermit(request.permit, request.work_item(driver.now_ms), list(request.targets))
+        for request in driver.state.entry.requests.values()
+    ]
+    return len(encode(PermitsHeld(POOL, 1, held)))
+
+
+def _announcement_bytes(streams: int) -> float:
+    holdings = tuple(f"{120_000 + number}-{number * 1000}" for number in range(streams))
+    announcement = msgspec.structs.replace(make_announcement(3, streams), holdings=holdings)
+    return len(encode(TargetReport(POOL, msgspec.to_builtins(announcement))))
+
+
+def _loads(nodes: int) -> list[NodeLoad]:
+    return [NodeLoad(node_address(number), number % 50, False) for number in range(nodes)]
+
+
+def _directory_time(nodes: int) -> float:
+    loads = _loads(nodes)
+    chooser = random.Random(1)
+    return best_time_us(lambda: answer(loads, "dc03", 2000.0, chooser), TIMED_RUNS)
+
+
+def _directory_bytes(nodes: int) -> float:
+    found = answer(_loads(nodes), "dc03", 2000.0, random.Random(1))
+    return len(msgspec.json.encode(found._asdict()))
+
+
+def serving_slopes() -> list[Slope]:
+    """Measure every slope of the serving part."""
+    targets = sizes.POOL_TARGETS
+    active = sizes.NODE_ACTIVE_REQUESTS
+    nodes = sizes.NODES
+    return [
+        measure("scheduler: a target's report", "targets", "us", TARGET_COUNTS, targets, _report_time),
+        measure("scheduler: grant and release", "targets", "us", TARGET_COUNTS, targets, _grant_time),
+        measure("scheduler: one tick", "targets", "us", TARGET_COUNTS, targets, _scheduler_tick_time),
+        measure(
+            "permit messages of all requests",
+            "requests",
+            "bytes",
+            REQUEST_COUNTS,
+            sizes.NODE_REQUESTS_PER_S,
+            _permit_bytes,
+        ),
+        measure(
+            "entry and scheduler: a whole request",
+            "requests in progress",
+            "us",
+            REQUEST_COUNTS,
+            active,
+            _request_time,
+        ),
+        measure("entry: one tick", "requests in progress", "us", REQUEST_COUNTS, active, _entry_tick_time),
+        measure(
+            "entry: one renewal of permits",
+            "requests in progress",
+            "bytes",
+            REQUEST_COUNTS,
+            active,
+            _held_bytes,
+        ),
+        measure(
+            "entry: requests in memory",
+            "requests in progress",
+            "bytes",
+            REQUEST_COUNTS,
+            active,
+            lambda count: memory_bytes(lambda: make_entry(count)),
+        ),
+        measure(
+            "scheduler: pool in memory",
+            "targets",
+            "bytes",
+            TARGET_COUNTS,
+            targets,
+            lambda count: memory_bytes(lambda: make_pool(count)),
+        ),
+        measure(
+            "directory: loads in memory",
+            "nodes",
+            "bytes",
+            NODE_COUNTS,
+            nodes,
+            lambda count: memory_bytes(lambda: _loads(count)),
+        ),
+        measure(
+            "a target's report",
+            "streams on the target",
+            "bytes",
+            STREAM_COUNTS,
+            TARGET_STREAMS,
+            _announcement_bytes,
+        ),
+        measure("directory: one answer", "nodes", "us", NODE_COUNTS, nodes, _directory_time),
+        measure("directory: one answer", "nodes", "bytes", NODE_COUNTS, nodes, _directory_bytes),
+    ]
--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/tests/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that mirror the package."""
--- a/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
@@ -102,6 +102,10 @@
             "role": str(replica.role) if replica else "member",
             "is_leaving": state.is_leaving,
             "active": state.active,
+            "link_bytes": {
+                "sent": self._runtime.links.sent_bytes,
+                "received": self._runtime.links.received_bytes,
+            },
             "nodes": sorted(member.nodes),
             "pools": {
                 str(pool): assignment._asdict()
