--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/control.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/control.py
@@ -34,8 +34,9 @@
 """Ledger records that the memory of a voter is worked out for."""
 
 
-def make_declaration(team: str, customers: int) -> dict[str, Any]:
-    """Return a team's declaration with this many customers."""
+def make_declaration(team: str, customers: int, *, is_limited: bool = False) -> dict[str, Any]:
+    """Return a team's declaration with this many customers, each with limits if so asked."""
+    limits = {"rate_per_s": 5.0, "concurrency": 20} if is_limited else {}
     return {
         "team": team,
         "models": {f"model{number}": {"versions": ["1"]} for number in range(sizes.MODELS)},
@@ -47,8 +48,7 @@
             f"{team}-customer{number}": {
                 "key_sha256": [hashlib.sha256(f"{team}/{number}".encode()).hexdigest()],
                 "kinds": ["quiz", "binder"],
-                "rate_per_s": 5.0,
-                "concurrency": 20,
+                **limits,
             }
             for number in range(customers)
         },
@@ -56,7 +56,9 @@
     }
 
 
-def declare(driver: CoreDriver, team: str, customers: int, base: int = 0) -> list[Effect]:
+def declare(
+    driver: CoreDriver, team: str, customers: int, base: int = 0, *, is_limited: bool = False
+) -> list[Effect]:
     """Commit a declaration; return the effects for other nodes."""
     change_id = f"{team}-{base}-{customers}"
     return driver.submit(
@@ -67,12 +69,16 @@
             "ada",
             team,
             base,
-            make_declaration(team, customers),
+            make_declaration(team, customers, is_limited=is_limited),
             8000.0,
         )
     )
 
 
+def _declare_command(team: str, customers: int) -> Declare:
+    return Declare("c", "ada", team, 0, make_declaration(team, customers, is_limited=True))
+
+
 def make_view(customers: int) -> ClusterView:
     """Return a view of teams of a thousand customers each, or of one smaller team."""
     view = ClusterView()
@@ -81,7 +87,7 @@
         revision += 1
         count = min(customers, CUSTOMERS_PER_TEAM)
         team = f"team{revision}"
-        view.apply_command(revision, Declare("c", "ada", team, 0, make_declaration(team, count)))
+        view.apply_command(revision, _declare_command(team, count))
         customers -= count
     return view
 
@@ -131,7 +137,7 @@
 def _delta_bytes(customers: int) -> float:
     driver = CoreDriver(2)
     driver.join_all()
-    effects = declare(driver, "guild", customers)
+    effects = declare(driver, "guild", customers, is_limited=True)
     return sum(
         len(encode(effect.message))
         for effect in effects
@@ -141,7 +147,7 @@
 
 def _apply_time(customers: int) -> float:
     view = make_view(customers)
-    command = Declare("c", "ada", "small", 0, make_declaration("small", 1))
+    command = _declare_command("small", 1)
     return best_time_us(lambda: view.apply_command(view.revision + 1, command), 5)
 
 
@@ -163,7 +169,9 @@
 def _ledger_start(number: int) -> LedgerStart:
     digest = hashlib.sha256(str(number).encode()).hexdigest()
     key = f"key-{number:08}"
-    return LedgerStart("harbor", key, digest, "node0001", f"req-{digest[:32]}", "gradebook1", 10**12)
+    return LedgerStart(
+        "harbor", key, digest, "node0001", f"req-{digest[:32]}", "gradebook1", 10**12
+    )
 
 
 def _build_ledger(calls: int) -> Ledger:
@@ -180,9 +188,7 @@
     driver = CoreDriver(1)
     commands = [COMMANDS.to_plain(_ledger_start(number)) for number in range(calls)]
     proposals = iter([Propose(f"p{number}", plain) for number, plain in enumerate(commands)])
-    return best_time_us(
-        lambda: message_time_us(driver, "node0001", next(proposals)), calls // 4
-    )
+    return best_time_us(lambda: message_time_us(driver, "node0001", next(proposals)), calls // 4)
 
 
 def _append_bytes(entries: int) -> float:
@@ -220,7 +226,12 @@
     return [
         measure("leader: one heartbeat", "nodes", "us", NODE_COUNTS, nodes, _heartbeat_time),
         measure(
-            "leader: answer to a heartbeat", "nodes", "bytes", NODE_COUNTS, nodes, _heartbeat_ack_bytes
+            "leader: answer to a heartbeat",
+            "nodes",
+            "bytes",
+            NODE_COUNTS,
+            nodes,
+            _heartbeat_ack_bytes,
         ),
         measure("leader: one tick", "nodes", "us", NODE_COUNTS, nodes, _idle_tick_time),
         measure("leader: a change to all nodes", "nodes", "us", NODE_COUNTS, nodes, _change_time),
@@ -241,7 +252,9 @@
             CUSTOMERS_PER_TEAM,
             _delta_bytes,
         ),
-        measure("node: apply a small change", "customers", "us", CUSTOMER_COUNTS, customers, _apply_time),
+        measure(
+            "node: apply a small change", "customers", "us", CUSTOMER_COUNTS, customers, _apply_time
+        ),
         measure(
             "node: view in memory",
             "customers",
@@ -250,7 +263,9 @@
             customers,
             lambda count: memory_bytes(lambda: make_view(count)),
         ),
-        measure("node: view snapshot", "customers", "bytes", CUSTOMER_COUNTS, customers, _snapshot_bytes),
+        measure(
+            "node: view snapshot", "customers", "bytes", CUSTOMER_COUNTS, customers, _snapshot_bytes
+        ),
         measure(
             "voter: ledger in memory",
             "finished calls",
@@ -259,8 +274,17 @@
             KEPT_LEDGER_CALLS,
             lambda count: memory_bytes(lambda: _build_ledger(count)),
         ),
-        measure("leader: a ledger command", "calls kept", "us", LEDGER_COUNTS, KEPT_LEDGER_CALLS, _ledger_time),
-        measure("leader: append to a voter", "entries", "bytes", (1, 4, 16, 64), 256, _append_bytes),
+        measure(
+            "leader: a ledger command",
+            "calls kept",
+            "us",
+            LEDGER_COUNTS,
+            KEPT_LEDGER_CALLS,
+            _ledger_time,
+        ),
+        measure(
+            "leader: append to a voter", "entries", "bytes", (1, 4, 16, 64), 256, _append_bytes
+        ),
         measure("time line: one event", "events", "us", EVENT_COUNTS, 20_000, _timeline_time),
         measure("time line: buffer", "events", "bytes", EVENT_COUNTS, 20_000, _timeline_memory),
     ]
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/core.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/core.py
@@ -26,7 +26,9 @@
 def node_address(number: int) -> NodeAddress:
     """Return the address of the node `number`."""
     caller = f"10.{number // 250}.{number % 250}.1:20001"
-    return NodeAddress(f"node{number:04}", f"dc{number % 23:02}", caller, caller.replace("1:", "2:"))
+    return NodeAddress(
+        f"node{number:04}", f"dc{number % 23:02}", caller, caller.replace("1:", "2:")
+    )
 
 
 class CoreDriver:
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/processes.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/processes.py
@@ -110,9 +110,7 @@
 
     def __init__(self, host: str, count: int) -> None:
         self.address = f"{host}:{MEMBERS_PORT}"
-        self.leader = NodeAddress(
-            "leader", "dc00", f"{host}:{CALLER_PORT}", f"{host}:{PEER_PORT}"
-        )
+        self.leader = NodeAddress("leader", "dc00", f"{host}:{CALLER_PORT}", f"{host}:{PEER_PORT}")
         self.members = [
             NodeAddress(f"m{number}", f"dc{number % 23:02}", self.address, self.address)
             for number in range(count)
@@ -205,7 +203,9 @@
     """Measure the slopes over processes."""
     clusters = [(count, idle_cluster(count)) for count in CLUSTER_SIZES]
     leaders = [(count, leader_with_members(count)) for count in MEMBER_COUNTS]
-    members = [(count, [rates for rates in all_ if not rates.is_leader]) for count, all_ in clusters]
+    members = [
+        (count, [rates for rates in all_ if not rates.is_leader]) for count, all_ in clusters
+    ]
 
     def over_members(name: str, unit: str, field: str) -> Slope:
         points = [
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/roles.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/roles.py
@@ -15,6 +15,8 @@
 LEDGER_CALLS_PER_S = 100.0
 """Non-idempotent calls that the ledger rows are worked out for; each is two commands."""
 
+LIMITED_REQUESTS = 100
+SUBJECTS_PER_REQUEST = 3
 VOTERS = 5
 HTTP_SERVER_MS = 0.48
 """Processor time of one JSON request on the server side, from the design's budget."""
@@ -69,6 +71,7 @@
         _directory(costs),
         _scheduler(costs),
         _announcements(costs),
+        _limits(costs),
         _member(costs),
         _timeline(costs),
         _leader(costs),
@@ -140,6 +143,26 @@
     )
 
 
+def _limits(costs: Costs) -> RoleCost:
+    requests = sizes.NODE_REQUESTS_PER_S
+    share = sizes.NODE_ACTIVE_REQUESTS / LIMITED_REQUESTS
+    ask_bytes = costs.at("limits: an ask and its answer", "bytes")
+    renewal_bytes = costs.at(
+        f"entry: a second of renewals of {LIMITED_REQUESTS} limited requests", "bytes"
+    )
+    tick_ms = costs.at(f"entry: one tick with {LIMITED_REQUESTS} limited requests", "us") / 1000
+    loan_ms = costs.at("keeper: one loan", "us") / 1000
+    return RoleCost(
+        "limits (each request under three)",
+        "every node",
+        f"{sizes.CUSTOMERS / sizes.NODES:.0f} accounts kept",
+        2 * SUBJECTS_PER_REQUEST * requests,
+        requests * ask_bytes + share * renewal_bytes,
+        TICKS_PER_S * share * tick_ms + SUBJECTS_PER_REQUEST * requests * loan_ms,
+        costs.at("keeper: accounts in memory", "bytes"),
+    )
+
+
 def _member(costs: Costs) -> RoleCost:
     change_bytes = costs.at("node: delta of a changed team", "bytes")
     ack_bytes = costs.at("leader: answer to a heartbeat", "bytes")
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/serving.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/serving.py
@@ -10,7 +10,7 @@
 from marigoldarch.effects import CallTarget, Send
 from marigoldarch.entry.directory import answer
 from marigoldarch.events import CallArrived, CallInfo, TargetAnnounced, TargetAnswered
-from marigoldarch.identifiers import PoolId
+from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
 from marigoldarch.messages import (
     HeldPermit,
     NodeLoad,
@@ -82,11 +82,16 @@
     """Return a node that holds a pool of this many engines and is ready to grant."""
     driver = CoreDriver(2)
     declare(driver, "guild", 10)
+    announce_pool(driver, targets)
+    return driver
+
+
+def announce_pool(driver: CoreDriver, targets: int) -> None:
+    """Let engines announce themselves until their scheduler is ready to grant."""
     for _ in range(2):
         for number in range(targets):
             driver.submit(TargetAnnounced(driver.now_ms, make_announcement(number)))
         driver.advance(RECOVERY_LIMIT_MS)
-    return driver
 
 
 def _report_time(targets: int) -> float:
@@ -173,10 +178,10 @@
 
 def _held_bytes(requests: int) -> float:
     """Return the bytes of one renewal of all permits of an entry."""
-    driver = make_entry(requests)
+    targets = [TargetAddress("engine00001", "run1", "10.9.0.1:21001")]
     held = [
-        HeldPermit(request.permit, request.work_item(driver.now_ms), list(request.targets))
-        for request in driver.state.entry.requests.values()
+        HeldPermit(PermitId(120_000, number), make_item(number), targets)
+        for number in range(requests)
     ]
     return len(encode(PermitsHeld(POOL, 1, held)))
 
@@ -208,9 +213,15 @@
     active = sizes.NODE_ACTIVE_REQUESTS
     nodes = sizes.NODES
     return [
-        measure("scheduler: a target's report", "targets", "us", TARGET_COUNTS, targets, _report_time),
-        measure("scheduler: grant and release", "targets", "us", TARGET_COUNTS, targets, _grant_time),
-        measure("scheduler: one tick", "targets", "us", TARGET_COUNTS, targets, _scheduler_tick_time),
+        measure(
+            "scheduler: a target's report", "targets", "us", TARGET_COUNTS, targets, _report_time
+        ),
+        measure(
+            "scheduler: grant and release", "targets", "us", TARGET_COUNTS, targets, _grant_time
+        ),
+        measure(
+            "scheduler: one tick", "targets", "us", TARGET_COUNTS, targets, _scheduler_tick_time
+        ),
         measure(
             "permit messages of all requests",
             "requests",
@@ -227,7 +238,14 @@
             active,
             _request_time,
         ),
-        measure("entry: one tick", "requests in progress", "us", REQUEST_COUNTS, active, _entry_tick_time),
+        measure(
+            "entry: one tick",
+            "requests in progress",
+            "us",
+            REQUEST_COUNTS,
+            active,
+            _entry_tick_time,
+        ),
         measure(
             "entry: one renewal of permits",
             "requests in progress",
