--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format bench
+.PHONY: setup demo test lint format bench capacity
 
 setup: $(VENV)/.stamp
 
@@ -29,3 +29,6 @@
 
 bench: setup
 	$(BIN)/python -m marigoldarch_fakes.bench
+
+capacity: setup
+	$(BIN)/python -m marigoldarch_fakes.capacity
