--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import hypercorn.trio
-from hypercorn.config import Config
+import trio
 
 from marigoldarch_node.edge.http import Route, Router
+from marigoldarch_node.edge.listener import Listener, ListenerSettings
 
 
 async def serve_routes(routes: list[Route], address: str) -> None:
     """Serve until cancelled."""
-    config = Config()
-    config.bind = [address]
-    config.errorlog = None
-    config.graceful_timeout = 0.1
-    await hypercorn.trio.serve(Router(routes), config, mode="asgi")
+    await Listener(Router(routes), ListenerSettings(address)).serve(trio.Event())
--- a/packages/marigoldarch-node/marigoldarch_node/calls.py
+++ b/packages/marigoldarch-node/marigoldarch_node/calls.py
@@ -27,18 +27,18 @@
     body: str = ""
 
 
-def _open_frames() -> tuple[trio.MemorySendChannel[Frame], trio.MemoryReceiveChannel[Frame]]:
-    return trio.open_memory_channel(FRAMES_IN_FLIGHT)
-
-
 class Call:
-    """One call: frames flow from `send` to `frames`, then `outcome` is final."""
+    """One call: frames flow from `send` to `take`, then `outcome` is final."""
 
     def __init__(self, request_id: str, payload: Payload) -> None:
         self.request_id = request_id
         self.payload = payload
         self._outcome: Outcome | None = None
-        self._sender, self._receiver = _open_frames()
+        self._relayed_tokens = 0
+        self._frames: list[Frame] = []
+        self._is_abandoned = False
+        self._readers = trio.lowlevel.ParkingLot()
+        self._writers = trio.lowlevel.ParkingLot()
 
     @property
     def outcome(self) -> Outcome | None:
@@ -46,25 +46,52 @@
         return self._outcome
 
     @property
-    def frames(self) -> trio.MemoryReceiveChannel[Frame]:
-        """Return the frames; the channel ends when the outcome is known."""
-        return self._receiver
+    def relayed_tokens(self) -> int:
+        """Return how many tokens of the answer have been passed on."""
+        return self._relayed_tokens
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether the caller is behind by as much as it may be."""
+        return len(self._frames) >= FRAMES_IN_FLIGHT
 
     async def send(self, frame: Frame) -> None:
-        """Pass a frame on; wait while the caller is behind."""
-        try:
-            await self._sender.send(frame)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        """Pass a frame on; wait while the caller is behind.
+
+        A frame is counted as relayed in the same step in which it is passed on, so that an attempt
+        that is cancelled here leaves neither a gap nor a repetition to the next one.
+        """
+        while self.is_full and not self._is_closed:
+            await self._writers.park()
+        if self._is_closed:
             return
+        self._frames.append(frame)
+        self._relayed_tokens = frame.offset + frame.tokens
+        self._readers.unpark_all()
+
+    async def take(self) -> list[Frame]:
+        """Return all frames that wait, at least one; none when the outcome is known."""
+        while not self._frames and self._outcome is None:
+            await self._readers.park()
+        frames, self._frames = self._frames, []
+        self._writers.unpark_all()
+        return frames
 
     def abandon(self) -> None:
         """Let go of the frames: nobody reads them any more."""
-        self._receiver.close()
+        self._is_abandoned = True
+        self._frames.clear()
+        self._writers.unpark_all()
 
     def finish(self, outcome: Outcome) -> None:
         """Set the outcome and end the frames."""
         self._outcome = outcome
-        self._sender.close()
+        self._readers.unpark_all()
+        self._writers.unpark_all()
+
+    @property
+    def _is_closed(self) -> bool:
+        return self._is_abandoned or self._outcome is not None
 
 
 class CallTable:
--- a/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
@@ -29,6 +29,8 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_DEADLINE_MS = 1e10
 
+_MARK = "\x00text\x00"
+
 
 class CallerRoutes:
     """Serve callers."""
@@ -153,12 +155,26 @@
         self.request_id = request_id
         self._model = model
         self._is_chat = is_chat
+        self._head = self._tail = b""
+
+    @property
+    def last_events(self) -> bytes:
+        """Return what ends a complete stream."""
+        return self._chunk("", "stop") + b"data: [DONE]\n\n"
 
-    def chunk(self, text: str, finish_reason: str | None) -> dict[str, Any]:
-        """Return one streamed chunk."""
+    def event(self, text: str) -> bytes:
+        """Return one streamed chunk as a server-sent event.
+
+        Only the text differs between the chunks of an answer; the rest is encoded once.
+        """
+        if not self._head:
+            self._head, _, self._tail = self._chunk(_MARK, None).rpartition(encode_json(_MARK))
+        return self._head + encode_json(text) + self._tail
+
+    def _chunk(self, text: str, finish_reason: str | None) -> bytes:
         name = "chat.completion.chunk" if self._is_chat else "text_completion"
-        delta = {"delta": {"content": text}} if self._is_chat else {"text": text}
-        return self._envelope(name, delta, finish_reason)
+        content = {"delta": {"content": text}} if self._is_chat else {"text": text}
+        return b"data: " + encode_json(self._envelope(name, content, finish_reason)) + b"\n\n"
 
     def whole(self, text: str, output_tokens: int) -> dict[str, Any]:
         """Return a whole answer."""
@@ -205,19 +221,19 @@
         self._is_started = False
 
     async def write(self, call: Call) -> None:
-        """Write each frame as one event, then the final one."""
-        async for frame in call.frames:
+        """Write each frame as one event, those that wait together, then the final one."""
+        while frames := await call.take():
             await self._start()
-            if frame.text:
-                await self._send(self._form.chunk(frame.text, None))
+            events = [self._form.event(frame.text) for frame in frames if frame.text]
+            if events:
+                await self._request.send_chunk(b"".join(events))
         outcome = call.outcome
         if isinstance(outcome, Answered):
             await self._start()
-            await self._send(self._form.chunk("", "stop"))
-            await self._request.send_chunk(b"data: [DONE]\n\n", is_last=True)
+            await self._request.send_chunk(self._form.last_events, is_last=True)
         elif self._is_started:
-            await self._send(error_response(self._request_id, outcome).body)
-            await self._request.send_chunk(b"", is_last=True)
+            body = encode_json(error_response(self._request_id, outcome).body)
+            await self._request.send_chunk(b"data: " + body + b"\n\n", is_last=True)
         else:
             await self._write_error(outcome)
 
@@ -226,9 +242,6 @@
             self._is_started = True
             await self._request.start(200, "text/event-stream", {"x-request-id": self._request_id})
 
-    async def _send(self, plain: dict[str, Any]) -> None:
-        await self._request.send_chunk(b"data: " + encode_json(plain) + b"\n\n")
-
 
 class WholeAnswer(AnswerWriter):
     """One JSON document at the end."""
@@ -241,9 +254,9 @@
         """Collect the frames and write the answer."""
         texts: list[str] = []
         size = 0
-        async for frame in call.frames:
-            texts.append(frame.text)
-            size += len(frame.text)
+        while frames := await call.take():
+            texts += [frame.text for frame in frames]
+            size += sum(len(frame.text) for frame in frames)
             if size > MAX_ANSWER_BYTES:
                 message = "the answer is too large to be sent whole; ask for a stream"
                 raise HttpError(502, "answer_too_large", message, run="failed")
@@ -260,7 +273,7 @@
 
     async def write(self, call: Call) -> None:
         """Write the body that the service returned."""
-        async for _ in call.frames:
+        while await call.take():
             pass
         outcome = call.outcome
         if not isinstance(outcome, Answered):
--- a/packages/marigoldarch-node/marigoldarch_node/edge/http.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/http.py
@@ -103,6 +103,11 @@
         """Return the path."""
         return self._scope["path"]
 
+    @property
+    def client(self) -> Any:
+        """Return the address that the request came from, where it is known."""
+        return self._scope.get("client")
+
     @property
     def is_started(self) -> bool:
         """Return whether the head of the response was sent."""
--- a/packages/marigoldarch-node/marigoldarch_node/edge/listener.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/listener.py
@@ -84,10 +84,15 @@
         """Return how many connections are open."""
         return self._connections
 
-    async def serve(self, stopped: trio.Event) -> None:
-        """Serve until `stopped`, then give what runs a moment to end."""
+    async def serve(
+        self,
+        stopped: trio.Event,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until `stopped`, then give what runs a moment to end; started with the port."""
         host, _, port = self._settings.address.rpartition(":")
         listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        task_status.started(listeners[0].socket.getsockname()[1])
         async with trio.open_nursery() as connections:
             async with trio.open_nursery() as accepting:
                 for listener in listeners:
--- a/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from typing import TYPE_CHECKING, Any
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Annotated, Any
 
 import httpcore
+import msgspec
 
 from marigoldarch.codec import decode_json, encode_json
 from marigoldarch.entry.stream import Frame
 from marigoldarch.exceptions import CodecError, MarigoldarchError
+from marigoldarch_node.edge.listener import connection_options
 
 if TYPE_CHECKING:
     from marigoldarch.effects import OrderTarget
@@ -19,18 +22,43 @@
 CONNECT_TIMEOUT_S = 1.0
 COMMAND_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 10_000
+KEEP_ALIVE_S = 30.0
+UNACKNOWLEDGED_MS = 10_000
 MAX_LINE_BYTES = 1024 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_REFUSAL_BYTES = 16 * 1024
+MAX_FRAME_TOKENS = 1_000_000
+REFUSED_AS_NOT_RUN = "not_run"
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 class TargetError(MarigoldarchError):
-    """A call to a target failed; `is_unsent` holds only if no byte has reached it."""
+    """A call to a target failed.
+
+    `is_unsent` holds only if no byte has reached the target, or if the target itself answered that
+    it has not run the call.
+    """
 
     def __init__(self, message: str, *, is_unsent: bool) -> None:
         super().__init__(message)
         self.is_unsent = is_unsent
 
 
+class WireFrame(msgspec.Struct):
+    """A frame as targets send it, one JSON document a line."""
+
+    permit: str
+    attempt: int
+    offset: Count
+    text: str = ""
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=MAX_FRAME_TOKENS)] = 0
+    end: bool = False
+
+
+_FRAMES = msgspec.json.Decoder(WireFrame)
+
+
 class TargetClient:
     """Call targets over HTTP."""
 
@@ -38,7 +66,8 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=MAX_CONNECTIONS,
-            keepalive_expiry=30.0,
+            keepalive_expiry=KEEP_ALIVE_S,
+            socket_options=connection_options(UNACKNOWLEDGED_MS),
         )
 
     async def generate(
@@ -52,7 +81,7 @@
         offset: int,
         rank: int,
         size: int,
-    ) -> AsyncIterator[Frame]:
+    ) -> AsyncGenerator[Frame]:
         """Stream an answer from token `offset` on, as rank `rank` of a gang of `size`."""
         body = {
             "permit": str(permit),
@@ -67,17 +96,9 @@
             "gang": {"rank": rank, "size": size},
         }
         url = f"http://{target.address}/v1/generate"
-        try:
-            async with self._pool.stream(
-                "POST", url, content=encode_json(body), extensions=_timeouts(None)
-            ) as response:
-                _check_status(response.status)
-                async for line in _lines(response):
-                    yield _parse_frame(line)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            raise TargetError("cannot connect", is_unsent=True) from error
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
-            raise TargetError("the stream broke", is_unsent=False) from error
+        async with self._open("POST", url, body, None) as response:
+            async for line in _lines(response):
+                yield _parse_frame(line)
 
     async def call_service(
         self, target: TargetAddress, permit: PermitId, attempt: int, payload: Payload
@@ -85,17 +106,10 @@
         """Call a method of a plain service and return the whole answer."""
         body = {"call": str(permit), "attempt": attempt, "body": payload.body}
         url = f"http://{target.address}/v1/call/{payload.method}"
+        async with self._open("POST", url, body, None) as response:
+            content = await _read_whole(response, MAX_ANSWER_BYTES)
         try:
-            response = await self._pool.request(
-                "POST", url, content=encode_json(body), extensions=_timeouts(None)
-            )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            raise TargetError("cannot connect", is_unsent=True) from error
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
-            raise TargetError("the call broke", is_unsent=False) from error
-        _check_status(response.status)
-        try:
-            answer = decode_json(response.content)
+            answer = decode_json(content)
             if answer["call"] != str(permit):
                 raise TargetError("the answer belongs to another call", is_unsent=False)
             return str(answer["body"])
@@ -112,23 +126,51 @@
         return await self._command("POST", f"http://{effect.target.address}/v1/orders", body)
 
     async def _command(self, method: str, url: str, body: dict[str, Any]) -> bool:
-        timeouts = _timeouts(COMMAND_TIMEOUT_S)
         try:
-            response = await self._pool.request(
-                method, url, content=encode_json(body), extensions=timeouts
-            )
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            async with self._open(method, url, body, COMMAND_TIMEOUT_S) as response:
+                await _read_whole(response, MAX_REFUSAL_BYTES)
+                return True
+        except TargetError:
             return False
-        return response.status < 300
 
+    @asynccontextmanager
+    async def _open(
+        self, method: str, url: str, body: dict[str, Any], read_s: float | None
+    ) -> AsyncIterator[httpcore.Response]:
+        """Open a response of status 200; raise `TargetError` for anything else."""
+        timeouts = {"connect": CONNECT_TIMEOUT_S, "read": read_s, "write": read_s}
+        try:
+            async with self._pool.stream(
+                method, url, content=encode_json(body), extensions={"timeout": timeouts}
+            ) as response:
+                if response.status != 200:
+                    raise await _refusal(response)
+                yield response
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise TargetError("cannot connect", is_unsent=True) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            raise TargetError("the connection broke", is_unsent=False) from error
 
-def _timeouts(read_s: float | None) -> dict[str, Any]:
-    return {"timeout": {"connect": CONNECT_TIMEOUT_S, "read": read_s, "write": read_s}}
+
+async def _refusal(response: httpcore.Response) -> TargetError:
+    """Return the error of a refused call; only the target itself can say that it was not run."""
+    try:
+        error = decode_json(await _read_whole(response, MAX_REFUSAL_BYTES))["error"]
+        is_unsent = error["run"] == REFUSED_AS_NOT_RUN
+    except (CodecError, KeyError, TypeError):
+        is_unsent = False
+    return TargetError(f"the target answered {response.status}", is_unsent=is_unsent)
 
 
-def _check_status(status: int) -> None:
-    if status != 200:
-        raise TargetError(f"the target answered {status}", is_unsent=False)
+async def _read_whole(response: httpcore.Response, limit: int) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.aiter_stream():
+        parts.append(part)
+        size += len(part)
+        if size > limit:
+            raise TargetError(f"the answer exceeds {limit} bytes", is_unsent=False)
+    return b"".join(parts)
 
 
 async def _lines(response: httpcore.Response) -> AsyncIterator[bytes]:
@@ -143,14 +185,7 @@
 
 def _parse_frame(line: bytes) -> Frame:
     try:
-        plain = decode_json(line)
-        return Frame(
-            plain["permit"],
-            plain["attempt"],
-            plain["offset"],
-            plain.get("text", ""),
-            plain.get("tokens", 0),
-            plain.get("end", False),
-        )
-    except (CodecError, KeyError, TypeError, AttributeError) as error:
+        wire = _FRAMES.decode(line)
+    except (msgspec.DecodeError, RecursionError) as error:
         raise TargetError("a frame is malformed", is_unsent=False) from error
+    return Frame(wire.permit, wire.attempt, wire.offset, wire.text, wire.tokens, wire.end)
