Keep limits on the nodes that hold the log, and remember placements

Cause: the capacity scripts showed a tick with 100 limited requests to cost 342 us + 3.9 us a node, and keepers on any of 520 nodes to link every node with every other (97 KB a link). Change: keepers are the live voters, which every region is told of; placements are remembered until the set changes, and moved subjects are looked for only then.

--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -205,16 +205,19 @@
         settings = self.settings
         session.expires_ms = now_ms + settings.session_lease_ms + settings.clock_drift_ms
         self.holders[node, session.incarnation] = session.expires_ms
-        loads = self._loads_for(session.load, now_ms)
+        loads = self._loads_for(session.load, machine, now_ms)
         revision = owed.revision
         ack = HeartbeatAck(owed.sent_ms, settings.session_lease_ms, revision, loads)
         return [Send(node, ack)]
 
-    def _loads_for(self, receiver: NodeLoad, now_ms: Millis) -> list[NodeLoad]:
+    def _loads_for(
+        self, receiver: NodeLoad, machine: StateMachine, now_ms: Millis
+    ) -> list[NodeLoad]:
         """Return the nodes that callers may be sent to: those that missed no two heartbeats.
 
         A dead node thereby leaves the directory before its lease has run out. The list is bounded:
-        nodes of the receiver's data centre go first.
+        nodes that hold a replica of the log come first, since they keep limits for all, then those
+        of the receiver's data centre.
         """
         silence_ms = MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
         oldest_ms = now_ms - silence_ms
@@ -229,10 +232,12 @@
             return loads
         own = receiver.address
 
-        def order(load: NodeLoad) -> tuple[bool, bool, str]:
+        voters = machine.view.voters
+
+        def order(load: NodeLoad) -> tuple[bool, bool, bool, str]:
             address = load.address
             is_remote = address.data_centre != own.data_centre
-            return is_remote, address.node < own.node, address.node
+            return address.node not in voters, is_remote, address.node < own.node, address.node
 
         return sorted(loads, key=order)[:limit]
 
--- a/packages/marigoldarch/marigoldarch/entry/limit_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_calls.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from marigoldarch.effects import Effect, Send
-from marigoldarch.entry.limits import Claim, find_keeper, find_limit
+from marigoldarch.entry.limits import Claim, find_limit
 from marigoldarch.entry.state import finish
 from marigoldarch.messages import LimitAnswer, LimitAsk, LimitNeed
 from marigoldarch.outcomes import NotRun, RefusalReason
@@ -30,11 +30,13 @@
 def ask_keepers(state: EntryState, now_ms: Millis) -> list[Effect]:
     """Ask the keepers for what waiting claims need and for slots that are due for renewal."""
     needs = state.shares.needs(now_ms)
-    for moved in state.shares.moved(lambda subject: _keeper(state, subject)):
-        needs.setdefault(moved.subject, moved)
+    if state.shares.generation != state.keepers.generation:
+        state.shares.generation = state.keepers.generation
+        for moved in state.shares.moved(state.keepers.find):
+            needs.setdefault(moved.subject, moved)
     by_keeper: dict[str, list[LimitNeed]] = {}
     for subject, need in needs.items():
-        keeper = _keeper(state, subject)
+        keeper = state.keepers.find(subject)
         if keeper is not None:
             by_keeper.setdefault(keeper, []).append(need)
     effects: list[Effect] = []
@@ -55,7 +57,7 @@
     shares = [
         state.keeper.lend(sender, need, find_limit(view, need.subject), now_ms)
         for need in message.needs
-        if _keeper(state, need.subject) == state.settings.node
+        if state.keepers.find(need.subject) == state.settings.node
     ]
     lease_ms = state.settings.entry.limit_lease_ms
     return [Send(sender, LimitAnswer(message.round, lease_ms, shares))]
@@ -97,8 +99,8 @@
 
 
 def _watch_nodes(state: EntryState, now_ms: Millis) -> None:
-    if state.member.has_lease(now_ms):
-        state.keeper.watch_nodes(frozenset(state.member.nodes), now_ms)
+    if state.member.has_lease(now_ms) and state.keepers.watch(state.member):
+        state.keeper.watch_nodes(state.keepers.nodes, now_ms)
 
 
 def _refuse(state: EntryState, request: Request, refusal: NotRun) -> list[Effect]:
@@ -110,7 +112,3 @@
     view = state.member.view
     limits = {subject: find_limit(view, subject) for subject in wanted.subjects}
     return state.shares.try_take(wanted, limits, now_ms)
-
-
-def _keeper(state: EntryState, subject: str) -> str | None:
-    return find_keeper(subject, sorted(state.member.nodes))
--- a/packages/marigoldarch/marigoldarch/entry/limits.py
+++ b/packages/marigoldarch/marigoldarch/entry/limits.py
@@ -1,19 +1,16 @@
 """Limits that hold over all nodes: keepers lend shares to entries for a short time.
 
-Each limited subject (a team, a kind of work or a customer) has one keeper, the live node that
-rendezvous hashing gives. A subject that nobody uses has no state anywhere and costs no message.
+Each limited subject (a team, a kind of work or a customer) has one keeper. A subject that nobody uses has no state anywhere and costs no message.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from functools import lru_cache
 from typing import TYPE_CHECKING, NamedTuple
 
-import xxhash
-
 from marigoldarch.clock import Millis
 from marigoldarch.control.view import ClusterView
+from marigoldarch.entry.keepers import place
 from marigoldarch.messages import LimitNeed, LimitShare
 from marigoldarch.settings import EntrySettings
 
@@ -28,9 +25,6 @@
 
 SLOT_RETRY_MS: Millis = 500.0
 
-KEEPER_CACHE = 4096
-"""How many placements of subjects are remembered."""
-
 
 class Limit(NamedTuple):
     """The declared limits of a subject; zero means none of that sort."""
@@ -73,20 +67,6 @@
     return Limit(declared.rate_per_s, declared.tokens_per_s, declared.concurrency)
 
 
-def find_keeper(subject: str, nodes: list[str]) -> str | None:
-    """Return the keeper of a subject by rendezvous hashing."""
-    return _find_keeper(subject, tuple(nodes))
-
-
-@lru_cache(maxsize=KEEPER_CACHE)
-def _find_keeper(subject: str, nodes: tuple[str, ...]) -> str | None:
-    return max(nodes, key=lambda node: _score(node, subject), default=None)
-
-
-def _score(node: str, subject: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{node}/{subject}".encode())
-
-
 class Lent(NamedTuple):
     """Slots lent to a node."""
 
@@ -124,7 +104,7 @@
         self._node = node
         self._settings = settings
         self._accounts: dict[str, Account] = {}
-        self._nodes: frozenset[str] = frozenset()
+        self._nodes: tuple[str, ...] = ()
         self._earlier: list[EarlierNodes] = []
 
     @property
@@ -132,16 +112,16 @@
         """Return how many subjects are in use."""
         return len(self._accounts)
 
-    def watch_nodes(self, nodes: frozenset[str], now_ms: Millis) -> None:
+    def watch_nodes(self, nodes: tuple[str, ...], now_ms: Millis) -> None:
         """Note a change of membership, and give up the subjects that have moved away."""
         if nodes == self._nodes:
             return
         oldest_ms = now_ms - self._settings.limit_recovery_ms
         self._earlier = [item for item in self._earlier if item.ended_ms > oldest_ms]
-        self._earlier.append(EarlierNodes(tuple(sorted(self._nodes)), now_ms))
+        self._earlier.append(EarlierNodes(self._nodes, now_ms))
         self._nodes = nodes
         for subject in list(self._accounts):
-            if find_keeper(subject, sorted(nodes)) != self._node:
+            if place(subject, nodes) != self._node:
                 del self._accounts[subject]
 
     def lend(self, node: str, need: LimitNeed, limit: Limit, now_ms: Millis) -> LimitShare:
@@ -208,7 +188,7 @@
         ends = [
             item.ended_ms
             for item in self._earlier
-            if item.nodes and find_keeper(subject, list(item.nodes)) != self._node
+            if item.nodes and place(subject, item.nodes) != self._node
         ]
         return max(ends, default=float("-inf")) + self._settings.limit_recovery_ms
 
@@ -279,6 +259,7 @@
         self._waiting: dict[str, Claim] = {}
         self._asks: dict[str, OpenAsk] = {}
         self._round = 0
+        self.generation = 0
 
     @property
     def waiting(self) -> list[Claim]:
--- a/packages/marigoldarch/marigoldarch/entry/state.py
+++ b/packages/marigoldarch/marigoldarch/entry/state.py
@@ -7,6 +7,7 @@
 
 from marigoldarch.effects import CancelCall, Effect, Record, Reply, Send
 from marigoldarch.entry.agenda import Agenda
+from marigoldarch.entry.keepers import Keepers
 from marigoldarch.entry.limits import LimitKeeper, LimitShares
 from marigoldarch.entry.pool_choice import PoolChoice
 from marigoldarch.entry.request import Attempt, Phase, Request
@@ -39,6 +40,7 @@
         self.budget = RetryBudget(self.settings.entry)
         self.pool_choice = PoolChoice(self.settings.address.data_centre)
         self.shares = LimitShares(self.settings.entry)
+        self.keepers = Keepers()
         self.keeper = LimitKeeper(self.settings.node, self.settings.entry)
 
     def scheduler_of(self, pool: PoolId) -> str | None:
