--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format capacity
+.PHONY: setup demo test lint format capacity settings-page
 
 setup: $(VENV)/.stamp
 
@@ -29,3 +29,6 @@
 
 capacity: setup
 	$(BIN)/python -m marigoldarch_fakes.capacity
+
+settings-page: setup
+	$(BIN)/python -m marigoldarch_node.config.page docs/user-guide/settings.md
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/config/page.py
@@ -0,0 +1,62 @@
+"""Render the settings page from the declared options: `python -m marigoldarch_node.config.page`."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+from marigoldarch_node.config.node import declared_options
+from marigoldarch_node.config.options import Choice, Number, Option, Secret
+
+HEAD = """\
+# Settings
+
+Every option of `marigoldarchd` is a flag and an environment variable. A flag goes before its
+variable. `marigoldarchd --check` validates all of them without starting the node; an error names
+the flag, the variable and the remedy. This page is generated from the code by `make settings-page`.
+
+| flag | variable | meaning | default | allowed |
+|---|---|---|---|---|
+"""
+
+
+def render() -> str:
+    """Return the page."""
+    return HEAD + "".join(_row(option) for option in declared_options().values())
+
+
+def _row(option: Option[Any]) -> str:
+    cells = [
+        f"`{option.flag}`",
+        f"`{option.variable}`",
+        option.help_text,
+        _default(option),
+        _allowed(option),
+    ]
+    return f"| {' | '.join(cells)} |\n"
+
+
+def _default(option: Option[Any]) -> str:
+    if option.is_required:
+        return "required"
+    if option.default in (None, ""):
+        return "none"
+    default = option.default
+    return f"`{default:g}`" if isinstance(default, float | int) else f"`{default}`"
+
+
+def _allowed(option: Option[Any]) -> str:
+    match option:
+        case Choice(choices=choices):
+            return ", ".join(f"`{choice}`" for choice in choices)
+        case Number(low=low, high=high):
+            return f"{low:g} to {high:g}"
+        case Secret():
+            return "8 characters or more"
+        case _:
+            return ""
+
+
+if __name__ == "__main__":
+    Path(sys.argv[1]).write_text(render())
