--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format capacity settings-page
+.PHONY: setup demo test lint format capacity settings-page bench
 
 setup: $(VENV)/.stamp
 
@@ -32,3 +32,6 @@
 
 settings-page: setup
 	$(BIN)/python -m marigoldarch_node.config.page docs/user-guide/settings.md
+
+bench: setup
+	$(BIN)/python -m marigoldarch_fakes.bench
--- a/packages/marigoldarch/marigoldarch/exceptions.py
+++ b/packages/marigoldarch/marigoldarch/exceptions.py
@@ -23,6 +23,10 @@
     """The data folder cannot be used."""
 
 
+class DiskFullError(StorageError):
+    """The disk has no room for the log; nothing that was not synced is acknowledged."""
+
+
 class DamagedLogError(StorageError):
     """A record before the tail of the log is damaged."""
 
@@ -33,3 +37,7 @@
 
 class StreamError(MarigoldarchError):
     """A target's stream breaks the contract of permits, attempts and offsets."""
+
+
+class NodeFailedError(MarigoldarchError):
+    """An invariant of the core broke; the node stops rather than act on a damaged state."""
