--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format bench capacity
+.PHONY: setup demo test lint format bench capacity settings-page
 
 setup: $(VENV)/.stamp
 
@@ -32,3 +32,12 @@
 
 capacity: setup
 	$(BIN)/python -m marigoldarch_fakes.capacity
+
+capacity: setup
+	$(BIN)/python -m marigoldarch_fakes.capacity
+
+settings-page: setup
+	$(BIN)/python -m marigoldarch_node.config.page docs/user-guide/settings.md
+
+bench: setup
+	$(BIN)/python -m marigoldarch_fakes.bench
