Merge the time lines of all nodes in causal order, and mend links between peers

Cause: stamps did not travel, so events of two nodes could not be ordered; a broken link dropped all that waited, a malformed message its whole batch, and a half-open peer went unnoticed. Change: a hybrid logical clock travels on every peer batch; the recorder filters, cuts long texts and rotates its file; marigoldarch timeline gathers from all nodes, merges and draws one request.

--- a/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
+++ b/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
@@ -12,6 +12,7 @@
 from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch_cli.client import NodeClient
 from marigoldarch_cli.commands import apply as apply_command
+from marigoldarch_cli.commands import timeline as timeline_command
 
 EXIT_FAILURE = 1
 
@@ -44,9 +45,21 @@
         """Show which addresses a caller should use."""
         _show(NodeClient(node, key), "GET", "/v1/directory")
 
-    def timeline(self, node: str = "", key: str = "") -> None:
-        """Show a node's time line."""
-        _show(NodeClient(node, key), "GET", "/v1/operator/timeline")
+    def timeline(
+        self,
+        node: str = "",
+        key: str = "",
+        request: str = "",
+        pool: str = "",
+        target: str = "",
+        revision: str = "",
+        limit: int = 2000,
+    ) -> None:
+        """Show the time line of all nodes in causal order; one request is drawn as text."""
+        wanted = {"request": request, "pool": pool, "target": target, "revision": revision}
+        texts = {name: str(text) for name, text in wanted.items()}
+        client = NodeClient(node, key)
+        _finish(timeline_command.show(client, lambda a: NodeClient(a, key), texts, limit))
 
     def drain(self, node: str = "", key: str = "") -> None:
         """Stop a node gracefully."""
--- a/packages/marigoldarch-cli/marigoldarch_cli/client.py
+++ b/packages/marigoldarch-cli/marigoldarch_cli/client.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 
 from marigoldarch.codec import decode_json, encode_json
-from marigoldarch.exceptions import MarigoldarchError
+from marigoldarch.exceptions import CodecError, MarigoldarchError
 
 NODE_VARIABLE = "MARIGOLDARCH_NODE_ADDRESS"
 KEY_VARIABLE = "MARIGOLDARCH_OPERATOR_KEY"
@@ -31,8 +31,8 @@
     """Talk to one node as an operator."""
 
     def __init__(self, node: str = "", key: str = "") -> None:
-        self._node = node or os.environ.get(NODE_VARIABLE, "")
-        self._key = key or os.environ.get(KEY_VARIABLE, "")
+        self._node = str(node or os.environ.get(NODE_VARIABLE, ""))
+        self._key = str(key or os.environ.get(KEY_VARIABLE, ""))
 
     def request(self, method: str, path: str, body: Any = None) -> Result[Answer, RequestError]:
         """Send one request and return the decoded answer."""
@@ -51,4 +51,7 @@
             )
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             return Error(RequestError(f"{self._node} does not answer: {error}"))
-        return Ok(Answer(response.status, decode_json(response.content)))
+        try:
+            return Ok(Answer(response.status, decode_json(response.content)))
+        except CodecError as error:
+            return Error(RequestError(f"{self._node} does not speak JSON: {error}"))
--- a/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
@@ -13,6 +13,7 @@
 from marigoldarch.declarations import loader
 from marigoldarch.events import DeclareRequested, DrainRequested
 from marigoldarch_node.edge.http import HttpError, HttpRequest, Route
+from marigoldarch_node.timeline.recorder import BUFFER_EVENTS, Filter
 
 if TYPE_CHECKING:
     from marigoldarch_node.runtime import Runtime
@@ -21,6 +22,7 @@
 DEFAULT_WAIT_MS = 10_000.0
 MAX_WAIT_MS = 60_000.0
 REPLY_MARGIN_MS = 2_000.0
+DEFAULT_EVENTS = 2_000
 
 Label = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 
@@ -129,8 +131,13 @@
 
     async def _serve_timeline(self, request: HttpRequest) -> None:
         self._check_key(request)
-        events = [msgspec.to_builtins(event) for event in self._runtime.recorder.events]
-        await request.send_json(200, {"events": events})
+        query = request.query
+        wanted = Filter(*(query.get(name, "") for name in Filter._fields))
+        events = self._runtime.recorder.select(wanted, _read_limit(query.get("limit", "")))
+        nodes = self._runtime.state.control.member.nodes
+        addresses = {name: load.address.caller_address for name, load in nodes.items()}
+        body = {"events": [msgspec.to_builtins(event) for event in events], "nodes": addresses}
+        await request.send_json(200, body)
 
     async def _serve_drain(self, request: HttpRequest) -> None:
         self._check_key(request)
@@ -157,3 +164,11 @@
         expected = self._runtime.settings.operator_key
         if expected and request.bearer != expected:
             raise HttpError(401, "unknown_operator_key", "the operator key is wrong")
+
+
+def _read_limit(text: str) -> int:
+    if not text:
+        return DEFAULT_EVENTS
+    if not (text.isascii() and text.isdigit() and 0 < int(text[:9]) <= BUFFER_EVENTS):
+        raise HttpError(400, "invalid_query", f"limit must be from 1 to {BUFFER_EVENTS}")
+    return int(text)
--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -28,7 +28,7 @@
 from marigoldarch_node.attempts import Attempts
 from marigoldarch_node.calls import CallTable
 from marigoldarch_node.clock import SystemClock
-from marigoldarch_node.edge.peer_links import PeerLinks
+from marigoldarch_node.edge.peer_links import LinkSettings, PeerLinks
 from marigoldarch_node.edge.target_client import TargetClient
 from marigoldarch_node.logs import get_logger
 from marigoldarch_node.storage.folder import DataFolder
@@ -51,9 +51,9 @@
         self.clock = SystemClock()
         self.calls = CallTable()
         self.client = TargetClient()
-        timeline_file = settings.timeline_file
-        self.recorder = Recorder(core.node, timeline_file.open("a") if timeline_file else None)
-        self.links = PeerLinks(core.node, core.peers, settings.peer_key, self.clock, self.submit)
+        self.recorder = Recorder(core.node, settings.timeline_file)
+        shared = LinkSettings(core.node, settings.peer_key, self.clock, self.recorder)
+        self.links = PeerLinks(shared, core.peers, self.submit)
         self.attempts = Attempts(self.calls, self.client, self.clock, self.submit)
         self.stopped = trio.Event()
         self.operator_replies: dict[str, trio.MemorySendChannel] = {}
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/timeline/recorder_tests.py
@@ -0,0 +1,78 @@
+"""Tests of the recorder and its hybrid logical clock."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from marigoldarch.codec import decode_json
+from marigoldarch.effects import Record
+from marigoldarch_node.timeline import recorder as module
+from marigoldarch_node.timeline.hybrid_clock import MAX_AHEAD_MS, HybridClock, Stamp
+from marigoldarch_node.timeline.recorder import Filter, Recorder, TimelineFile
+
+
+class HybridClockTests(unittest.TestCase):
+    """Stamps grow within a node and along messages."""
+
+    def test_stamps_grow_although_the_wall_clock_steps_back(self) -> None:
+        clock = HybridClock()
+        stamps = [clock.next(wall_ms) for wall_ms in (100, 100, 50, 101)]
+        self.assertEqual(stamps, [Stamp(100, 0), Stamp(100, 1), Stamp(100, 2), Stamp(101, 0)])
+
+    def test_stamp_after_a_message_is_later_than_its_senders(self) -> None:
+        ahead, behind = HybridClock(), HybridClock()
+        sent = ahead.next(5000)
+        behind.observe(sent, 4000)
+        self.assertGreater(behind.next(4001), sent)
+
+    def test_stamp_far_ahead_is_not_followed(self) -> None:
+        clock = HybridClock()
+        clock.observe(Stamp(1000 + MAX_AHEAD_MS + 1, 0), 1000)
+        self.assertEqual(clock.next(1000), Stamp(1000, 0))
+
+
+class RecorderTests(unittest.TestCase):
+    """Events are kept within bounds and found by what they concern."""
+
+    def test_buffer_is_bounded(self) -> None:
+        recorder = Recorder("n1")
+        for number in range(module.BUFFER_EVENTS + 5):
+            recorder.record(Record("tick", {"number": number}), number)
+        self.assertEqual(len(recorder.events), module.BUFFER_EVENTS)
+        self.assertEqual(recorder.events[0].fields["number"], 5)
+
+    def test_filters_find_events_by_request_pool_target_and_revision(self) -> None:
+        recorder = Recorder("n1")
+        recorder.record(Record("a", {"request": "r1", "pool": "dc1/coach"}), 1)
+        recorder.record(Record("b", {"targets": ["e1", "e2"]}), 2)
+        recorder.record(Record("c", {"target": "e2", "revision": 7}), 3)
+        found = {
+            text: [event.kind for event in recorder.select(wanted, 10)]
+            for text, wanted in {
+                "request": Filter(request="r1"),
+                "pool": Filter(pool="dc1/coach"),
+                "target": Filter(target="e2"),
+                "revision": Filter(revision="7"),
+                "none": Filter(request="r1", target="e2"),
+            }.items()
+        }
+        expected = {"request": ["a"], "pool": ["a"], "target": ["b", "c"], "revision": ["c"]}
+        self.assertEqual(found, {**expected, "none": []})
+
+    def test_long_texts_are_cut(self) -> None:
+        recorder = Recorder("n1")
+        recorder.record(Record("a", {"kind": "x" * 10_000}), 1)
+        self.assertEqual(len(recorder.events[0].fields["kind"]), module.MAX_TEXT_CHARACTERS)
+
+    def test_file_is_rotated_and_lines_are_whole(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "timeline.jsonl"
+            file = TimelineFile(path, max_bytes=50)
+            for _ in range(10):
+                file.write('{"a": "0123456789"}\n')
+            old = path.with_name("timeline.jsonl.1")
+            self.assertLess(path.stat().st_size + old.stat().st_size, 200)
+            for line in (path.read_text() + old.read_text()).splitlines():
+                decode_json(line.encode())
