--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format bench capacity settings-page
+.PHONY: setup demo test lint format bench capacity settings-page fuzz
 
 setup: $(VENV)/.stamp
 
@@ -33,11 +33,11 @@
 capacity: setup
 	$(BIN)/python -m marigoldarch_fakes.capacity
 
-capacity: setup
-	$(BIN)/python -m marigoldarch_fakes.capacity
-
 settings-page: setup
 	$(BIN)/python -m marigoldarch_node.config.page docs/user-guide/settings.md
 
-bench: setup
-	$(BIN)/python -m marigoldarch_fakes.bench
+# Fuzzes every machine, or MACHINE, for about STEPS rules; prints the command that replays a failure.
+SEED ?= 1
+STEPS ?= 20000
+fuzz: setup
+	$(BIN)/python -m marigoldarch.tests.fuzz.run $(SEED) $(STEPS) $(MACHINE)
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/declarations_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/declarations_tests.py
@@ -66,10 +66,11 @@
         if "last" not in self.oracle.answers:
             self._request(name, "last")
             return False
-        members = [node.state.control.member for node in self.cluster.nodes.values()]
-        now_ms = self.cluster.local_ms
-        leased = [node.has_lease(now_ms(n)) for n, node in zip(self.cluster.nodes, members)]
-        return all(leased) and len({member.view.revision for member in members}) == 1
+        nodes = self.cluster.nodes
+        members = {name: node.state.control.member for name, node in nodes.items()}
+        local_ms = self.cluster.local_ms
+        are_leased = all(member.has_lease(local_ms(name)) for name, member in members.items())
+        return are_leased and len({member.view.revision for member in members.values()}) == 1
 
     def _request(self, name: str, change_id: str) -> None:
         self.requested += 1
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/ledger_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/ledger_tests.py
@@ -54,9 +54,10 @@
         self.advance(3000.0)
 
     def step(self) -> None:
-        """Let the service run too."""
+        """Let the service run too; a node looks at its deadlines whenever it ticks."""
         self.guarded(self.world.step)
         super().step()
+        self.guarded(self._check_deadlines)
 
     @rule(number=NUMBERS)
     def post(self, number: int) -> None:
@@ -99,6 +100,8 @@
     def check(self) -> None:
         """Check the ledger's promises."""
         self.oracle.check(self.world.executions)
+
+    def _check_deadlines(self) -> None:
         for name in self.cluster.running:
             requests = self.at_node.get(self._run(name), [])
             self.oracle.check_deadlines(requests, self.cluster.local_ms(name) - GRACE_MS)
