--- a/Makefile
+++ b/Makefile
@@ -33,11 +33,5 @@
 capacity: setup
 	$(BIN)/python -m marigoldarch_fakes.capacity
 
-capacity: setup
-	$(BIN)/python -m marigoldarch_fakes.capacity
-
 settings-page: setup
 	$(BIN)/python -m marigoldarch_node.config.page docs/user-guide/settings.md
-
-bench: setup
-	$(BIN)/python -m marigoldarch_fakes.bench
