--- a/packages/marigoldarch-fakes/marigoldarch_fakes/announcer.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/announcer.py
@@ -41,23 +41,30 @@
         self._key = key
         self._describe = describe
         self._turn = 0
+        self._pool = httpcore.AsyncConnectionPool()
 
     async def run(self) -> None:
         """Announce at a fixed interval."""
-        async with httpcore.AsyncConnectionPool() as pool:
-            while True:
-                await self._announce(pool)
-                await trio.sleep(ANNOUNCE_INTERVAL_S)
+        while True:
+            await self._send("/v1/targets/announce", self._describe())
+            await trio.sleep(ANNOUNCE_INTERVAL_S)
 
-    async def _announce(self, pool: httpcore.AsyncConnectionPool) -> None:
-        content = encode_json({**self._identity._asdict(), **self._describe()})
+    async def publish_cache(self, event: dict[str, Any]) -> None:
+        """Publish prefix-cache events; a publication that no node takes is lost."""
+        await self._send("/v1/targets/cache-events", event)
+
+    async def _send(self, path: str, fields: dict[str, Any]) -> None:
+        identity = self._identity._asdict()
+        if path.endswith("cache-events"):
+            identity = {name: identity[name] for name in ("target", "data_centre", "name")}
+        content = encode_json({**identity, **fields})
         timeout = dict.fromkeys(("connect", "read", "write"), ANNOUNCE_TIMEOUT_S)
         for _ in self._nodes:
             node = self._nodes[self._turn % len(self._nodes)]
             try:
-                response = await pool.request(
+                response = await self._pool.request(
                     "POST",
-                    f"http://{node}/v1/targets/announce",
+                    f"http://{node}{path}",
                     headers=bearer_header(self._key),
                     content=content,
                     extensions={"timeout": timeout},
