--- a/packages/marigoldarch-fakes/marigoldarch_fakes/caller.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/caller.py
@@ -1,16 +1,41 @@
-"""A small caller: ask the directory, keep its answer for a while, and send requests."""
+"""A small caller: ask the directory, keep its answer for a while, and send requests.
+
+It follows the directory's contract: the addresses are tried in their order, and a request is sent
+again only if the connection was refused before any byte, or if the answer says `not_run`.
+"""
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator, Awaitable, Callable
+from enum import StrEnum
 from typing import Any, NamedTuple
 
 import httpcore
 import trio
 
 from marigoldarch.codec import decode_json, encode_json
+from marigoldarch.exceptions import CodecError, MarigoldarchError
 
 TIMEOUT_S = 60.0
 CONNECT_TIMEOUT_S = 1.0
+MAX_TRIES = 6
+MAX_PAUSE_S = 2.0
+DIRECTORY_PAUSE_S = 0.5
+
+_BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+
+
+class DirectoryError(MarigoldarchError):
+    """No node answers the directory request."""
+
+
+class CallOutcome(StrEnum):
+    """What a caller knows of its request in the end."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
 
 
 class CallResult(NamedTuple):
@@ -24,6 +49,24 @@
     total_ms: float = 0.0
     tokens: int = 0
     is_complete: bool = False
+    gaps_ms: tuple[float, ...] = ()
+    tries: int = 1
+
+    @property
+    def outcome(self) -> CallOutcome:
+        """Return the outcome; a cut connection leaves it unknown."""
+        if self.status == 200 and self.is_complete:
+            return CallOutcome.ANSWERED
+        try:
+            return CallOutcome(self.body["error"]["run"])
+        except (KeyError, TypeError, ValueError):
+            return CallOutcome.UNKNOWN
+
+    @property
+    def retry_after_s(self) -> float:
+        """Return how long to wait before the request is sent again."""
+        error = self.body.get("error", {}) if isinstance(self.body, dict) else {}
+        return min(MAX_PAUSE_S, float(error.get("retry_after_ms", 0.0)) / 1000.0)
 
 
 class Caller:
@@ -33,15 +76,21 @@
         self._seeds = seeds
         self._key = key
         self._data_centre = data_centre
-        self._pool = httpcore.AsyncConnectionPool(max_connections=1000)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=1000, max_keepalive_connections=1000
+        )
         self._addresses: list[str] = []
         self._expires_at = 0.0
 
     async def address(self) -> str:
-        """Return the address that the directory gave, asking again when it is too old."""
+        """Return the address that the directory prefers."""
+        return (await self.addresses())[0]
+
+    async def addresses(self) -> list[str]:
+        """Return the addresses that the directory gave, asking again when they are too old."""
         if trio.current_time() >= self._expires_at:
             await self._ask_directory()
-        return self._addresses[0]
+        return self._addresses
 
     async def prompt(
         self,
@@ -58,44 +107,10 @@
             "max_tokens": max_tokens,
             "stream": True,
         }
-        sent = trio.current_time()
-        first = 0.0
-        texts: list[str] = []
-        is_complete = False
-        url = f"http://{await self.address()}/v1/chat/completions"
         all_headers = {**self._headers(), "x-marigoldarch-kind": kind, **(headers or {})}
-        async with self._pool.stream(
-            "POST", url, headers=all_headers, content=encode_json(body), extensions=_timeouts()
-        ) as response:
-            if response.status != 200:
-                await response.aread()
-                return CallResult(
-                    response.status, decode_json(response.content), _plain_headers(response)
-                )
-            error = None
-            async for event in _events(response):
-                if event == b"[DONE]":
-                    is_complete = True
-                    continue
-                plain = decode_json(event)
-                if "error" in plain:
-                    error = plain
-                    continue
-                text = plain["choices"][0]["delta"]["content"]
-                if text and not texts:
-                    first = (trio.current_time() - sent) * 1000.0
-                if text:
-                    texts.append(text)
-        total = (trio.current_time() - sent) * 1000.0
-        return CallResult(
-            200,
-            error,
-            _plain_headers(response),
-            "".join(texts),
-            first,
-            total,
-            len(texts),
-            is_complete,
+        content = encode_json(body)
+        return await self._try_addresses(
+            lambda address: self._stream(address, all_headers, content)
         )
 
     async def call(
@@ -105,33 +120,154 @@
         headers = self._headers()
         if idempotency_key:
             headers["idempotency-key"] = idempotency_key
-        url = f"http://{await self.address()}/v1/services/{service}/{method}"
-        response = await self._pool.request(
-            "POST", url, headers=headers, content=encode_json(body), extensions=_timeouts()
+        path = f"/v1/services/{service}/{method}"
+        content = encode_json(body)
+        return await self._try_addresses(
+            lambda address: self._request(address, path, headers, content)
         )
-        plain = decode_json(response.content)
+
+    async def _try_addresses(
+        self, send: Callable[[str], Awaitable[CallResult | None]]
+    ) -> CallResult:
+        """Send to one address after another until the outcome is other than not run."""
+        result = _unsent()
+        for number in range(MAX_TRIES):
+            try:
+                addresses = await self.addresses()
+            except DirectoryError:
+                await trio.sleep(DIRECTORY_PAUSE_S)
+                continue
+            answer = await send(addresses[number % len(addresses)])
+            if answer is None:
+                continue
+            result = answer._replace(tries=number + 1)
+            if result.outcome is not CallOutcome.NOT_RUN or not result.retry_after_s:
+                return result
+            await trio.sleep(result.retry_after_s)
+        return result
+
+    async def _request(
+        self, address: str, path: str, headers: dict[str, str], content: bytes
+    ) -> CallResult | None:
+        """Send one request; return None when the connection was refused before any byte."""
+        try:
+            response = await self._pool.request(
+                "POST",
+                f"http://{address}{path}",
+                headers=headers,
+                content=content,
+                extensions=_timeouts(),
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            return None
+        except _BROKEN:
+            return _cut_off()
+        plain = _decode(response.content)
         return CallResult(response.status, plain, _plain_headers(response), is_complete=True)
 
+    async def _stream(
+        self, address: str, headers: dict[str, str], content: bytes
+    ) -> CallResult | None:
+        """Send one prompt; return None when the connection was refused before any byte."""
+        reader = StreamReader()
+        try:
+            async with self._pool.stream(
+                "POST",
+                f"http://{address}/v1/chat/completions",
+                headers=headers,
+                content=content,
+                extensions=_timeouts(),
+            ) as response:
+                if response.status != 200:
+                    plain = _decode(await response.aread())
+                    return CallResult(response.status, plain, _plain_headers(response))
+                await reader.read(response)
+                return reader.result(_plain_headers(response))
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            return None
+        except _BROKEN:
+            return reader.result({})._replace(is_complete=False)
+
     async def _ask_directory(self) -> None:
         query = f"?data_centre={self._data_centre}" if self._data_centre else ""
-        for seed in [*self._addresses, *self._seeds]:
+        timeout = {"timeout": dict.fromkeys(("connect", "read", "write"), CONNECT_TIMEOUT_S)}
+        for seed in dict.fromkeys([*self._addresses, *self._seeds]):
             try:
                 response = await self._pool.request(
-                    "GET", f"http://{seed}/v1/directory{query}", extensions=_timeouts()
+                    "GET", f"http://{seed}/v1/directory{query}", extensions=timeout
                 )
-            except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+            except _BROKEN:
                 continue
-            answer = decode_json(response.content)
-            if answer["addresses"]:
+            answer = _decode(response.content)
+            if response.status == 200 and answer["addresses"]:
                 self._addresses = answer["addresses"]
                 self._expires_at = trio.current_time() + answer["ttl_ms"] / 1000.0
                 return
-        raise RuntimeError("no node answers the directory request")
+        raise DirectoryError("no node answers the directory request")
 
     def _headers(self) -> dict[str, str]:
         return {"authorization": f"Bearer {self._key}", "content-type": "application/json"}
 
 
+class StreamReader:
+    """Read the events of one stream and time them."""
+
+    def __init__(self) -> None:
+        self._sent = trio.current_time()
+        self._arrivals: list[float] = []
+        self._texts: list[str] = []
+        self._error: Any = None
+        self._is_complete = False
+
+    async def read(self, response: httpcore.Response) -> None:
+        """Read up to the end of the stream."""
+        async for event in _events(response):
+            if event == b"[DONE]":
+                self._is_complete = True
+                continue
+            plain = decode_json(event)
+            if "error" in plain:
+                self._error = plain
+                continue
+            text = plain["choices"][0]["delta"]["content"]
+            if text:
+                self._arrivals.append(trio.current_time())
+                self._texts.append(text)
+
+    def result(self, headers: dict[str, str]) -> CallResult:
+        """Return what was read."""
+        times = self._arrivals
+        gaps = tuple((b - a) * 1000.0 for a, b in zip(times, times[1:], strict=False))
+        return CallResult(
+            200,
+            self._error,
+            headers,
+            "".join(self._texts),
+            (times[0] - self._sent) * 1000.0 if times else 0.0,
+            (trio.current_time() - self._sent) * 1000.0,
+            len(self._texts),
+            self._is_complete,
+            gaps,
+        )
+
+
+def _unsent() -> CallResult:
+    error = {"type": "no_node_reachable", "run": str(CallOutcome.NOT_RUN)}
+    return CallResult(0, {"error": error}, {})
+
+
+def _cut_off() -> CallResult:
+    error = {"type": "connection_broke", "run": str(CallOutcome.UNKNOWN)}
+    return CallResult(0, {"error": error}, {})
+
+
+def _decode(content: bytes) -> Any:
+    try:
+        return decode_json(content)
+    except CodecError:
+        return None
+
+
 def _timeouts() -> dict[str, Any]:
     return {"timeout": {"connect": CONNECT_TIMEOUT_S, "read": TIMEOUT_S, "write": TIMEOUT_S}}
 
@@ -140,7 +276,7 @@
     return {name.decode().lower(): value.decode() for name, value in response.headers}
 
 
-async def _events(response: httpcore.Response):
+async def _events(response: httpcore.Response) -> AsyncIterator[bytes]:
     rest = b""
     async for chunk in response.aiter_stream():
         *events, rest = (rest + chunk).split(b"\n\n")
