--- a/packages/marigoldarch/marigoldarch/tests/fuzz/broken_control_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/broken_control_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import nullcontext
 from functools import partial
 from typing import Any
 from unittest.mock import PropertyMock, patch
@@ -49,6 +50,27 @@
     machine.advance(600.0)
 
 
+def declare_after_election(machine: DeclarationMachine) -> None:
+    """Cut off the leader and the node without a replica, and declare at the next leader."""
+    cluster = machine.cluster
+    machine.declare(0, "guild", 0)
+    machine.advance(1000.0)
+    cluster.isolate("n4")
+    cluster.isolate(cluster.leader())
+    first = cluster.leader()
+    while cluster.leader() in (None, first):
+        machine.advance(20.0)
+    machine.declare(cluster.names.index(cluster.leader()), "guild", 0)
+    machine.advance(600.0)
+
+
+def post_to_refusing_service(machine: LedgerMachine) -> None:
+    """Post while no service replica takes a byte."""
+    machine.set_mode("refuse")
+    machine.post(0)
+    machine.advance(4000.0)
+
+
 def post_two_bodies(machine: LedgerMachine) -> None:
     """Post under one key twice, the second time with another body."""
     machine.post(0)
@@ -57,6 +79,21 @@
     machine.advance(700.0)
 
 
+class SoundScriptTests(unittest.TestCase):
+    """The scripts of this module, without a fault."""
+
+    def test_scripts_hold_without_a_fault(self) -> None:
+        scripts = {
+            crash_before_sync: LogMachine,
+            partial(restart_voter_in_election, wait_ms=700.0): LogMachine,
+            declare_after_election: DeclarationMachine,
+            post_to_refusing_service: LedgerMachine,
+            post_two_bodies: LedgerMachine,
+        }
+        for script, machine in scripts.items():
+            self.assertEqual(run_script(machine, nullcontext(), script), "")
+
+
 class BrokenLogTests(unittest.TestCase):
     """Broken variants of the replicated log."""
 
@@ -116,7 +153,8 @@
 
     def test_ignoring_the_leases_of_the_earlier_leader_is_caught(self) -> None:
         fault = patch.object(Replica, "grants_end_ms", PropertyMock(return_value=NEVER_MS))
-        self.assertIn("acts on", find_breach(DeclarationMachine, fault))
+        breach = run_script(DeclarationMachine, fault, declare_after_election)
+        self.assertIn("acts on", breach)
 
     def test_granting_a_lease_on_an_old_revision_is_caught(self) -> None:
         original = Member.on_heartbeat_ack
@@ -193,7 +231,8 @@
 
     def test_keeping_the_key_of_an_unsent_call_is_caught(self) -> None:
         fault = patch.object(permit_calls.ledger_calls, "abandon", lambda *args: [])
-        self.assertIn("was never run, but is now", find_breach(LedgerMachine, fault))
+        breach = run_script(LedgerMachine, fault, post_to_refusing_service)
+        self.assertIn("was never run, but is now", breach)
 
     def test_answering_twice_is_caught(self) -> None:
         original = permit_calls.finish
