Hand leadership over before a planned stop

Cause: a draining leader exited and left the others to an election timeout; with two of three voters left a split vote outlasts the leases, and nodes refuse with no_lease. Ruled out: a longer lease, which would let a cut-off node act for longer. Change: a leader told to stop gives up its lease, then tells a voter that holds the whole log to be elected at once; voters of such an election need not wait for the leader. Once for each stop. Also: nodes drain in the fuzzed machines; staying on as leader is caught as several leases.

--- a/packages/marigoldarch/marigoldarch/control/reducer.py
+++ b/packages/marigoldarch/marigoldarch/control/reducer.py
@@ -30,6 +30,7 @@
     Heartbeat,
     HeartbeatAck,
     InForce,
+    LeadershipTransfer,
     Message,
     NodeLeaving,
     NotLeader,
@@ -102,6 +103,8 @@
     effects: list[Effect] = []
     if state.replica:
         effects += state.replica.tick(now_ms)
+        if is_leaving:
+            effects += state.replica.hand_over(now_ms)
     leadership = _leadership(state)
     if leadership is not None:
         effects += leadership.tick(now_ms)
@@ -125,6 +128,7 @@
     match message:
         case (
             VoteRequest()
+            | LeadershipTransfer()
             | VoteReply()
             | AppendRequest()
             | AppendReply()
@@ -167,6 +171,8 @@
     match message:
         case VoteRequest():
             return replica.on_vote_request(sender, message, now_ms)
+        case LeadershipTransfer():
+            return replica.on_leadership_transfer(sender, message, now_ms)
         case VoteReply():
             return replica.on_vote_reply(sender, message, now_ms)
         case AppendRequest():
--- a/packages/marigoldarch/marigoldarch/control/replica.py
+++ b/packages/marigoldarch/marigoldarch/control/replica.py
@@ -35,6 +35,7 @@
     AppendRequest,
     BootstrapQuery,
     BootstrapReply,
+    LeadershipTransfer,
     SnapshotPiece,
     SnapshotReply,
     VoteReply,
@@ -101,6 +102,7 @@
         self._led_since_log_ms = 0
         self._persist_id = 0
         self._pending: dict[int, tuple[int, int]] = {}
+        self._has_handed_over = False
 
     @property
     def term(self) -> int:
@@ -221,6 +223,35 @@
             return []
         return self._start_probe(now_ms)
 
+    def hand_over(self, now_ms: Millis) -> list[Effect]:
+        """Give leadership up, once, to a voter that holds the whole log; for a planned stop.
+
+        The lease ends here, before any vote: voters of a transfer need not wait it out.
+        """
+        if not self.is_leader or self._has_handed_over:
+            return []
+        oldest_ms = now_ms - self._settings.election_timeout_min_ms
+        successor = self._replication.find_successor(
+            self.configuration, self._log.last_index, oldest_ms
+        )
+        if successor is None:
+            return []
+        self._has_handed_over = True
+        message = LeadershipTransfer(self._term, successor.replica_id)
+        effects = self._step_down(self._term, now_ms)
+        record = Record("leadership_handed_over", {"term": self._term, "to": successor.node})
+        return [*effects, record, Send(successor.node, message)]
+
+    def on_leadership_transfer(
+        self, sender: str, message: LeadershipTransfer, now_ms: Millis
+    ) -> list[Effect]:
+        """Stand for election at once, if nobody has been elected since."""
+        if message.to_replica != self._name.replica_id or message.term != self._term:
+            return []
+        if self._role is not ReplicaRole.FOLLOWER or sender != self._leader or not self._is_voter:
+            return []
+        return self._start_election(now_ms, is_transfer=True)
+
     def propose(self, command: Command, now_ms: Millis) -> tuple[int, list[Effect]]:
         """Append a command as leader; return its index and the effects."""
         plain = COMMANDS.to_plain(command)
@@ -288,7 +319,7 @@
         is_leader_alive = self.is_leader or (
             now_ms < self._leader_contact_ms + self._settings.election_timeout_min_ms
         )
-        if is_leader_alive:
+        if is_leader_alive and not request.is_transfer:
             return [self._vote(sender, self._term, request, now_ms, is_granted=False)]
         is_up_to_date = (request.last_term, request.last_index) >= (
             self._log.last_term,
@@ -530,7 +561,7 @@
             return self._start_election(now_ms)
         return self._ask_votes(self._term + 1, is_probe=True)
 
-    def _start_election(self, now_ms: Millis) -> list[Effect]:
+    def _start_election(self, now_ms: Millis, *, is_transfer: bool = False) -> list[Effect]:
         self._role = ReplicaRole.CANDIDATE
         self._term += 1
         self._voted_for = str(self._name)
@@ -540,9 +571,13 @@
         effects.append(Record("election", {"term": self._term}))
         if self.configuration.majority == 1:
             return effects + self._become_leader(now_ms)
-        return effects + self._ask_votes(self._term, is_probe=False, after=self._persist_id)
+        return effects + self._ask_votes(
+            self._term, is_probe=False, is_transfer=is_transfer, after=self._persist_id
+        )
 
-    def _ask_votes(self, term: int, *, is_probe: bool, after: int = 0) -> list[Effect]:
+    def _ask_votes(
+        self, term: int, *, is_probe: bool, is_transfer: bool = False, after: int = 0
+    ) -> list[Effect]:
         return [
             Send(
                 voter.node,
@@ -553,6 +588,7 @@
                     is_probe,
                     self._name.replica_id,
                     voter.replica_id,
+                    is_transfer,
                 ),
                 after,
             )
--- a/packages/marigoldarch/marigoldarch/control/replication.py
+++ b/packages/marigoldarch/marigoldarch/control/replication.py
@@ -63,3 +63,15 @@
             for voter in configuration.voters
         ]
         return sorted(matches, reverse=True)[configuration.majority - 1]
+
+    def find_successor(
+        self, configuration: Configuration, last_index: int, oldest_ms: Millis
+    ) -> ReplicaName | None:
+        """Return a voter that holds the whole log and has followed since `oldest_ms`."""
+        for voter in configuration.voters:
+            progress = self._progress.get(voter)
+            if progress is None or progress.acked_ms < oldest_ms:
+                continue
+            if progress.match_index == last_index:
+                return voter
+        return None
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True)
 class VoteRequest:
-    """Ask for a vote, or with `is_probe` only whether one would be given."""
+    """Ask for a vote, or with `is_probe` only whether one would be given.
+
+    With `is_transfer` the leader has given its leadership up, so voters need not wait for it.
+    """
 
     term: int
     last_index: int
@@ -27,6 +30,15 @@
     is_probe: bool
     from_replica: str
     to_replica: str
+    is_transfer: bool = False
+
+
+@dataclass(frozen=True)
+class LeadershipTransfer:
+    """Tell a voter that the leader of `term` has stepped down for it to be elected at once."""
+
+    term: int
+    to_replica: str
 
 
 @dataclass(frozen=True)
@@ -418,6 +430,7 @@
 
 MESSAGE_CLASSES = (
     VoteRequest,
+    LeadershipTransfer,
     VoteReply,
     AppendRequest,
     AppendReply,
@@ -456,6 +469,7 @@
 
 Message = (
     VoteRequest
+    | LeadershipTransfer
     | VoteReply
     | AppendRequest
     | AppendReply
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/broken_control_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/broken_control_tests.py
@@ -50,6 +50,20 @@
     machine.advance(600.0)
 
 
+def cut_off_leader_that_drains(machine: LogMachine) -> None:
+    """Let the leader's last message be the transfer."""
+    cluster = machine.cluster
+    machine.advance(2000.0)
+    leader = cluster.leader()
+    machine.drain_leader()
+    replica = cluster.nodes[leader].state.control.replica
+    while not replica._has_handed_over:
+        machine.step()
+    for other in cluster.names:
+        cluster.cut_one_way(other, leader)
+    machine.advance(600.0)
+
+
 def declare_after_election(machine: DeclarationMachine) -> None:
     """Cut off the leader and the node without a replica, and declare at the next leader."""
     cluster = machine.cluster
@@ -71,6 +85,13 @@
     machine.advance(4000.0)
 
 
+def post_to_hanging_service(machine: LedgerMachine) -> None:
+    """Post to a service that runs calls and never answers."""
+    machine.set_mode("hang")
+    machine.post(0)
+    machine.advance(4000.0)
+
+
 def post_two_bodies(machine: LedgerMachine) -> None:
     """Post under one key twice, the second time with another body."""
     machine.post(0)
@@ -86,7 +107,9 @@
         scripts = {
             crash_before_sync: LogMachine,
             partial(restart_voter_in_election, wait_ms=700.0): LogMachine,
+            cut_off_leader_that_drains: LogMachine,
             declare_after_election: DeclarationMachine,
+            post_to_hanging_service: LedgerMachine,
             post_to_refusing_service: LedgerMachine,
             post_two_bodies: LedgerMachine,
         }
@@ -132,6 +155,17 @@
             breaches.add(run_script(LogMachine, fault, script))
         self.assertIn("several leaders hold a lease", "".join(breaches))
 
+    def test_handing_over_without_stepping_down_is_caught(self) -> None:
+        original = Replica.hand_over
+
+        def hand_over_and_stay(replica: Replica, now_ms: float) -> list:
+            with patch.object(Replica, "_step_down", lambda *args: []):
+                return original(replica, now_ms)
+
+        fault = patch.object(Replica, "hand_over", hand_over_and_stay)
+        breach = run_script(LogMachine, fault, cut_off_leader_that_drains)
+        self.assertIn("several leaders hold a lease", breach)
+
     def test_deciding_without_a_majority_is_caught(self) -> None:
         fault = patch.object(Configuration, "majority", PropertyMock(return_value=1))
         self.assertRegex(find_breach(LogMachine, fault), "lead|applied another entry")
@@ -223,7 +257,7 @@
 
     def test_calling_a_sent_request_not_run_is_caught(self) -> None:
         fault = patch.object(Request, "may_have_run", PropertyMock(return_value=False))
-        self.assertIn("but was run", find_breach(LedgerMachine, fault))
+        self.assertIn("but was run", run_script(LedgerMachine, fault, post_to_hanging_service))
 
     def test_missing_a_deadline_is_caught(self) -> None:
         fault = patch.object(entry_reducer, "_stop", lambda *args: [])
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/machine.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/machine.py
@@ -9,6 +9,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from marigoldarch.clock import Millis
+from marigoldarch.effects import Effect, Exit
+from marigoldarch.events import DrainRequested
 from marigoldarch.tests.cluster import MemoryCluster
 
 STEP_MS: Millis = 20.0
@@ -56,6 +58,8 @@
         if drift:
             for number, name in enumerate(self.cluster.names):
                 self.cluster.clock_rates[name] = 1.0 + (number % 3 - 1) * MAX_DRIFT_RATE
+        self.exited: list[str] = []
+        self.cluster.observers.append(self._note_exit)
         self.prepare()
         self.advance(1500.0)
 
@@ -81,6 +85,10 @@
     def step(self) -> None:
         """Advance time by one step and check."""
         self.cluster.step(STEP_MS)
+        for name in self.exited:
+            self.cluster.kill(name)
+            self.cluster.start(name)
+        self.exited.clear()
         STATISTICS["steps"] += 1
         self.guarded(self.check)
 
@@ -157,6 +165,22 @@
             STATISTICS["pauses"] += 1
             self.cluster.pause(name)
 
+    @rule(number=NUMBERS)
+    def drain(self, number: int) -> None:
+        """Tell a node to stop gracefully; it starts again once it has."""
+        name = self.running_name(number)
+        if name is not None:
+            STATISTICS["drains"] += 1
+            self.cluster.submit(name, DrainRequested(self.cluster.local_ms(name)))
+
+    @rule()
+    def drain_leader(self) -> None:
+        """Tell the leader to stop gracefully."""
+        leader = self.cluster.leader()
+        if leader is not None:
+            STATISTICS["drains"] += 1
+            self.cluster.submit(leader, DrainRequested(self.cluster.local_ms(leader)))
+
     @rule(sender=NUMBERS, receiver=NUMBERS, is_both=st.booleans())
     def cut(self, sender: int, receiver: int, is_both: bool) -> None:
         """Cut the network between two nodes, both ways or one."""
@@ -205,6 +229,10 @@
         faults = self.cluster.network.faults
         faults.drop, faults.duplicate, faults.max_delay_ms = drop, duplicate, delay_ms
 
+    def _note_exit(self, name: str, effect: Effect) -> None:
+        if isinstance(effect, Exit):
+            self.exited.append(name)
+
     def teardown(self) -> None:
         """End all faults and check that the cluster recovers."""
         if self.is_broken or self.cluster.now_ms < 2000.0:
