--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/limits.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/limits.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from marigoldarch.effects import Effect, Send
-from marigoldarch.entry.limits import Limit, LimitKeeper
+from marigoldarch.entry.limit_keeper import LimitKeeper
+from marigoldarch.entry.limits import Limit
 from marigoldarch.events import CallArrived
 from marigoldarch.messages import LimitAnswer, LimitAsk, LimitNeed, LimitShare
 from marigoldarch.settings import EntrySettings
--- a/packages/marigoldarch/marigoldarch/entry/limit_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_calls.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from marigoldarch.effects import Effect, Send
-from marigoldarch.entry.limits import Claim, find_limit
+from marigoldarch.entry.limit_shares import Claim
+from marigoldarch.entry.limits import find_limit
 from marigoldarch.entry.state import finish
 from marigoldarch.messages import LimitAnswer, LimitAsk, LimitNeed
 from marigoldarch.outcomes import NotRun, RefusalReason
@@ -78,7 +79,7 @@
             continue
         wait_ms = max((waits.get(subject, 0.0) for subject in waiting.subjects), default=0.0)
         if wait_ms > 0:
-            effects += _refuse(state, request, NotRun(RefusalReason.LIMIT, wait_ms))
+            effects += finish(state, request, NotRun(RefusalReason.LIMIT, wait_ms))
     if has_arrivals:
         effects += ask_keepers(state, now_ms)
     return ready, effects
@@ -91,7 +92,7 @@
     for waiting in state.shares.waiting:
         if now_ms >= waiting.since_ms + state.settings.entry.limit_timeout_ms:
             refusal = NotRun(RefusalReason.LIMIT_UNAVAILABLE, UNAVAILABLE_RETRY_MS)
-            effects += _refuse(state, state.requests[waiting.request_id], refusal)
+            effects += finish(state, state.requests[waiting.request_id], refusal)
     effects += ask_keepers(state, now_ms)
     state.shares.forget_idle(now_ms)
     state.keeper.forget_idle(state.member.view, now_ms)
@@ -103,11 +104,6 @@
         state.keeper.watch_nodes(state.keepers.nodes, now_ms)
 
 
-def _refuse(state: EntryState, request: Request, refusal: NotRun) -> list[Effect]:
-    request.limits = ()
-    return finish(state, request, refusal)
-
-
 def _try_take(state: EntryState, wanted: Claim, now_ms: Millis) -> bool:
     view = state.member.view
     limits = {subject: find_limit(view, subject) for subject in wanted.subjects}
--- a/packages/marigoldarch/marigoldarch/entry/state.py
+++ b/packages/marigoldarch/marigoldarch/entry/state.py
@@ -8,7 +8,8 @@
 from marigoldarch.effects import CancelCall, Effect, Record, Reply, Send
 from marigoldarch.entry.agenda import Agenda
 from marigoldarch.entry.keepers import Keepers
-from marigoldarch.entry.limits import LimitKeeper, LimitShares
+from marigoldarch.entry.limit_keeper import LimitKeeper
+from marigoldarch.entry.limit_shares import LimitShares
 from marigoldarch.entry.pool_choice import PoolChoice
 from marigoldarch.entry.request import Attempt, Phase, Request
 from marigoldarch.entry.retries import RetryBudget
@@ -78,8 +79,8 @@
     """Give a request its final outcome; its attempts must have been ended."""
     if state.requests.pop(request.request_id, None) is None:
         return []
-    state.shares.withdraw(request.request_id)
-    state.shares.give_back(request.limits)
+    if not state.shares.withdraw(request.request_id):
+        state.shares.give_back(request.limits)
     fields = {"request": request.request_id, "outcome": type(outcome).__name__}
     if not isinstance(outcome, Answered):
         fields["reason"] = str(outcome.reason)
--- a/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
@@ -264,6 +264,15 @@
             self.assertEqual(outcome.reason, RefusalReason.LIMIT)
             self.assertGreater(outcome.retry_after_ms, 0.0)
 
+    def test_caller_that_goes_while_it_waits_for_a_limit_frees_no_slot_of_others(self) -> None:
+        self.prompt("r1", key=SLOW_KEY)
+        state = self.cluster.nodes["n2"].state
+        call = CallInfo("r2", SLOW_KEY, "quiz", model="coach", prompt_tokens=100)
+        self.cluster.submit("n2", CallArrived(self.cluster.now_ms, call))
+        self.assertEqual(len(state.entry.shares.waiting), 1)
+        self.cluster.submit("n2", CallerGone(self.cluster.now_ms, "r2"))
+        self.assertEqual(state.entry.shares.used("customer/guild/pier"), 1)
+
     def test_slots_of_ended_requests_are_lent_again(self) -> None:
         for number in range(6):
             self.prompt(f"r{number}", key=SLOW_KEY)
