--- a/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
@@ -158,8 +158,10 @@
         await request.send_json(200 if is_ready else 503, {"ready": is_ready})
 
     async def _serve_metrics(self, request: HttpRequest) -> None:
+        runtime = self._runtime
+        runtime.metrics.refresh(runtime.state, runtime.links, runtime.clock.monotonic_ms())
         accepts = [request.headers.get("accept", "text/plain")]
-        content, headers = aioprometheus.render(aioprometheus.REGISTRY, accepts)
+        content, headers = aioprometheus.render(runtime.metrics.registry, accepts)
         content_type = headers.get("Content-Type", "text/plain")
         await request.start(200, content_type, {})
         await request.send_chunk(content, is_last=True)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/metrics.py
@@ -0,0 +1,198 @@
+"""What operators watch; docs/user-guide/metrics.md lists each metric with its unit and remedy."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from math import inf
+from typing import TYPE_CHECKING, NamedTuple
+
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram, Registry
+
+from marigoldarch.effects import Effect, ReleaseMemory, Reply
+from marigoldarch.events import (
+    CallArrived,
+    CallerGone,
+    Event,
+    FirstToken,
+    MessageArrived,
+    Persisted,
+    Started,
+    TargetAnswered,
+    TargetFailed,
+    Tick,
+)
+from marigoldarch.messages import HeartbeatAck
+from marigoldarch.outcomes import Answered, NotRun
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.messages import WorkItem
+    from marigoldarch.reducer import NodeState
+    from marigoldarch_node.edge.peer_links import PeerLinks
+
+LENGTH_CLASSES = ((1_000, "short"), (20_000, "medium"), (100_000, "long"))
+LONGEST_CLASS = "very_long"
+SERVICE_CLASS = "service"
+TTFT_BASE_S = 0.02
+"""The time to first token of an empty prompt on an idle fleet, against which slowdown counts."""
+
+_TTFT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.49, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 600.0, inf)
+_SLOWDOWN_BUCKETS = (1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0, inf)
+_SYNC_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.5, inf)
+_REQUEST_EVENTS = (CallArrived, CallerGone, FirstToken, TargetAnswered, TargetFailed)
+_CONTROL_EVENTS = (Tick, MessageArrived, Persisted, Started)
+
+
+class Begun(NamedTuple):
+    """A call in progress: when it arrived, its length class and the time it would take alone."""
+
+    at_ms: Millis
+    length_class: str
+    alone_s: float
+
+
+class Metrics:
+    """The metrics of one node."""
+
+    def __init__(self, prefill_tokens_per_s: float, registry: Registry = REGISTRY) -> None:
+        self._registry = registry
+        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._begun: dict[str, Begun] = {}
+        self._newest_revision = 0
+        self._ttft = self._histogram(
+            "first_token_seconds", "Time to first token by length class.", _TTFT_BUCKETS_S
+        )
+        self._slowdown = self._histogram(
+            "slowdown_ratio", "Time to first token over that on an idle fleet.", _SLOWDOWN_BUCKETS
+        )
+        self._outcomes = self._counter("requests_total", "Requests by final outcome.")
+        self._refusals = self._counter("refusals_total", "Requests not run, by reason.")
+        self._failures = self._counter("attempts_failed_total", "Failed attempts.")
+        self._orphans = self._counter("orphans_total", "Releases sent for memory nobody uses.")
+        self._cpu = self._counter("reducer_seconds_total", "Processor time by kind of event.")
+        self._active = self._gauge("requests_active", "Requests in progress.")
+        self._queued = self._gauge("queued_requests", "Requests that wait, by pool and class.")
+        self._permits = self._gauge("permits", "Live permits by pool.")
+        self._targets = self._gauge("targets", "Live targets by pool.")
+        self._lease = self._gauge("lease_left_seconds", "Time left of the configuration lease.")
+        self._revision = self._gauge("revision", "The revision that this node acts on.")
+        self._revision_lag = self._gauge("revision_lag", "Log positions behind the leader.")
+        self._sync = self._histogram(
+            "log_sync_seconds", "Time to write and sync a batch of log records.", _SYNC_BUCKETS_S
+        )
+        self._bytes = self._gauge("control_bytes", "Bytes of messages between nodes.")
+        self._dropped = self._gauge("control_dropped", "Messages dropped on broken links.")
+        self._process = self._gauge("process_cpu_seconds", "Processor time of the process.")
+
+    @property
+    def registry(self) -> Registry:
+        """Return where the metrics are registered."""
+        return self._registry
+
+    @contextmanager
+    def timed(self, event: Event) -> Iterator[None]:
+        """Count the processor time of an event and its effects as control or request work."""
+        began_ns = time.thread_time_ns()
+        try:
+            yield
+        finally:
+            kind = "control" if isinstance(event, _CONTROL_EVENTS) else "request"
+            self._cpu.add({"work": kind}, (time.thread_time_ns() - began_ns) / 1e9)
+
+    def on_event(self, event: Event) -> None:
+        """Take note of an event before it is reduced."""
+        match event:
+            case CallArrived(at_ms=at_ms, call=call):
+                name = length_class(call.prompt_tokens, is_service=bool(call.service))
+                alone_s = TTFT_BASE_S + call.prompt_tokens / self._prefill_tokens_per_s
+                self._begun[call.request_id] = Begun(at_ms, name, alone_s)
+            case FirstToken(at_ms=at_ms, request_id=request_id):
+                self._on_first_token(request_id, at_ms)
+            case TargetFailed(is_unsent=is_unsent):
+                self._failures.inc({"unsent": str(is_unsent).lower()})
+            case MessageArrived(message=HeartbeatAck(revision=revision)):
+                self._newest_revision = max(self._newest_revision, revision)
+
+    def on_effect(self, effect: Effect) -> None:
+        """Take note of an effect."""
+        match effect:
+            case Reply(request_id=request_id, outcome=outcome):
+                begun = self._begun.pop(request_id, None)
+                name = begun.length_class if begun else LONGEST_CLASS
+                self._outcomes.inc({"outcome": type(outcome).__name__, "class": name})
+                if isinstance(outcome, NotRun):
+                    self._refusals.inc({"reason": str(outcome.reason)})
+                elif not isinstance(outcome, Answered):
+                    self._failures.inc({"reason": str(outcome.reason)})
+            case ReleaseMemory(pool=pool):
+                self._orphans.inc({"pool": str(pool)})
+
+    def on_synced(self, seconds: float) -> None:
+        """Take note of how long a sync took."""
+        self._sync.observe({}, seconds)
+
+    def refresh(self, state: NodeState, links: PeerLinks, now_ms: Millis) -> None:
+        """Set the gauges to the present state."""
+        member = state.control.member
+        self._active.set({}, state.active)
+        self._lease.set({}, max(0.0, member.lease_until_ms - now_ms) / 1000.0)
+        self._revision.set({}, member.view.revision)
+        self._revision_lag.set({}, max(0, self._newest_revision - member.view.revision))
+        self._bytes.set({"direction": "sent"}, links.sent_bytes)
+        self._bytes.set({"direction": "received"}, links.received_bytes)
+        self._dropped.set({}, links.dropped_messages)
+        self._process.set({}, time.process_time())
+        self._refresh_pools(state)
+
+    def _refresh_pools(self, state: NodeState) -> None:
+        for gauge in (self._queued, self._permits, self._targets):
+            gauge.values.clear()
+        for pool, scheduler in state.pools.schedulers.items():
+            self._permits.set({"pool": str(pool)}, len(scheduler.permits))
+            self._targets.set({"pool": str(pool)}, len(_targets(scheduler)))
+            for item in waiting_items(scheduler):
+                name = length_class(item.prompt_tokens, is_service=not item.model)
+                self._queued.inc({"pool": str(pool), "class": name})
+
+    def _on_first_token(self, request_id: str, at_ms: Millis) -> None:
+        begun = self._begun.get(request_id)
+        if begun is None:
+            return
+        seconds = (at_ms - begun.at_ms) / 1000.0
+        labels = {"class": begun.length_class}
+        self._ttft.observe(labels, seconds)
+        self._slowdown.observe(labels, max(1.0, seconds / begun.alone_s))
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(f"marigoldarch_{name}", doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(f"marigoldarch_{name}", doc, registry=self._registry)
+
+    def _histogram(self, name: str, doc: str, buckets: tuple[float, ...]) -> Histogram:
+        full_name = f"marigoldarch_{name}"
+        return Histogram(full_name, doc, buckets=buckets, registry=self._registry)
+
+
+def length_class(prompt_tokens: int, *, is_service: bool) -> str:
+    """Return the length class of a request."""
+    if is_service:
+        return SERVICE_CLASS
+    for limit, name in LENGTH_CLASSES:
+        if prompt_tokens <= limit:
+            return name
+    return LONGEST_CLASS
+
+
+def waiting_items(scheduler: object) -> list[WorkItem]:
+    """Return the items that wait at a scheduler."""
+    waiting = getattr(scheduler, "waiting", None)
+    queue = scheduler.queue if waiting is None else waiting
+    return [entry.item for entry in queue.values()]
+
+
+def _targets(scheduler: object) -> object:
+    fleet = getattr(scheduler, "fleet", None)
+    return scheduler.targets if fleet is None else fleet
--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 from typing import TYPE_CHECKING
 
 import trio
+from aioprometheus import Registry
 
 from marigoldarch.effects import (
     CallTarget,
@@ -31,6 +33,7 @@
 from marigoldarch_node.edge.peer_links import LinkSettings, PeerLinks
 from marigoldarch_node.edge.target_client import TargetClient
 from marigoldarch_node.logs import get_logger
+from marigoldarch_node.metrics import Metrics
 from marigoldarch_node.storage.folder import DataFolder
 from marigoldarch_node.timeline.recorder import Recorder
 
@@ -50,6 +53,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.calls = CallTable()
+        self.metrics = Metrics(core.pools.prefill_tokens_per_s, Registry())
         self.client = TargetClient()
         self.recorder = Recorder(core.node, settings.timeline_file)
         shared = LinkSettings(core.node, settings.peer_key, self.clock, self.recorder)
@@ -78,12 +82,15 @@
         """
         if self._failure is not None:
             raise self._failure
-        try:
-            effects = reduce(self.state, event)
-        except Exception as error:
-            self._fail(event, error)
-        for effect in effects:
-            self._carry_out(effect)
+        with self.metrics.timed(event):
+            self.metrics.on_event(event)
+            try:
+                effects = reduce(self.state, event)
+            except Exception as error:
+                self._fail(event, error)
+            for effect in effects:
+                self.metrics.on_effect(effect)
+                self._carry_out(effect)
 
     def _fail(self, event: Event, error: Exception) -> None:
         kind = type(event).__name__
@@ -153,7 +160,9 @@
                 await self._persist_wakeup.wait()
             batch = list(self._persists)
             self._persists.clear()
+            began_s = time.perf_counter()
             await trio.to_thread.run_sync(self._write_batch, batch)
+            self.metrics.on_synced(time.perf_counter() - began_s)
             self._on_synced(batch[-1].persist_id)
 
     def _write_batch(self, batch: list[Persist | Checkpoint]) -> None:
