--- a/packages/marigoldarch-node/marigoldarch_node/config/node.py
+++ b/packages/marigoldarch-node/marigoldarch_node/config/node.py
@@ -20,7 +20,10 @@
     Option,
     Peers,
     Secret,
+    Sha256List,
 )
+from marigoldarch_node.security.keys import Digests
+from marigoldarch_node.security.tls import TlsFiles
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -46,9 +49,17 @@
     log_level = Choice("Least level to log.", "info", ("debug", "info", "warning", "error"))
     timeline_file = Folder("File that time line events are appended to.", None)
     directory_ttl_ms = Number("Time-to-live of directory answers, ms.", 2000, 100, 60_000)
-    operator_key = Secret("Key that operators present.", "")
-    peer_key = Secret("Key that nodes present to each other.", "")
-    target_key = Secret("Key that targets present.", "")
+    operator_key_sha256 = Sha256List("Digests of the keys that operators may present.", ())
+    target_key_sha256 = Sha256List("Digests of the keys that targets may present.", ())
+    peer_key_sha256 = Sha256List("Digests of the keys that nodes may present here.", ())
+    peer_key = Secret("Key that this node presents to the others; better as a variable.", "")
+    keys_file = Folder("TOML file with more digests, loaded anew when it changes.", None)
+    tls_certificate = Folder("PEM certificate for callers, targets and operators.", None)
+    tls_key = Folder("PEM key of --tls-certificate.", None)
+    peer_tls_certificate = Folder("PEM certificate for the links between nodes.", None)
+    peer_tls_key = Folder("PEM key of --peer-tls-certificate.", None)
+    peer_tls_authority = Folder("PEM authority that signs the nodes' certificates.", None)
+    max_connections = Number("Most connections of callers at once.", 10_000, 1, 1_000_000)
 
 
 def declared_options() -> dict[str, Option[Any]]:
@@ -94,19 +105,43 @@
         return self._values["log_level"]
 
     @property
-    def operator_key(self) -> str:
-        """Return the key that operators present; empty when none is asked for."""
-        return self._values["operator_key"]
+    def digests(self) -> Digests:
+        """Return the digests of the keys given as flags or variables."""
+        names = ("operator_key_sha256", "target_key_sha256", "peer_key_sha256")
+        return Digests(*(self._values[name] for name in names))
+
+    @property
+    def keys_file(self) -> Path | None:
+        """Return the file of further digests."""
+        return self._values["keys_file"]
+
+    @property
+    def caller_tls(self) -> TlsFiles | None:
+        """Return the certificate files of the interface to callers."""
+        return self._tls("tls_certificate", "tls_key")
+
+    @property
+    def peer_tls(self) -> TlsFiles | None:
+        """Return the certificate files of the links between nodes."""
+        return self._tls("peer_tls_certificate", "peer_tls_key", "peer_tls_authority")
+
+    @property
+    def max_connections(self) -> int:
+        """Return how many connections of callers may be open at once."""
+        return int(self._values["max_connections"])
 
     @property
     def peer_key(self) -> str:
         """Return the key that nodes present to each other."""
         return self._values["peer_key"]
 
-    @property
-    def target_key(self) -> str:
-        """Return the key that targets present."""
-        return self._values["target_key"]
+    def _tls(self, certificate: str, key: str, authority: str = "") -> TlsFiles | None:
+        path = self._values[certificate]
+        if path is None:
+            return None
+        option = vars(NodeOptions)[certificate]
+        name = f"{option.flag} ({option.variable})"
+        return TlsFiles(name, path, self._values[key], self._values.get(authority))
 
 
 def load_settings(
@@ -145,10 +180,25 @@
     missing = sorted(set(values["voters"]) - peers)
     if missing:
         raise NodeOptions.voters.fail(f"add {missing[0]} to --peers or remove it here")
+    _check_tls(values)
+    if values["peer_key_sha256"] and not values["peer_key"]:
+        raise NodeOptions.peer_key.fail("required where the other nodes' keys are checked")
     if values["node"] in values["voters"] and values["data_folder"] is None:
         raise NodeOptions.data_folder.fail("required on a voter; name a folder on a disk")
 
 
+def _check_tls(values: dict[str, Any]) -> None:
+    for names in (
+        ("tls_certificate", "tls_key"),
+        ("peer_tls_certificate", "peer_tls_key", "peer_tls_authority"),
+    ):
+        given = [name for name in names if values[name] is not None]
+        missing = [name for name in names if values[name] is None]
+        if given and missing:
+            option = vars(NodeOptions)[missing[0]]
+            raise option.fail(f"required with {vars(NodeOptions)[given[0]].flag}")
+
+
 def _core_settings(values: dict[str, Any]) -> CoreSettings:
     address = NodeAddress(
         values["node"], values["data_centre"], values["caller_address"], values["peer_address"]
--- a/packages/marigoldarch-node/marigoldarch_node/config/options.py
+++ b/packages/marigoldarch-node/marigoldarch_node/config/options.py
@@ -9,12 +9,14 @@
 from marigoldarch.exceptions import ConfigurationError
 from marigoldarch.identifiers import NodeAddress
 
+_SHA256 = re.compile(r"[0-9a-f]{64}\Z")
+
 T = TypeVar("T")
 
 ENVIRONMENT_PREFIX = "MARIGOLDARCH_"
 
-_NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$")
-_ADDRESS = re.compile(r"^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$")
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}\Z")
+_ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})\Z")
 
 
 class Option(Generic[T]):
@@ -149,6 +151,18 @@
         return str(raw or "")
 
 
+class Sha256List(Option[tuple[str, ...]]):
+    """A comma-separated list of SHA-256 digests of credentials."""
+
+    def parse(self, raw: Any) -> tuple[str, ...]:
+        """Return the digests."""
+        items = raw if isinstance(raw, list | tuple) else str(raw).split(",")
+        digests = tuple(str(item) for item in items if str(item))
+        if not all(_SHA256.match(digest) for digest in digests):
+            raise self.fail("use lower-case SHA-256 digests of keys, separated by commas")
+        return digests
+
+
 class Switch(Option[bool]):
     """A yes-or-no option."""
 
--- a/packages/marigoldarch-node/marigoldarch_node/edge/listener.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/listener.py
@@ -13,12 +13,12 @@
 from hypercorn.utils import wrap_app
 
 from marigoldarch.codec import encode_json
+from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch_node.logs import get_logger
 
 if TYPE_CHECKING:
-    import ssl
-
     from marigoldarch_node.edge.http import Router
+    from marigoldarch_node.security.tls import Tls
 
 KEEP_ALIVE_S = 60.0
 SHUTDOWN_S = 1.0
@@ -41,12 +41,16 @@
 log = get_logger("listener")
 
 
+class ListenError(MarigoldarchError):
+    """An address cannot be listened at."""
+
+
 class ListenerSettings(NamedTuple):
-    """Where to listen, the most connections at once, and the TLS context, if any."""
+    """Where to listen, the most connections at once, and the certificates, if any."""
 
     address: str
     max_connections: int = MAX_CONNECTIONS
-    tls: ssl.SSLContext | None = None
+    tls: Tls | None = None
 
 
 def connection_options(unacknowledged_ms: int) -> list[tuple[int, int, int]]:
@@ -91,7 +95,11 @@
     ) -> None:
         """Serve until `stopped`, then give what runs a moment to end; started with the port."""
         host, _, port = self._settings.address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        try:
+            listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        except OSError as error:
+            message = f"cannot listen at {self._settings.address}: {error.strerror}"
+            raise ListenError(message) from error
         task_status.started(listeners[0].socket.getsockname()[1])
         async with trio.open_nursery() as connections:
             async with trio.open_nursery() as accepting:
@@ -123,7 +131,8 @@
     def _secured(self, stream: trio.SocketStream) -> trio.abc.Stream:
         if self._settings.tls is None:
             return stream
-        return trio.SSLStream(stream, self._settings.tls, server_side=True, https_compatible=True)
+        context = self._settings.tls.server
+        return trio.SSLStream(stream, context, server_side=True, https_compatible=True)
 
     async def _turn_away(self, stream: trio.SocketStream) -> None:
         """Answer that nothing was run, and read on for a moment so that the answer arrives."""
--- a/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
@@ -13,6 +13,7 @@
 from marigoldarch.declarations import loader
 from marigoldarch.events import DeclareRequested, DrainRequested
 from marigoldarch_node.edge.http import HttpError, HttpRequest, Route
+from marigoldarch_node.security.keys import Role
 from marigoldarch_node.timeline.recorder import BUFFER_EVENTS, Filter
 
 if TYPE_CHECKING:
@@ -167,8 +168,7 @@
         await request.send_chunk(content, is_last=True)
 
     def _check_key(self, request: HttpRequest) -> None:
-        expected = self._runtime.settings.operator_key
-        if expected and request.bearer != expected:
+        if not self._runtime.keys.allows(Role.OPERATOR, request.bearer):
             raise HttpError(401, "unknown_operator_key", "the operator key is wrong")
 
 
--- a/packages/marigoldarch-node/marigoldarch_node/edge/peer_links.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/peer_links.py
@@ -23,6 +23,8 @@
 from marigoldarch_node.edge.http import HttpError, HttpRequest, Route, bearer_header
 from marigoldarch_node.edge.listener import connection_options
 from marigoldarch_node.logs import get_logger
+from marigoldarch_node.security.keys import KeyRing, Role
+from marigoldarch_node.security.tls import Tls
 from marigoldarch_node.timeline.hybrid_clock import Stamp
 
 if TYPE_CHECKING:
@@ -64,6 +66,8 @@
     key: str
     clock: Clock
     stamps: StampSource
+    keys: KeyRing
+    tls: Tls | None = None
 
 
 class StampSource(Protocol):
@@ -123,12 +127,15 @@
             await trio.sleep(RECONNECT_S)
 
     async def _connect(self) -> None:
-        url = f"http://{self._peer.peer_address}{LINK_PATH}"
+        tls = self._settings.tls
+        url = f"{'https' if tls else 'http'}://{self._peer.peer_address}{LINK_PATH}"
         headers = {NODE_HEADER: self._settings.node, **bearer_header(self._settings.key)}
         timeouts = {"connect": CONNECT_TIMEOUT_S, "write": WRITE_TIMEOUT_S}
         options = connection_options(UNACKNOWLEDGED_MS)
         async with (
-            httpcore.AsyncConnectionPool(socket_options=options) as pool,
+            httpcore.AsyncConnectionPool(
+                ssl_context=tls.client if tls else None, socket_options=options
+            ) as pool,
             pool.stream(
                 "POST",
                 url,
@@ -214,7 +221,8 @@
 
     async def _serve_link(self, request: HttpRequest) -> None:
         sender = request.headers.get(NODE_HEADER, "")
-        if request.bearer != self._settings.key or sender not in self._nodes:
+        is_known = self._settings.keys.allows(Role.PEER, request.bearer)
+        if not is_known or sender not in self._nodes:
             raise HttpError(401, "unknown_peer", "the peer key or node name is wrong")
         rest = b""
         while True:
--- a/packages/marigoldarch-node/marigoldarch_node/edge/targets.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/targets.py
@@ -12,6 +12,7 @@
 from marigoldarch.targets import Announcement, is_impostor, parse_announcement
 from marigoldarch_node.config.options import is_address
 from marigoldarch_node.edge.http import OVERLOAD_RETRY_MS, HttpError, HttpRequest, Route
+from marigoldarch_node.security.keys import Role
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
@@ -124,6 +125,5 @@
         await request.send_json(200, {})
 
     def _check_key(self, request: HttpRequest) -> None:
-        expected = self._runtime.settings.target_key
-        if expected and request.bearer != expected:
+        if not self._runtime.keys.allows(Role.TARGET, request.bearer):
             raise HttpError(401, "unknown_target_key", "the target key is wrong")
--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -34,6 +34,7 @@
 from marigoldarch_node.edge.target_client import TargetClient
 from marigoldarch_node.logs import get_logger
 from marigoldarch_node.metrics import Metrics
+from marigoldarch_node.security.loaded import Security
 from marigoldarch_node.storage.folder import DataFolder
 from marigoldarch_node.timeline.recorder import Recorder
 
@@ -56,7 +57,16 @@
         self.metrics = Metrics(core.pools.prefill_tokens_per_s, Registry())
         self.client = TargetClient()
         self.recorder = Recorder(core.node, settings.timeline_file)
-        shared = LinkSettings(core.node, settings.peer_key, self.clock, self.recorder)
+        self.security = Security(settings)
+        self.keys = self.security.keys
+        shared = LinkSettings(
+            core.node,
+            settings.peer_key,
+            self.clock,
+            self.recorder,
+            self.keys,
+            self.security.peer_tls,
+        )
         self.links = PeerLinks(shared, core.peers, self.submit)
         self.attempts = Attempts(self.calls, self.client, self.clock, self.submit)
         self.stopped = trio.Event()
@@ -105,6 +115,7 @@
             self._nursery = nursery
             nursery.start_soon(self.links.run)
             nursery.start_soon(self._write_log)
+            nursery.start_soon(self.security.watch)
             self.submit(Started(self.clock.monotonic_ms()))
             nursery.start_soon(self._tick)
             await self.stopped.wait()
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/security/__init__.py
@@ -0,0 +1,1 @@
+"""Keys and certificates, and their reloading."""
--- a/packages/marigoldarch-node/marigoldarch_node/server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/server.py
@@ -29,11 +29,14 @@
     caller_routes = CallerRoutes(runtime).routes
     public = Router(caller_routes + TargetRoutes(runtime).routes + OperatorRoutes(runtime).routes)
     peers = Router(runtime.links.routes)
+    tls = runtime.security.caller_tls
     log.info("Node {} starts.", address.node)
     async with trio.open_nursery() as nursery:
-        for router, listen_at in (public, address.caller_address), (peers, address.peer_address):
-            listener = Listener(router, ListenerSettings(listen_at))
-            nursery.start_soon(listener.serve, runtime.stopped)
+        for router, listen in (
+            (public, ListenerSettings(address.caller_address, settings.max_connections, tls)),
+            (peers, ListenerSettings(address.peer_address, tls=runtime.security.peer_tls)),
+        ):
+            nursery.start_soon(Listener(router, listen).serve, runtime.stopped)
         nursery.start_soon(_watch_signals, runtime)
         await runtime.run()
         log.info("Node {} has stopped.", address.node)
@@ -41,7 +44,10 @@
 
 
 async def _watch_signals(runtime: Runtime) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for received in signals:
+            if received == signal.SIGHUP:
+                runtime.security.reload()
+                continue
             log.info("A graceful stop begins.")
             runtime.submit(DrainRequested(runtime.clock.monotonic_ms()))
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/config/check_tests.py
@@ -0,0 +1,114 @@
+"""Tests of `marigoldarchd --check` and of odd flag values."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from marigoldarch.exceptions import ConfigurationError
+from marigoldarch_node.config.check import check_settings
+from marigoldarch_node.config.node import declared_options, load_settings
+from marigoldarch_node.storage.folder import DataFolder
+
+VALID = {
+    "node": "n1",
+    "data_centre": "dc1",
+    "caller_address": "127.0.0.1:7001",
+    "peer_address": "127.0.0.1:7002",
+    "voters": "n1",
+    "peers": "n1@dc1=127.0.0.1:7001/127.0.0.1:7002",
+    "data_folder": "/nowhere/at/all",
+}
+
+
+class CheckTests(unittest.TestCase):
+    """A check names flag, variable and remedy, and changes nothing."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def check(self, *extra: str, **changes: str) -> subprocess.CompletedProcess:
+        """Run `marigoldarchd --check` with valid flags and some changed."""
+        values = {**VALID, "data_folder": str(self.folder / "data"), **changes}
+        flags = [f"--{name.replace('_', '-')}={value}" for name, value in values.items()]
+        command = [sys.executable, "-m", "marigoldarch_node", "--check", *flags, *extra]
+        return subprocess.run(command, capture_output=True, text=True, check=False)
+
+    def assert_problem(self, finished: subprocess.CompletedProcess, *parts: str) -> None:
+        """Check that a typed error names what it should."""
+        self.assertEqual(finished.returncode, 2, finished)
+        self.assertNotIn("Traceback", finished.stderr)
+        for part in parts:
+            self.assertIn(part, finished.stderr)
+
+    def test_valid_settings_pass_and_nothing_is_written(self) -> None:
+        finished = self.check()
+        self.assertEqual((finished.returncode, finished.stdout), (0, "settings: ok\n"), finished)
+        self.assertEqual(list(self.folder.iterdir()), [])
+
+    def test_problems_name_flag_variable_and_remedy(self) -> None:
+        for changes, *parts in (
+            ({"node": "N 1"}, "--node", "MARIGOLDARCH_NODE", "use 1 to 64"),
+            ({"voters": "n1,n2"}, "--voters", "MARIGOLDARCH_VOTERS", "add n2"),
+            ({"tls_certificate": "x.pem"}, "--tls-key", "MARIGOLDARCH_TLS_KEY", "required with"),
+            ({"operator_key_sha256": "plain"}, "--operator-key-sha256", "SHA-256"),
+        ):
+            with self.subTest(changes):
+                self.assert_problem(self.check(**changes), *parts)
+
+    def test_folder_of_another_node_is_refused_unchanged(self) -> None:
+        path = self.folder / "data"
+        data_folder = DataFolder(path, "n9", "marigoldarch")
+        data_folder.open()
+        data_folder.close()
+        before = {file.name: file.read_bytes() for file in path.iterdir()}
+        self.assert_problem(self.check(), "--data-folder", "n9")
+        self.assertEqual({file.name: file.read_bytes() for file in path.iterdir()}, before)
+
+    def test_folder_that_is_a_file_is_refused(self) -> None:
+        (self.folder / "data").write_text("")
+        self.assert_problem(self.check(), "--data-folder", "MARIGOLDARCH_DATA_FOLDER")
+
+    def test_folder_without_permission_is_refused(self) -> None:
+        settings = load_settings({**VALID, "data_folder": str(self.folder)}, {}).ok
+        with (
+            mock.patch("os.access", return_value=False),
+            self.assertRaises(ConfigurationError) as caught,
+        ):
+            check_settings(settings)
+        self.assertIn("allow this user", str(caught.exception))
+
+    def test_flags_reach_the_options_as_typed(self) -> None:
+        self.assertEqual(self.check(node="7", voters="7", peers=VALID["peers"][1:]).returncode, 2)
+        peers = VALID["peers"].replace("n1@", "1e3@")
+        self.assertEqual(self.check(node="1e3", voters="1e3", peers=peers).returncode, 0)
+
+
+class OddValueTests(unittest.TestCase):
+    """No value of any option raises anything but its typed error."""
+
+    @hypothesis_settings(max_examples=400, derandomize=True, database=None, deadline=None)
+    @given(
+        st.sampled_from(sorted(declared_options())),
+        st.none()
+        | st.booleans()
+        | st.integers()
+        | st.floats()
+        | st.text(max_size=30)
+        | st.lists(st.text(max_size=5) | st.integers(), max_size=3).map(tuple)
+        | st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+    )
+    def test_odd_values_give_settings_or_a_typed_error(self, name: str, value: object) -> None:
+        result = load_settings({**VALID, name: value}, {})
+        if result.is_error():
+            self.assertIn("--", str(result.error))
--- a/packages/marigoldarch-node/marigoldarch_node/tests/edge/fuzz_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/edge/fuzz_tests.py
@@ -139,12 +139,7 @@
     def setUpClass(cls) -> None:
         folder = tempfile.TemporaryDirectory()
         cls.addClassCleanup(folder.cleanup)
-        cls.thread = harness.NodeThread(
-            Path(folder.name),
-            operator_key=harness.OPERATOR_KEY,
-            target_key=harness.TARGET_KEY,
-            peer_key=harness.PEER_KEY,
-        )
+        cls.thread = harness.NodeThread(Path(folder.name))
         cls.thread.start()
         cls.addClassCleanup(cls.thread.stop)
 
--- a/packages/marigoldarch-node/marigoldarch_node/tests/harness.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/harness.py
@@ -21,7 +21,6 @@
 KEY = "guild-test-key"
 OPERATOR_KEY = "operator-test-key"
 TARGET_KEY = "target-test-key"
-PEER_KEY = "peer-test-key"
 
 DECLARATION = {
     "team": "guild",
@@ -69,7 +68,11 @@
     """One running node, reached through its routers."""
 
     def __init__(self, folder: Path, **flags: Any) -> None:
-        self.runtime = Runtime(node_settings(folder, **flags))
+        keys = {
+            "operator_key_sha256": digest(OPERATOR_KEY),
+            "target_key_sha256": digest(TARGET_KEY),
+        }
+        self.runtime = Runtime(node_settings(folder, **{**keys, **flags}))
         routes = CallerRoutes(self.runtime).routes + TargetRoutes(self.runtime).routes
         self.public = Router(routes + OperatorRoutes(self.runtime).routes)
         self.peers = Router(self.runtime.links.routes)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/security/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of keys and certificates."""
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/security/keys_tests.py
@@ -0,0 +1,72 @@
+"""Tests of keys, their file and its reloading."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from marigoldarch.exceptions import ConfigurationError
+from marigoldarch_node.security.keys import Digests, KeyRing, Role, digest_of, read_keys_file
+from marigoldarch_node.security.loaded import Security
+from marigoldarch_node.tests.harness import node_settings
+
+OLD, NEW = "old-operator-key", "new-operator-key"
+
+
+class KeyRingTests(unittest.TestCase):
+    """A key opens only the way in of its role."""
+
+    def setUp(self) -> None:
+        digests = Digests(operator=(digest_of(OLD), digest_of(NEW)), target=(digest_of("t"),))
+        self.ring = KeyRing(digests)
+
+    def test_each_of_several_keys_is_allowed(self) -> None:
+        self.assertTrue(self.ring.allows(Role.OPERATOR, OLD))
+        self.assertTrue(self.ring.allows(Role.OPERATOR, NEW))
+
+    def test_key_of_another_role_its_digest_and_no_key_are_refused(self) -> None:
+        for key in ("t", digest_of(OLD), "", OLD + " ", "\u00e9"):
+            self.assertFalse(self.ring.allows(Role.OPERATOR, key))
+
+    def test_role_without_digests_is_open(self) -> None:
+        self.assertTrue(self.ring.is_open(Role.PEER))
+        self.assertTrue(self.ring.allows(Role.PEER, "anything"))
+
+
+class KeysFileTests(unittest.TestCase):
+    """The keys file is validated, and replaced without a stop."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.path = self.folder / "keys.toml"
+
+    def write(self, key: str) -> None:
+        """Write a file that allows one operator key."""
+        self.path.write_text(f'operator = ["{digest_of(key)}"]\n')
+
+    def test_malformed_files_are_refused_without_showing_their_content(self) -> None:
+        for text in ("operator = 5", 'operator = ["plain-secret"]', "x = []", "\\", "\x00"):
+            self.path.write_text(text)
+            with self.subTest(text), self.assertRaises(ConfigurationError) as caught:
+                read_keys_file(self.path)
+            self.assertIn("--keys-file (MARIGOLDARCH_KEYS_FILE)", str(caught.exception))
+            self.assertNotIn("plain-secret", str(caught.exception))
+
+    def test_changed_file_replaces_the_keys_and_a_broken_one_does_not(self) -> None:
+        self.write(OLD)
+        settings = node_settings(self.folder / "data", keys_file=str(self.path))
+        security = Security(settings)
+        self.assertTrue(security.keys.allows(Role.OPERATOR, OLD))
+        self.write(NEW)
+        security.reload()
+        self.assertFalse(security.keys.allows(Role.OPERATOR, OLD))
+        self.assertTrue(security.keys.allows(Role.OPERATOR, NEW))
+        self.path.write_text("broken")
+        security.reload()
+        self.assertTrue(security.keys.allows(Role.OPERATOR, NEW))
+        self.path.unlink()
+        security.reload()
+        self.assertTrue(security.keys.allows(Role.OPERATOR, NEW))
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/security/tls_tests.py
@@ -0,0 +1,127 @@
+"""Tests of TLS for callers and between nodes, over real sockets."""
+
+from __future__ import annotations
+
+import ssl
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import httpcore
+import trio
+import trustme
+
+from marigoldarch.exceptions import ConfigurationError
+from marigoldarch.messages import InForce
+from marigoldarch_node.edge.http import HttpRequest, Route, Router
+from marigoldarch_node.edge.listener import Listener, ListenerSettings
+from marigoldarch_node.security.tls import Tls, TlsFiles
+from marigoldarch_node.security.watch import Watched
+from marigoldarch_node.tests.edge.peer_links_tests import Side
+
+TIME_LIMIT_S = 20.0
+
+
+async def answer(request: HttpRequest) -> None:
+    """Answer."""
+    await request.send_json(200, {})
+
+
+class TlsTests(unittest.TestCase):
+    """Connections use the certificates of the moment; nodes prove themselves to each other."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.authority = trustme.CA()
+
+    def files(self, name: str, authority: trustme.CA, *, is_mutual: bool = False) -> TlsFiles:
+        """Write a certificate for 127.0.0.1 and return its files."""
+        issued = authority.issue_cert("127.0.0.1")
+        paths = [self.folder / f"{name}.{part}" for part in ("cert", "key", "ca")]
+        issued.cert_chain_pems[0].write_to_path(paths[0])
+        issued.private_key_pem.write_to_path(paths[1])
+        authority.cert_pem.write_to_path(paths[2])
+        return TlsFiles("--test", paths[0], paths[1], paths[2] if is_mutual else None)
+
+    def run_with(self, tls: Tls, test: Callable[[int], Awaitable[None]]) -> None:
+        """Run a test against a listener."""
+
+        async def main() -> None:
+            with trio.fail_after(TIME_LIMIT_S):
+                async with trio.open_nursery() as nursery:
+                    router = Router([Route("GET", "/", answer)])
+                    listener = Listener(router, ListenerSettings("127.0.0.1:0", tls=tls))
+                    port = await nursery.start(listener.serve, trio.Event())
+                    await test(port)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def get(self, port: int, authority: trustme.CA) -> int:
+        """Send a request that trusts one authority."""
+        context = ssl.create_default_context()
+        authority.configure_trust(context)
+        async with httpcore.AsyncConnectionPool(ssl_context=context) as pool:
+            return (await pool.request("GET", f"https://127.0.0.1:{port}/")).status
+
+    def test_replaced_certificate_is_used_without_a_stop(self) -> None:
+        tls = Tls(self.files("node", self.authority))
+        other = trustme.CA()
+
+        async def test(port: int) -> None:
+            self.assertEqual(await self.get(port, self.authority), 200)
+            with self.assertRaises(httpcore.ConnectError):
+                await self.get(port, other)
+            files = self.files("node", other)
+            watched = Watched((files.certificate, files.key), tls.reload)
+            watched.check(is_forced=True)
+            self.assertEqual(await self.get(port, other), 200)
+            files.certificate.write_text("broken")
+            watched.check()
+            self.assertEqual(await self.get(port, other), 200)
+
+        self.run_with(tls, test)
+
+    def test_plain_request_does_not_disturb_a_tls_listener(self) -> None:
+        tls = Tls(self.files("node", self.authority))
+
+        async def test(port: int) -> None:
+            async with httpcore.AsyncConnectionPool() as pool:
+                with self.assertRaises(httpcore.ProtocolError):
+                    await pool.request("GET", f"http://127.0.0.1:{port}/")
+            self.assertEqual(await self.get(port, self.authority), 200)
+
+        self.run_with(tls, test)
+
+    def test_nodes_need_a_certificate_of_their_authority(self) -> None:
+        good = Tls(self.files("good", self.authority, is_mutual=True))
+        strange = Tls(self.files("strange", trustme.CA(), is_mutual=True))
+
+        async def main() -> None:
+            with trio.fail_after(TIME_LIMIT_S):
+                async with trio.open_nursery() as nursery:
+                    there = Side("n2")
+                    settings = ListenerSettings("127.0.0.1:0", tls=good)
+                    listener = Listener(Router(there.links.routes), settings)
+                    port = await nursery.start(listener.serve, trio.Event())
+                    impostor, peer = Side("n1", port, tls=strange), Side("n1", port, tls=good)
+                    nursery.start_soon(impostor.links.run)
+                    impostor.links.send("n2", InForce(1))
+                    await trio.sleep(0.2)
+                    nursery.start_soon(peer.links.run)
+                    peer.links.send("n2", InForce(2))
+                    while not there.events:
+                        await trio.sleep(0.001)
+                    self.assertEqual(there.revisions, [2])
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_unreadable_files_are_a_typed_error_that_names_the_option(self) -> None:
+        missing = self.folder / "none"
+        with self.assertRaises(ConfigurationError) as caught:
+            Tls(TlsFiles("--tls-certificate", missing, missing))
+        self.assertIn("--tls-certificate", str(caught.exception))
