--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/__main__.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/__main__.py
@@ -11,11 +11,11 @@
 import fire
 
 from marigoldarch_fakes.capacity import sizes
-from marigoldarch_fakes.capacity.control import control_slopes
-from marigoldarch_fakes.capacity.limits import limit_slopes
+from marigoldarch_fakes.capacity.control import CONTROL
+from marigoldarch_fakes.capacity.limits import LIMITS
 from marigoldarch_fakes.capacity.processes import bare_server, process_slopes
 from marigoldarch_fakes.capacity.roles import ROLE_HEAD, work_out
-from marigoldarch_fakes.capacity.serving import serving_slopes
+from marigoldarch_fakes.capacity.serving import SERVING
 from marigoldarch_fakes.capacity.slopes import TABLE_HEAD, format_cost
 
 BEGIN = "<!-- measured: begin -->"
@@ -24,7 +24,8 @@
 
 def measured_lines() -> Iterator[str]:
     """Measure everything; yield the lines of the page's measured part."""
-    slopes = control_slopes() + serving_slopes() + limit_slopes() + process_slopes()
+    slopes = [item.run() for item in (*CONTROL, *SERVING, *LIMITS)]
+    slopes += process_slopes()
     yield "### Slopes"
     yield ""
     yield from TABLE_HEAD
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/control.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/control.py
@@ -20,7 +20,7 @@
     message_time_us,
     sent_bytes,
 )
-from marigoldarch_fakes.capacity.slopes import Slope, measure
+from marigoldarch_fakes.capacity.slopes import Measurement
 from marigoldarch_node.timeline.recorder import Recorder
 
 NODE_COUNTS = (40, 80, 160, 320)
@@ -178,7 +178,7 @@
     ledger = Ledger()
     for number in range(calls):
         start = _ledger_start(number)
-        ledger.start(start)
+        ledger.start(start, number)
         answer = f'{{"posted":{number}}}'
         ledger.finish(LedgerFinish(start.customer, start.key, start.request_id, answer))
     return ledger
@@ -193,7 +193,7 @@
 
 def _append_bytes(entries: int) -> float:
     plain = [Entry(n + 1, 3, COMMANDS.to_plain(_ledger_start(n))) for n in range(entries)]
-    return len(encode(AppendRequest(3, 0, 3, plain, 0, 1234.5)))
+    return len(encode(AppendRequest(3, 0, 3, plain, 0, 1234.5, "replica1")))
 
 
 def _timeline_event() -> Record:
@@ -219,72 +219,83 @@
     return memory_bytes(build)
 
 
-def control_slopes() -> list[Slope]:
-    """Measure every slope of the control part."""
-    nodes = sizes.NODES
-    customers = sizes.CUSTOMERS
-    return [
-        measure("leader: one heartbeat", "nodes", "us", NODE_COUNTS, nodes, _heartbeat_time),
-        measure(
-            "leader: answer to a heartbeat",
-            "nodes",
-            "bytes",
-            NODE_COUNTS,
-            nodes,
-            _heartbeat_ack_bytes,
-        ),
-        measure("leader: one tick", "nodes", "us", NODE_COUNTS, nodes, _idle_tick_time),
-        measure("leader: a change to all nodes", "nodes", "us", NODE_COUNTS, nodes, _change_time),
-        measure(
-            "leader: a change of a team of 10 customers",
-            "nodes",
-            "bytes",
-            NODE_COUNTS,
-            nodes,
-            _change_bytes,
-        ),
-        measure("leader: one acknowledged change", "nodes", "us", NODE_COUNTS, nodes, _ack_time),
-        measure(
-            "node: delta of a changed team",
-            "customers of the team",
-            "bytes",
-            TEAM_CUSTOMERS,
-            CUSTOMERS_PER_TEAM,
-            _delta_bytes,
-        ),
-        measure(
-            "node: apply a small change", "customers", "us", CUSTOMER_COUNTS, customers, _apply_time
-        ),
-        measure(
-            "node: view in memory",
-            "customers",
-            "bytes",
-            CUSTOMER_COUNTS,
-            customers,
-            lambda count: memory_bytes(lambda: make_view(count)),
-        ),
-        measure(
-            "node: view snapshot", "customers", "bytes", CUSTOMER_COUNTS, customers, _snapshot_bytes
-        ),
-        measure(
-            "voter: ledger in memory",
-            "finished calls",
-            "bytes",
-            LEDGER_COUNTS,
-            KEPT_LEDGER_CALLS,
-            lambda count: memory_bytes(lambda: _build_ledger(count)),
-        ),
-        measure(
-            "leader: a ledger command",
-            "calls kept",
-            "us",
-            LEDGER_COUNTS,
-            KEPT_LEDGER_CALLS,
-            _ledger_time,
-        ),
-        measure(
-            "leader: append to a voter", "entries", "bytes", (1, 4, 16, 64), 256, _append_bytes
-        ),
-        measure("time line: one event", "events", "us", EVENT_COUNTS, 20_000, _timeline_time),
-        measure("time line: buffer", "events", "bytes", EVENT_COUNTS, 20_000, _timeline_memory),
-    ]
+CONTROL = (
+    Measurement("leader: one heartbeat", "nodes", "us", NODE_COUNTS, sizes.NODES, _heartbeat_time),
+    Measurement(
+        "leader: answer to a heartbeat",
+        "nodes",
+        "bytes",
+        NODE_COUNTS,
+        sizes.NODES,
+        _heartbeat_ack_bytes,
+    ),
+    Measurement("leader: one tick", "nodes", "us", NODE_COUNTS, sizes.NODES, _idle_tick_time),
+    Measurement(
+        "leader: a change to all nodes", "nodes", "us", NODE_COUNTS, sizes.NODES, _change_time
+    ),
+    Measurement(
+        "leader: a change of a team of 10 customers",
+        "nodes",
+        "bytes",
+        NODE_COUNTS,
+        sizes.NODES,
+        _change_bytes,
+    ),
+    Measurement(
+        "leader: one acknowledged change", "nodes", "us", NODE_COUNTS, sizes.NODES, _ack_time
+    ),
+    Measurement(
+        "node: delta of a changed team",
+        "customers of the team",
+        "bytes",
+        TEAM_CUSTOMERS,
+        CUSTOMERS_PER_TEAM,
+        _delta_bytes,
+    ),
+    Measurement(
+        "node: apply a small change",
+        "customers",
+        "us",
+        CUSTOMER_COUNTS,
+        sizes.CUSTOMERS,
+        _apply_time,
+    ),
+    Measurement(
+        "node: view in memory",
+        "customers",
+        "bytes",
+        CUSTOMER_COUNTS,
+        sizes.CUSTOMERS,
+        lambda count: memory_bytes(lambda: make_view(count)),
+    ),
+    Measurement(
+        "node: view snapshot",
+        "customers",
+        "bytes",
+        CUSTOMER_COUNTS,
+        sizes.CUSTOMERS,
+        _snapshot_bytes,
+    ),
+    Measurement(
+        "voter: ledger in memory",
+        "finished calls",
+        "bytes",
+        LEDGER_COUNTS,
+        KEPT_LEDGER_CALLS,
+        lambda count: memory_bytes(lambda: _build_ledger(count)),
+    ),
+    Measurement(
+        "leader: a ledger command",
+        "calls kept",
+        "us",
+        LEDGER_COUNTS,
+        KEPT_LEDGER_CALLS,
+        _ledger_time,
+    ),
+    Measurement(
+        "leader: append to a voter", "entries", "bytes", (1, 4, 16, 64), 256, _append_bytes
+    ),
+    Measurement("time line: one event", "events", "us", EVENT_COUNTS, 20_000, _timeline_time),
+    Measurement("time line: buffer", "events", "bytes", EVENT_COUNTS, 20_000, _timeline_memory),
+)
+"""Every slope of this part."""
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/core.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/core.py
@@ -9,7 +9,8 @@
 
 from marigoldarch.clock import Millis
 from marigoldarch.codec import decode_json, encode_json
-from marigoldarch.effects import Effect, Persist, Send
+from marigoldarch.control.durable import DurableState
+from marigoldarch.effects import Checkpoint, Effect, Persist, Send
 from marigoldarch.events import Event, MessageArrived, Persisted, Started, Tick
 from marigoldarch.identifiers import NodeAddress
 from marigoldarch.messages import MESSAGES, Heartbeat, Message, NodeLoad
@@ -19,6 +20,7 @@
 START_MS: Millis = 1000.0
 STEP_MS: Millis = 50.0
 BOOT_MS: Millis = 5000.0
+JOIN_MS: Millis = 200.0
 REPEATS = 3
 NS_PER_US = 1000.0
 
@@ -40,8 +42,7 @@
         settings = CoreSettings(own, (own.node,), addresses, "run1", 1)
         self.addresses = addresses
         self.now_ms: Millis = START_MS
-        self.state = NodeState(settings)
-        self.others_effects: list[Effect] = []
+        self.state = NodeState(settings, DurableState(replica_id="replica1"))
         self.submit(Started(self.now_ms))
         self.advance(BOOT_MS)
 
@@ -55,7 +56,7 @@
         others: list[Effect] = []
         for effect in reduce(self.state, event):
             match effect:
-                case Persist(persist_id=persist_id):
+                case Persist(persist_id=persist_id) | Checkpoint(persist_id=persist_id):
                     others += self.submit(Persisted(self.now_ms, persist_id))
                 case Send(node=self.node, message=message):
                     others += self.submit(MessageArrived(self.now_ms, self.node, message))
@@ -87,9 +88,13 @@
         return Heartbeat(load, f"run{number}", revision, [], self.now_ms)
 
     def join_all(self) -> None:
-        """Let every other node open its session."""
+        """Let every other node become known and open its session."""
         for number in range(1, len(self.addresses)):
             self.heartbeat(number)
+        if len(self.state.control.machine.nodes) < len(self.addresses):
+            self.advance(JOIN_MS)
+            for number in range(1, len(self.addresses)):
+                self.heartbeat(number)
 
 
 def encode(message: Message) -> bytes:
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/limits.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/limits.py
@@ -21,7 +21,7 @@
 from marigoldarch_fakes.capacity.roles import LIMITED_REQUESTS as REQUESTS
 from marigoldarch_fakes.capacity.roles import SUBJECTS_PER_REQUEST
 from marigoldarch_fakes.capacity.serving import announce_pool, make_call
-from marigoldarch_fakes.capacity.slopes import Slope, measure
+from marigoldarch_fakes.capacity.slopes import Measurement
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -109,40 +109,39 @@
     return len(encode(ask)) + len(encode(LimitAnswer(1, 1000.0, shares)))
 
 
-def limit_slopes() -> list[Slope]:
-    """Measure every slope of the limits."""
-    return [
-        measure(
-            f"entry: one tick with {REQUESTS} limited requests",
-            "nodes",
-            "us",
-            NODE_COUNTS,
-            sizes.NODES,
-            _tick_time,
-        ),
-        measure(
-            f"entry: a second of renewals of {REQUESTS} limited requests",
-            "nodes",
-            "bytes",
-            NODE_COUNTS,
-            sizes.NODES,
-            _tick_bytes,
-        ),
-        measure("keeper: one loan", "subjects", "us", SUBJECT_COUNTS, NODE_SUBJECTS, _lend_time),
-        measure(
-            "limits: an ask and its answer",
-            "subjects",
-            "bytes",
-            SUBJECT_COUNTS,
-            SUBJECTS_PER_REQUEST,
-            _ask_bytes,
-        ),
-        measure(
-            "keeper: accounts in memory",
-            "subjects",
-            "bytes",
-            SUBJECT_COUNTS,
-            NODE_SUBJECTS,
-            lambda count: memory_bytes(lambda: _keeper(count)),
-        ),
-    ]
+LIMITS = (
+    Measurement(
+        f"entry: one tick with {REQUESTS} limited requests",
+        "nodes",
+        "us",
+        NODE_COUNTS,
+        sizes.NODES,
+        _tick_time,
+    ),
+    Measurement(
+        f"entry: a second of renewals of {REQUESTS} limited requests",
+        "nodes",
+        "bytes",
+        NODE_COUNTS,
+        sizes.NODES,
+        _tick_bytes,
+    ),
+    Measurement("keeper: one loan", "subjects", "us", SUBJECT_COUNTS, NODE_SUBJECTS, _lend_time),
+    Measurement(
+        "limits: an ask and its answer",
+        "subjects",
+        "bytes",
+        SUBJECT_COUNTS,
+        SUBJECTS_PER_REQUEST,
+        _ask_bytes,
+    ),
+    Measurement(
+        "keeper: accounts in memory",
+        "subjects",
+        "bytes",
+        SUBJECT_COUNTS,
+        NODE_SUBJECTS,
+        lambda count: memory_bytes(lambda: _keeper(count)),
+    ),
+)
+"""Every slope of this part."""
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/serving.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/serving.py
@@ -32,7 +32,7 @@
     node_address,
     sent_bytes,
 )
-from marigoldarch_fakes.capacity.slopes import Slope, measure
+from marigoldarch_fakes.capacity.slopes import Measurement
 
 TARGET_COUNTS = (20, 40, 80, 160)
 REQUEST_COUNTS = (50, 100, 200, 400)
@@ -176,8 +176,14 @@
     return best_time_us(lambda: driver.advance(50.0), TIMED_RUNS)
 
 
-def _held_bytes(requests: int) -> float:
+def _renewal_bytes(requests: int) -> float:
     """Return the bytes of one renewal of all permits of an entry."""
+    permits = [PermitId(120_000, number) for number in range(requests)]
+    return len(encode(PermitsHeld(POOL, 1, [], permits)))
+
+
+def _recovery_bytes(requests: int) -> float:
+    """Return the bytes with which an entry tells a new scheduler of all its permits."""
     targets = [TargetAddress("engine00001", "run1", "10.9.0.1:21001")]
     held = [
         HeldPermit(PermitId(120_000, number), make_item(number), targets)
@@ -207,85 +213,106 @@
     return len(msgspec.json.encode(found._asdict()))
 
 
-def serving_slopes() -> list[Slope]:
-    """Measure every slope of the serving part."""
-    targets = sizes.POOL_TARGETS
-    active = sizes.NODE_ACTIVE_REQUESTS
-    nodes = sizes.NODES
-    return [
-        measure(
-            "scheduler: a target's report", "targets", "us", TARGET_COUNTS, targets, _report_time
-        ),
-        measure(
-            "scheduler: grant and release", "targets", "us", TARGET_COUNTS, targets, _grant_time
-        ),
-        measure(
-            "scheduler: one tick", "targets", "us", TARGET_COUNTS, targets, _scheduler_tick_time
-        ),
-        measure(
-            "permit messages of all requests",
-            "requests",
-            "bytes",
-            REQUEST_COUNTS,
-            sizes.NODE_REQUESTS_PER_S,
-            _permit_bytes,
-        ),
-        measure(
-            "entry and scheduler: a whole request",
-            "requests in progress",
-            "us",
-            REQUEST_COUNTS,
-            active,
-            _request_time,
-        ),
-        measure(
-            "entry: one tick",
-            "requests in progress",
-            "us",
-            REQUEST_COUNTS,
-            active,
-            _entry_tick_time,
-        ),
-        measure(
-            "entry: one renewal of permits",
-            "requests in progress",
-            "bytes",
-            REQUEST_COUNTS,
-            active,
-            _held_bytes,
-        ),
-        measure(
-            "entry: requests in memory",
-            "requests in progress",
-            "bytes",
-            REQUEST_COUNTS,
-            active,
-            lambda count: memory_bytes(lambda: make_entry(count)),
-        ),
-        measure(
-            "scheduler: pool in memory",
-            "targets",
-            "bytes",
-            TARGET_COUNTS,
-            targets,
-            lambda count: memory_bytes(lambda: make_pool(count)),
-        ),
-        measure(
-            "directory: loads in memory",
-            "nodes",
-            "bytes",
-            NODE_COUNTS,
-            nodes,
-            lambda count: memory_bytes(lambda: _loads(count)),
-        ),
-        measure(
-            "a target's report",
-            "streams on the target",
-            "bytes",
-            STREAM_COUNTS,
-            TARGET_STREAMS,
-            _announcement_bytes,
-        ),
-        measure("directory: one answer", "nodes", "us", NODE_COUNTS, nodes, _directory_time),
-        measure("directory: one answer", "nodes", "bytes", NODE_COUNTS, nodes, _directory_bytes),
-    ]
+SERVING = (
+    Measurement(
+        "scheduler: a target's report",
+        "targets",
+        "us",
+        TARGET_COUNTS,
+        sizes.POOL_TARGETS,
+        _report_time,
+    ),
+    Measurement(
+        "scheduler: grant and release",
+        "targets",
+        "us",
+        TARGET_COUNTS,
+        sizes.POOL_TARGETS,
+        _grant_time,
+    ),
+    Measurement(
+        "scheduler: one tick",
+        "targets",
+        "us",
+        TARGET_COUNTS,
+        sizes.POOL_TARGETS,
+        _scheduler_tick_time,
+    ),
+    Measurement(
+        "permit messages of all requests",
+        "requests",
+        "bytes",
+        REQUEST_COUNTS,
+        sizes.NODE_REQUESTS_PER_S,
+        _permit_bytes,
+    ),
+    Measurement(
+        "entry and scheduler: a whole request",
+        "requests in progress",
+        "us",
+        REQUEST_COUNTS,
+        sizes.NODE_ACTIVE_REQUESTS,
+        _request_time,
+    ),
+    Measurement(
+        "entry: one tick",
+        "requests in progress",
+        "us",
+        REQUEST_COUNTS,
+        sizes.NODE_ACTIVE_REQUESTS,
+        _entry_tick_time,
+    ),
+    Measurement(
+        "entry: one renewal of permits",
+        "requests in progress",
+        "bytes",
+        REQUEST_COUNTS,
+        sizes.NODE_ACTIVE_REQUESTS,
+        _renewal_bytes,
+    ),
+    Measurement(
+        "entry: permits for a new scheduler",
+        "requests in progress",
+        "bytes",
+        REQUEST_COUNTS,
+        sizes.NODE_ACTIVE_REQUESTS,
+        _recovery_bytes,
+    ),
+    Measurement(
+        "entry: requests in memory",
+        "requests in progress",
+        "bytes",
+        REQUEST_COUNTS,
+        sizes.NODE_ACTIVE_REQUESTS,
+        lambda count: memory_bytes(lambda: make_entry(count)),
+    ),
+    Measurement(
+        "scheduler: pool in memory",
+        "targets",
+        "bytes",
+        TARGET_COUNTS,
+        sizes.POOL_TARGETS,
+        lambda count: memory_bytes(lambda: make_pool(count)),
+    ),
+    Measurement(
+        "directory: loads in memory",
+        "nodes",
+        "bytes",
+        NODE_COUNTS,
+        sizes.NODES,
+        lambda count: memory_bytes(lambda: _loads(count)),
+    ),
+    Measurement(
+        "a target's report",
+        "streams on the target",
+        "bytes",
+        STREAM_COUNTS,
+        TARGET_STREAMS,
+        _announcement_bytes,
+    ),
+    Measurement("directory: one answer", "nodes", "us", NODE_COUNTS, sizes.NODES, _directory_time),
+    Measurement(
+        "directory: one answer", "nodes", "bytes", NODE_COUNTS, sizes.NODES, _directory_bytes
+    ),
+)
+"""Every slope of this part."""
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/slopes.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/slopes.py
@@ -67,14 +67,17 @@
     return f"{cost:.3g}"
 
 
-def measure(
-    name: str,
-    size_name: str,
-    unit: str,
-    sizes: tuple[int, ...],
-    target_size: float,
-    cost: Callable[[int], float],
-) -> Slope:
-    """Measure a cost at each size."""
-    points = tuple(Point(size, cost(size)) for size in sizes)
-    return Slope(name, size_name, unit, points, target_size)
+class Measurement(NamedTuple):
+    """How to measure one slope: `cost` at each of the sizes."""
+
+    name: str
+    size_name: str
+    unit: str
+    sizes: tuple[int, ...]
+    target_size: float
+    cost: Callable[[int], float]
+
+    def run(self) -> Slope:
+        """Measure the cost at each size."""
+        points = tuple(Point(size, self.cost(size)) for size in self.sizes)
+        return Slope(self.name, self.size_name, self.unit, points, self.target_size)
