--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/refusals.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/refusals.py
@@ -22,7 +22,7 @@
 from marigoldarch_fakes.cluster import LocalCluster
 
 KEY = "harbor-demo-key"
-CALL_INTERVAL_S = 0.02
+CALL_INTERVAL_S = 0.05
 BEFORE_S = 1.0
 AFTER_S = 6.0
 READY_TIMEOUT_S = 20.0
@@ -46,6 +46,7 @@
     node: str
     at_s: float
     result: str
+    took_s: float
 
 
 class Probe:
@@ -53,8 +54,8 @@
 
     def __init__(self, cluster: LocalCluster) -> None:
         self._cluster = cluster
-        self._pool = httpcore.AsyncConnectionPool(max_connections=500)
-        self.outcomes: list[tuple[str, float, str]] = []
+        self._pools = {name: httpcore.AsyncConnectionPool() for name in cluster.nodes}
+        self.outcomes: list[Outcome] = []
 
     async def run(self, names: list[str]) -> None:
         """Call the nodes until cancelled."""
@@ -71,19 +72,21 @@
     async def call(self, name: str, address: str) -> None:
         """Make one call and note its outcome."""
         sent_s = trio.current_time()
+        result = "waiting at the end"
         try:
-            response = await self._pool.request(
+            response = await self._pools[name].request(
                 "POST",
                 f"http://{address}/v1/services/gradebook/status",
                 headers={"authorization": f"Bearer {KEY}", "content-type": "application/json"},
                 content=b"{}",
             )
+            body = decode_json(response.content)
+            result = "answered" if response.status == 200 else str(body["error"]["type"])
         except (httpcore.NetworkError, httpcore.ProtocolError):
-            self.outcomes.append((name, sent_s, "no connection"))
-            return
-        body = decode_json(response.content)
-        result = "answered" if response.status == 200 else str(body["error"]["type"])
-        self.outcomes.append((name, sent_s, result))
+            result = "no connection"
+        finally:
+            took_s = trio.current_time() - sent_s
+            self.outcomes.append(Outcome(name, sent_s, result, took_s))
 
 
 def measure_once(nodes: int) -> list[Outcome]:
@@ -114,7 +117,7 @@
         cluster.kill(cluster.nodes[leader].process)
         await trio.sleep(AFTER_S)
         nursery.cancel_scope.cancel()
-    return [Outcome(name, at_s - killed_s, result) for name, at_s, result in probe.outcomes]
+    return [item._replace(at_s=item.at_s - killed_s) for item in probe.outcomes]
 
 
 async def _wait_until_serving(cluster: LocalCluster, folder: Path) -> None:
@@ -142,7 +145,7 @@
     probe = Probe(cluster)
     for name, node in cluster.nodes.items():
         await probe.call(name, node.caller_address)
-    return all(result == "answered" for _, _, result in probe.outcomes)
+    return all(item.result == "answered" for item in probe.outcomes)
 
 
 async def _find_leader(cluster: LocalCluster) -> str:
@@ -158,15 +161,24 @@
 def main(runs: int = 5, nodes: int = 5) -> None:
     """Kill the leader of several clusters; print outcomes and each node's refusal window."""
     for run in range(1, runs + 1):
-        outcomes = measure_once(nodes)
-        after = [outcome for outcome in outcomes if outcome.at_s >= 0]
+        after = [outcome for outcome in measure_once(nodes) if outcome.at_s >= 0]
         counts = Counter(outcome.result for outcome in after)
-        bad = [outcome for outcome in after if outcome.result != "answered"]
-        windows = []
-        for name in sorted({outcome.node for outcome in bad}):
-            times = [outcome.at_s for outcome in bad if outcome.node == name]
-            windows.append(f"{name} {min(times):.2f} to {max(times):.2f} s")
-        print(f"run {run}: {dict(counts)}; {', '.join(windows) or 'no refusal'}", flush=True)
+        print(f"run {run}: {dict(counts)}, {_describe_waits(after)}; {_describe_refusals(after)}")
+        sys.stdout.flush()
+
+
+def _describe_waits(outcomes: list[Outcome]) -> str:
+    times = sorted(outcome.took_s for outcome in outcomes)
+    return f"longest wait {times[-1]:.2f} s, median {times[len(times) // 2] * 1000:.0f} ms"
+
+
+def _describe_refusals(outcomes: list[Outcome]) -> str:
+    refused = [item for item in outcomes if item.result not in ("answered", "waiting at the end")]
+    windows: list[str] = []
+    for name in sorted({outcome.node for outcome in refused}):
+        times = [outcome.at_s for outcome in refused if outcome.node == name]
+        windows.append(f"{name} refuses from {min(times):.2f} to {max(times):.2f} s")
+    return ", ".join(windows) or "no refusal"
 
 
 if __name__ == "__main__":
