--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format capacity settings-page bench
+.PHONY: setup demo test lint format bench capacity settings-page
 
 setup: $(VENV)/.stamp
 
@@ -27,11 +27,11 @@
 	$(BIN)/ruff check --fix packages tools
 	$(BIN)/black --quiet packages tools
 
+bench: setup
+	$(BIN)/python -m marigoldarch_fakes.bench
+
 capacity: setup
 	$(BIN)/python -m marigoldarch_fakes.capacity
 
 settings-page: setup
 	$(BIN)/python -m marigoldarch_node.config.page docs/user-guide/settings.md
-
-bench: setup
-	$(BIN)/python -m marigoldarch_fakes.bench
