--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/roles.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/roles.py
@@ -15,7 +15,6 @@
 LEDGER_CALLS_PER_S = 100.0
 """Non-idempotent calls that the ledger rows are worked out for; each is two commands."""
 
-LIMITED_REQUESTS = 100
 SUBJECTS_PER_REQUEST = 3
 VOTERS = 5
 HTTP_SERVER_MS = 0.48
@@ -72,6 +71,7 @@
         _scheduler(costs),
         _announcements(costs),
         _limits(costs),
+        _keeper(costs),
         _member(costs),
         _timeline(costs),
         _leader(costs),
@@ -145,21 +145,37 @@
 
 def _limits(costs: Costs) -> RoleCost:
     requests = sizes.NODE_REQUESTS_PER_S
-    share = sizes.NODE_ACTIVE_REQUESTS / LIMITED_REQUESTS
-    ask_bytes = costs.at("limits: an ask and its answer", "bytes")
-    renewal_bytes = costs.at(
-        f"entry: a second of renewals of {LIMITED_REQUESTS} limited requests", "bytes"
+    renewed = sizes.NODE_ACTIVE_REQUESTS
+    ask = ("limits: an ask and its answer", "bytes")
+    asks_bytes = requests * costs.at(*ask, size=SUBJECTS_PER_REQUEST)
+    tick_ms = costs.at("entry and keeper: one tick", "us") / 1000
+    plain_tick_ms = costs.at("entry: one tick", "us") / 1000
+    return RoleCost(
+        "limits, at the entry",
+        "every node",
+        f"shares of {renewed:.0f} customers",
+        2 * SUBJECTS_PER_REQUEST * requests + 2 * VOTERS,
+        asks_bytes + RENEWALS_PER_S * costs.at(*ask, size=renewed),
+        TICKS_PER_S * max(0.0, tick_ms - plain_tick_ms),
+        0.0,
     )
-    tick_ms = costs.at(f"entry: one tick with {LIMITED_REQUESTS} limited requests", "us") / 1000
+
+
+def _keeper(costs: Costs) -> RoleCost:
+    asks = SUBJECTS_PER_REQUEST * sizes.REQUESTS_PER_S / VOTERS
+    renewals = RENEWALS_PER_S * sizes.NODE_ACTIVE_REQUESTS * sizes.NODES / VOTERS
+    ask = ("limits: an ask and its answer", "bytes")
+    asks_bytes = asks * costs.at(*ask, size=1)
+    renewal_bytes = sizes.NODES * costs.at(*ask, size=sizes.NODE_ACTIVE_REQUESTS / VOTERS)
     loan_ms = costs.at("keeper: one loan", "us") / 1000
     return RoleCost(
-        "limits (each request under three)",
-        "every node",
-        f"{sizes.CUSTOMERS / sizes.NODES:.0f} accounts kept",
-        2 * SUBJECTS_PER_REQUEST * requests,
-        requests * ask_bytes + share * renewal_bytes,
-        TICKS_PER_S * share * tick_ms + SUBJECTS_PER_REQUEST * requests * loan_ms,
-        costs.at("keeper: accounts in memory", "bytes"),
+        "limits, at the keeper",
+        f"{VOTERS} control hosts",
+        f"{sizes.CUSTOMERS // VOTERS:,} accounts at most",
+        2 * (asks + sizes.NODES),
+        asks_bytes + RENEWALS_PER_S * renewal_bytes,
+        (asks + renewals) * loan_ms + asks * LINK_BATCH_MS,
+        costs.at("keeper: accounts in memory", "bytes", sizes.CUSTOMERS / VOTERS),
     )
 
 
