--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/broken_pools_tests.py
@@ -0,0 +1,161 @@
+"""Every predicate of permits, gangs and reconciliation catches its fault."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from contextlib import nullcontext
+from typing import Any
+from unittest.mock import PropertyMock, patch
+
+from marigoldarch import reducer
+from marigoldarch.control.member import Member
+from marigoldarch.effects import Effect, ReleaseMemory
+from marigoldarch.entry import reducer as entry_reducer
+from marigoldarch.entry.request import Request
+from marigoldarch.entry.stream import Frame, StreamCheck
+from marigoldarch.events import MessageArrived
+from marigoldarch.messages import PermitsHeld, TargetReport
+from marigoldarch.tests.fuzz.broken import run_script
+from marigoldarch.tests.fuzz.permits_tests import GANG_PROMPT, POOL, SHORT_PROMPT, PermitMachine
+
+
+def hang_engines(machine: PermitMachine) -> None:
+    """Let no engine finish what it begins."""
+    for number in range(3):
+        machine.disturb_engine(number, "hang", 0)
+
+
+def find_scheduler(machine: PermitMachine) -> str:
+    """Return the node that holds the pool."""
+    cluster = machine.cluster
+    for name in cluster.running:
+        if cluster.nodes[name].state.control.member.holds_pool(POOL, cluster.local_ms(name)):
+            return name
+    raise AssertionError("no node holds the pool")
+
+
+def lose_scheduler(machine: PermitMachine) -> None:
+    """Kill the scheduler while another node's prompts run."""
+    scheduler = find_scheduler(machine)
+    entry = next(name for name in machine.cluster.running if name != scheduler)
+    hang_engines(machine)
+    machine.ask(machine.cluster.running.index(entry), SHORT_PROMPT, 2)
+    machine.advance(300.0)
+    machine.kill_scheduler()
+    machine.advance(4500.0)
+
+
+def lose_entry(machine: PermitMachine) -> None:
+    """Kill an entry node while its gang and its short prompts run."""
+    scheduler = find_scheduler(machine)
+    entry = next(name for name in machine.cluster.running if name != scheduler)
+    number = machine.cluster.running.index(entry)
+    machine.ask(number, SHORT_PROMPT, 2)
+    machine.ask(number, GANG_PROMPT, 1)
+    hang_engines(machine)
+    machine.advance(300.0)
+    machine.cluster.kill(entry)
+
+
+def hang_until_deadline(machine: PermitMachine) -> None:
+    """Let prompts run to their deadline without an answer."""
+    hang_engines(machine)
+    machine.ask(0, SHORT_PROMPT, 2)
+    machine.advance(6000.0)
+
+
+def answer_one(machine: PermitMachine) -> None:
+    """Let a prompt be answered."""
+    machine.ask(0, SHORT_PROMPT, 1)
+    machine.advance(1000.0)
+
+
+def drain_engine_under_load(machine: PermitMachine) -> None:
+    """Send prompts long after an engine has begun to leave."""
+    machine.drain_engine(0)
+    for _ in range(18):
+        machine.ask(0, SHORT_PROMPT, 4)
+        machine.advance(500.0)
+
+
+def cut_scheduler_off(machine: PermitMachine) -> None:
+    """Cut the scheduler off for so long that the pool is assigned anew."""
+    machine.cluster.isolate(find_scheduler(machine))
+    machine.advance(8000.0)
+
+
+def reduce_pools_with(
+    change_event: Callable[[Any], Any] = lambda event: event,
+    keeps: Callable[[Effect], bool] = lambda effect: True,
+) -> Any:
+    """Return a patch of the pools' reducer that changes its events or drops its effects."""
+    original = reducer.reduce_pools
+
+    def reduce_pools(state: Any, event: Any, *rest: Any, **fields: Any) -> list[Effect]:
+        changed = change_event(event)
+        effects = original(state, changed, *rest, **fields) if changed is not None else []
+        return [effect for effect in effects if keeps(effect)]
+
+    return patch.object(reducer, "reduce_pools", reduce_pools)
+
+
+class BrokenPoolTests(unittest.TestCase):
+    """Broken variants of pools and of the entry's side of prompts."""
+
+    def assert_caught(self, fault: Any, script: Any, breach: str) -> None:
+        """Assert that a script breaks as named with the fault, and holds without it."""
+        self.assertIn(breach, run_script(PermitMachine, fault, script))
+        self.assertEqual(run_script(PermitMachine, nullcontext(), script), "")
+
+    def test_forgetting_permits_of_the_earlier_scheduler_is_caught(self) -> None:
+        def without_permits(event: Any) -> Any:
+            is_list = isinstance(event, MessageArrived) and isinstance(event.message, PermitsHeld)
+            return None if is_list else event
+
+        self.assert_caught(reduce_pools_with(without_permits), lose_scheduler, "the live permit")
+
+    def test_leaving_orphans_alone_is_caught(self) -> None:
+        fault = reduce_pools_with(keeps=lambda effect: not isinstance(effect, ReleaseMemory))
+        self.assert_caught(fault, lose_entry, "memory is lost")
+
+    def test_calling_a_sent_prompt_not_run_is_caught(self) -> None:
+        fault = patch.object(Request, "may_have_run", PropertyMock(return_value=False))
+        self.assert_caught(fault, hang_until_deadline, "but was run")
+
+    def test_missing_a_deadline_is_caught(self) -> None:
+        fault = patch.object(entry_reducer, "_stop", lambda *args: [])
+        self.assert_caught(fault, hang_until_deadline, "no outcome by their deadline")
+
+    def test_ending_a_stream_early_is_caught(self) -> None:
+        original = StreamCheck.accept
+
+        def end_early(check: StreamCheck, frame: Frame) -> bool:
+            is_passed = original(check, frame)
+            check._is_ended = check._is_ended or is_passed
+            return is_passed
+
+        fault = patch.object(StreamCheck, "accept", end_early)
+        self.assert_caught(fault, answer_one, "received [0]")
+
+    def test_new_work_for_a_leaving_engine_is_caught(self) -> None:
+        def never_leaving(event: Any) -> Any:
+            if isinstance(event, MessageArrived) and isinstance(event.message, TargetReport):
+                report = event.message
+                announcement = {**report.announcement, "is_leaving": False}
+                changed = TargetReport(report.pool, announcement)
+                return MessageArrived(event.at_ms, event.sender, changed)
+            return event
+
+        fault = reduce_pools_with(never_leaving)
+        self.assert_caught(fault, drain_engine_under_load, "got new work")
+
+    def test_scheduling_without_a_lease_is_caught(self) -> None:
+        original = Member.holds_pool
+
+        def holds_for_good(member: Member, pool: Any, now_ms: float) -> bool:
+            with patch.object(Member, "has_lease", lambda *args: True):
+                return original(member, pool, now_ms)
+
+        fault = patch.object(Member, "holds_pool", holds_for_good)
+        self.assert_caught(fault, cut_scheduler_off, "several nodes hold")
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/run.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/run.py
@@ -16,6 +16,7 @@
 from marigoldarch.tests.fuzz.ledger_tests import LedgerMachine
 from marigoldarch.tests.fuzz.log_tests import LogMachine
 from marigoldarch.tests.fuzz.machine import CI_SETTINGS, STATISTICS, ClusterMachine
+from marigoldarch.tests.fuzz.permits_tests import PermitMachine
 
 RULES_PER_EXAMPLE = 50
 
@@ -23,6 +24,7 @@
     "log": LogMachine,
     "declarations": DeclarationMachine,
     "ledger": LedgerMachine,
+    "permits": PermitMachine,
 }
 
 
