--- a/packages/marigoldarch/marigoldarch/tests/fuzz/fake_engines.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/fake_engines.py
@@ -221,7 +221,7 @@
             case "repeat":
                 return [frame for frame in frames for _ in range(2)]
             case "cross":
-                strange = [
+                return [
                     mixed
                     for frame in frames
                     for mixed in (
@@ -230,7 +230,6 @@
                         frame,
                     )
                 ]
-                return strange
             case _:
                 return frames
 
