Look for the new leader at once

Change: an unanswered heartbeat is sent to the next voter after 300 ms, and after 100 ms where a voter knows no leader. Leases of schedulers and their recovery set the longest wait.

--- a/packages/marigoldarch/marigoldarch/control/member.py
+++ b/packages/marigoldarch/marigoldarch/control/member.py
@@ -31,7 +31,8 @@
         self._leader = ""
         self._voter_turn = 0
         self._heartbeat_due_ms: Millis = 0.0
-        self._unanswered = 0
+        self._is_answered = True
+        self._sent_ms: Millis = 0.0
         self._nodes: dict[str, NodeLoad] = {}
         self._wanted_pools: set[PoolId] = set()
         self._relinquished: dict[PoolId, int] = {}
@@ -108,17 +109,20 @@
 
     def tick(self, now_ms: Millis, active: int, is_leaving: bool) -> list[Effect]:
         """Send a heartbeat when one is due."""
-        if now_ms < self._heartbeat_due_ms or self._has_left:
+        if self._has_left:
             return []
-        if self._unanswered >= 2:
+        is_overdue = not self._is_answered and now_ms >= self._sent_ms + self._retry_ms
+        if is_overdue:
             self.forget_leader()
+        elif now_ms < self._heartbeat_due_ms:
+            return []
         return self._send_heartbeat(now_ms, active, is_leaving)
 
     def forget_leader(self) -> None:
         """Try the next voter."""
         self._leader = ""
         self._voter_turn += 1
-        self._unanswered = 0
+        self._is_answered = True
 
     def on_not_leader(self, message: NotLeader) -> None:
         """Follow a hint to the leader, or try the next voter."""
@@ -127,11 +131,12 @@
             self._heartbeat_due_ms = float("-inf")
         else:
             self.forget_leader()
+            self._heartbeat_due_ms = self._sent_ms + self._settings.control.join_retry_ms
 
     def on_heartbeat_ack(self, sender: str, ack: HeartbeatAck, now_ms: Millis) -> list[Effect]:
         """Take the lease, if the view is as new as the leader's was."""
         self._leader = sender
-        self._unanswered = 0
+        self._is_answered = True
         if ack.nodes:
             self._nodes = {load.address.node: load for load in ack.nodes}
         if ack.lease_ms <= 0:
@@ -171,9 +176,14 @@
             effects.append(Record("revision", {"revision": revision}))
         return effects
 
+    @property
+    def _retry_ms(self) -> Millis:
+        return self._settings.control.heartbeat_retry_ms
+
     def _send_heartbeat(self, now_ms: Millis, active: int, is_leaving: bool) -> list[Effect]:
         self._heartbeat_due_ms = now_ms + self._settings.control.heartbeat_interval_ms
-        self._unanswered += 1
+        self._is_answered = False
+        self._sent_ms = now_ms
         heartbeat = Heartbeat(
             NodeLoad(self._settings.address, active, is_leaving),
             self._settings.incarnation,
--- a/packages/marigoldarch/marigoldarch/settings.py
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -17,6 +17,7 @@
     election_timeout_max_ms: Millis = 1200.0
     session_lease_ms: Millis = 2000.0
     heartbeat_interval_ms: Millis = 500.0
+    heartbeat_retry_ms: Millis = 300.0
     clock_drift_ms: Millis = 50.0
     proposal_retry_ms: Millis = 300.0
     append_batch_entries: int = 256
