--- a/packages/marigoldarch/marigoldarch/entry/ledger_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/ledger_calls.py
@@ -10,6 +10,7 @@
     LedgerAbandon,
     LedgerAnswered,
     LedgerFinish,
+    LedgerFull,
     LedgerMismatch,
     LedgerRunning,
     LedgerStart,
@@ -47,6 +48,7 @@
         call.request_id,
         attempt.targets[0].target,
         call.wall_ms + int(request.deadline_ms - request.began_ms),
+        int(request.deadline_ms - now_ms),
     )
     step = f"start-{attempt.number}"
     return _propose(state, request, step, command, now_ms, request.deadline_ms)
@@ -75,6 +77,8 @@
             return Answered(answer, replayed=True)
         case LedgerMismatch():
             return NotRun(RefusalReason.IDEMPOTENCY_KEY_REUSED)
+        case LedgerFull(retry_after_ms=retry_after_ms):
+            return NotRun(RefusalReason.LEDGER_UNAVAILABLE, float(retry_after_ms))
         case LedgerRunning():
             return OutcomeUnknown(FailureReason.RUNNING_ELSEWHERE)
         case _:
