--- a/packages/marigoldarch-fakes/marigoldarch_fakes/bench/pooled.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/bench/pooled.py
@@ -9,6 +9,7 @@
 from marigoldarch.effects import Effect, OrderTarget, ReleaseMemory, Send
 from marigoldarch.identifiers import PermitId, PoolId
 from marigoldarch.messages import (
+    CacheReport,
     HeldPermit,
     PermitGranted,
     PermitRefused,
@@ -89,10 +90,18 @@
             self._carry_out(scheduler.tick(now_ms), now_ms)
 
     def _load(self, report: LoadReport) -> TargetLoad:
-        return TargetLoad(report.streams - report.waiting, report.waiting, report.used_tokens)
+        running = report.streams - report.waiting
+        return TargetLoad(running, report.waiting, report.used_tokens, report.pending_tokens)
 
     def _report_cache(self, scheduler: Any, report: LoadReport, now_ms: Millis) -> None:
-        """Publish cache events, where the scheduler takes them."""
+        if not hasattr(scheduler, "report_cache"):
+            return
+        sequence = self._sequences.get(report.engine, 0) + 1
+        self._sequences[report.engine] = sequence
+        events = CacheReport(
+            scheduler.pool, report.engine, sequence, list(report.stored), list(report.removed)
+        )
+        self._carry_out(scheduler.report_cache(events, now_ms), now_ms)
 
     def _scheduler_of(self, job: Job) -> Any:
         return self._schedulers[job.entry % self._pools]
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/bench/runs.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/bench/runs.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from marigoldarch.clock import Millis
+from marigoldarch.pools.scheduler import PoolScheduler
 from marigoldarch.settings import PoolSettings
 from marigoldarch_fakes.bench.baselines import BASELINES, BaselinePolicy
 from marigoldarch_fakes.bench.greedy import GreedyScheduler
@@ -15,7 +16,13 @@
 from marigoldarch_fakes.bench.simulation import Outcome, Policy, Simulation
 
 PREVIOUS = "previous version"
-POLICIES = (*BASELINES, PREVIOUS)
+OURS = "ours"
+OURS_TTFT = "ours, all lengths"
+OURS_SHORT = "ours, short first"
+OBJECTIVES = {OURS: PoolSettings().short_weight, OURS_TTFT: 0.0, OURS_SHORT: 1.0}
+"""The objective (`short_weight`) of each setting of the scheduler."""
+
+POLICIES = (*BASELINES, PREVIOUS, *OBJECTIVES)
 LOADS = (0.5, 0.8, 0.95, 1.2)
 SEEDS = (1, 2, 3, 4, 5)
 DURATION_MS: Millis = 300_000.0
@@ -31,6 +38,7 @@
     load: float
     seed: int
     duration_ms: Millis = DURATION_MS
+    options: dict[str, Any] = {}
 
 
 class RunResult(NamedTuple):
@@ -55,8 +63,15 @@
     """Build the policy that a run names."""
     if run.policy in BASELINES:
         return BaselinePolicy(run.policy, simulation, run.seed)
+    if run.policy == PREVIOUS:
+        return PooledPolicy(
+            simulation, lambda pool, fence: GreedyScheduler(pool, fence, PoolSettings(), 0.0)
+        )
+    settings = PoolSettings(
+        short_weight=OBJECTIVES[run.policy], queued_silence_ms=float("inf"), **run.options
+    )
     return PooledPolicy(
-        simulation, lambda pool, fence: GreedyScheduler(pool, fence, PoolSettings(), 0.0)
+        simulation, lambda pool, fence: PoolScheduler(pool, fence, settings, 0.0, 0.0)
     )
 
 
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -280,6 +280,7 @@
 
     `asked_ms` echoes the latest `PermitRequest`: an entry uses no grant whose request it sent too
     long ago, so that the scheduler may drop a permit that its entry has not listed for longer.
+    `priority` is the one to give the engines (0 goes first), None for the rank of the kind.
     """
 
     pool: PoolId
@@ -288,6 +289,7 @@
     permit: PermitId
     targets: list[TargetAddress]
     asked_ms: Millis = 0.0
+    priority: int | None = None
 
 
 @dataclass(frozen=True)
@@ -323,13 +325,17 @@
 
 @dataclass(frozen=True)
 class PermitReleased:
-    """End a permit, or withdraw a request that still waits (`permit` is None)."""
+    """End a permit, or withdraw a request that still waits (`permit` is None).
+
+    `failed_target` names the member that failed, where the entry knows it.
+    """
 
     pool: PoolId
     request_id: str
     attempt: int
     permit: PermitId | None
     is_target_failure: bool = False
+    failed_target: str = ""
 
 
 class HeldPermit(NamedTuple):
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/pools/estimates.py
@@ -0,0 +1,110 @@
+"""Sizes and durations of work, as the scheduler expects them."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from marigoldarch.clock import Millis
+from marigoldarch.messages import WorkItem
+from marigoldarch.settings import PoolSettings
+
+URGENT_PRIORITY = 1
+"""The engine priority of work that would otherwise miss its deadline; short work still goes first.
+"""
+
+
+class Lane(StrEnum):
+    """The way through the pool, by prompt length; `HUGE` work gets its targets reserved.
+
+    Engines are kept for `SHORT` work or take `LONG` work and all that lies between.
+    """
+
+    SHORT = "short"
+    MEDIUM = "medium"
+    LONG = "long"
+    HUGE = "huge"
+
+
+TIERS = {lane: tier for tier, lane in enumerate(Lane)}
+"""The order in which engines prefill work of one rank."""
+
+
+class WorkSize(NamedTuple):
+    """What an item needs: tokens of memory and of prefill, and its cost in tokens."""
+
+    memory_tokens: int
+    prefill_tokens: int
+    cost_tokens: int
+
+
+def size_of(item: WorkItem, cached_tokens: int = 0) -> WorkSize:
+    """Return an item's size when `cached_tokens` of its prompt need no prefill."""
+    prefill = max(1, item.prompt_tokens - cached_tokens) if item.model else 0
+    memory = item.prompt_tokens + item.output_tokens if item.model else 0
+    return WorkSize(memory, prefill, max(1, prefill + item.output_tokens))
+
+
+def lane_of(item: WorkItem, settings: PoolSettings, largest_memory: int) -> Lane:
+    """Return an item's lane in a pool whose largest engine holds `largest_memory` tokens."""
+    size = size_of(item)
+    if item.prompt_tokens <= settings.short_prompt_tokens:
+        return Lane.SHORT
+    is_too_large = bool(largest_memory) and size.memory_tokens > largest_memory
+    if is_too_large or item.prompt_tokens > settings.long_prompt_tokens:
+        return Lane.HUGE
+    if item.prompt_tokens <= settings.medium_prompt_tokens:
+        return Lane.MEDIUM
+    return Lane.LONG
+
+
+def engine_priority(item: WorkItem, lane: Lane, *, is_urgent: bool = False) -> int:
+    """Return the priority on an engine: the rank of the kind first, then the size."""
+    priority = item.rank * len(TIERS) + TIERS[lane]
+    return min(priority, URGENT_PRIORITY) if is_urgent else priority
+
+
+def prefill_ms(tokens: int, settings: PoolSettings) -> Millis:
+    """Return how long an otherwise idle engine prefills `tokens`."""
+    return tokens * 1000.0 / settings.prefill_tokens_per_s
+
+
+class DecodeTime:
+    """The time a token of an answer takes, learned from permits that ended.
+
+    The estimate rises fast and falls slowly, so that it stays near the upper end of what was seen.
+    """
+
+    RISE = 0.1
+    FALL = 0.01
+
+    def __init__(self, initial_ms: Millis) -> None:
+        self._token_ms = dict.fromkeys((True, False), initial_ms)
+
+    def answer_ms(self, item: WorkItem, lane: Lane) -> Millis:
+        """Return how long the answer takes after its first token."""
+        return item.output_tokens * self._token_ms[lane is Lane.SHORT] if item.model else 0.0
+
+    def learn(self, lane: Lane, token_ms: Millis) -> None:
+        """Take the time a token took in an answer."""
+        is_short = lane is Lane.SHORT
+        known_ms = self._token_ms[is_short]
+        share = self.RISE if token_ms > known_ms else self.FALL
+        self._token_ms[is_short] = known_ms + share * (token_ms - known_ms)
+
+
+class Timing:
+    """Durations of work on the targets of a pool."""
+
+    def __init__(self, settings: PoolSettings) -> None:
+        self._settings = settings
+        self.decode = DecodeTime(settings.decode_token_ms)
+
+    def prefill_ms(self, tokens: int) -> Millis:
+        """Return how long an otherwise idle engine prefills `tokens`."""
+        return prefill_ms(tokens, self._settings)
+
+    def service_ms(self, item: WorkItem, lane: Lane, engines: int = 1) -> Millis:
+        """Return how long an item takes once it runs on `engines` engines."""
+        prefill = self.prefill_ms(size_of(item).prefill_tokens) / engines
+        return prefill + self.decode.answer_ms(item, lane)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/pools/fleet.py
@@ -0,0 +1,299 @@
+"""The targets of a pool with exact accounting, indexed so that a decision never scans them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from sortedcontainers import SortedList
+
+from marigoldarch.clock import Millis
+from marigoldarch.identifiers import PermitId, TargetAddress
+from marigoldarch.pools.estimates import TIERS, Lane
+from marigoldarch.pools.permits import Permit
+from marigoldarch.targets import Announcement
+
+REPORT_LAG_MS: Millis = 1000.0
+"""Grants as young as this may be missing from a load report."""
+
+ENGINE_LANES = (Lane.SHORT, Lane.LONG)
+"""What a target may be kept for."""
+
+GROUP_LIMIT = 64
+"""How many combinations of adapter and version are indexed at once."""
+
+
+class Capability(NamedTuple):
+    """What an item needs a target to have; empty strings match any."""
+
+    adapter: str = ""
+    version: str = ""
+
+    def matches(self, announcement: Announcement) -> bool:
+        """Return whether a target has it."""
+        has_adapter = not self.adapter or self.adapter in announcement.adapters
+        has_version = not self.version or self.version in announcement.versions
+        return has_adapter and has_version
+
+
+@dataclass(eq=False)
+class Target:
+    """A target and what the scheduler has granted on it.
+
+    `busy_until_ms` estimates for each tier when granted prefill of it and of the tiers before it,
+    which go first on the engine, is done.
+    """
+
+    announcement: Announcement
+    expires_ms: Millis
+    lane: Lane = Lane.SHORT
+    granted_tokens: int = 0
+    busy_until_ms: list[Millis] = field(default_factory=lambda: [0.0] * len(TIERS))
+    permits: dict[PermitId, Permit] = field(default_factory=dict)
+    recent_grants: deque[tuple[Millis, int]] = field(default_factory=deque)
+    is_set_aside: bool = False
+    is_probed: bool = False
+    is_loading: bool = False
+    reserved_ms: Millis | None = None
+    reserved_tokens: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the target's name."""
+        return self.announcement.target
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the target's whole memory."""
+        return self.announcement.memory_tokens
+
+    @property
+    def free_tokens(self) -> int:
+        """Return the memory that no permit has claimed."""
+        return self.announcement.memory_tokens - self.granted_tokens
+
+    @property
+    def granted_streams(self) -> int:
+        """Return how many permits the target serves."""
+        return len(self.permits)
+
+    @property
+    def address(self) -> TargetAddress:
+        """Return where the target listens."""
+        announced = self.announcement
+        return TargetAddress(announced.target, announced.incarnation, announced.address)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether new work may be placed here."""
+        if self.announcement.is_leaving or self.is_loading:
+            return False
+        return not self.is_set_aside or (self.is_probed and not self.permits)
+
+    def wait_ms(self, lane: Lane, now_ms: Millis) -> Millis:
+        """Return how long new work of a lane would wait for its prefill to start."""
+        return max(0.0, self.busy_until_ms[TIERS[lane]] - now_ms)
+
+    def add_work(self, lane: Lane, work_ms: Millis, now_ms: Millis) -> None:
+        """Count on prefill that was granted."""
+        for tier in range(TIERS[lane], len(TIERS)):
+            self.busy_until_ms[tier] = max(now_ms, self.busy_until_ms[tier]) + work_ms
+
+    def limit_work(self, lowest_ms: Millis, highest_ms: Millis) -> None:
+        """Correct the estimates: all prefill is done between two instants."""
+        last = min(max(self.busy_until_ms[-1], lowest_ms), highest_ms)
+        self.busy_until_ms = [min(until_ms, last) for until_ms in self.busy_until_ms]
+        self.busy_until_ms[-1] = last
+
+    def free_at_ms(self, tokens: int, now_ms: Millis) -> Millis:
+        """Return when `tokens` are expected to be free, if nothing else is granted."""
+        free = self.free_tokens
+        if free >= tokens:
+            return now_ms
+        for permit in sorted(self.permits.values(), key=lambda held: held.ends_ms):
+            free += permit.tokens_each
+            if free >= tokens:
+                return max(now_ms, permit.ends_ms)
+        return float("inf")
+
+
+class IndexKeys(NamedTuple):
+    """The keys under which a target stands in the indexes of a group."""
+
+    lane: Lane
+    busy: list[tuple[Millis, int, str]]
+    free: tuple[int, str]
+
+
+class Group:
+    """Open targets that share a capability, in the orders that placement looks for."""
+
+    def __init__(self) -> None:
+        self._by_busy = {lane: [SortedList() for _ in TIERS] for lane in ENGINE_LANES}
+        self.by_free = {lane: SortedList() for lane in ENGINE_LANES}
+        self.members: set[str] = set()
+        self.memory_tokens = 0
+        self.largest_memory = 0
+        self._keys: dict[str, IndexKeys] = {}
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def put(self, target: Target) -> None:
+        """Index a target anew."""
+        self.drop(target.name)
+        name, streams = target.name, target.granted_streams
+        busy = [(until_ms, streams, name) for until_ms in target.busy_until_ms]
+        keys = IndexKeys(target.lane, busy, (target.free_tokens, name))
+        self._keys[name] = keys
+        for index, key in zip(self._by_busy[keys.lane], busy, strict=True):
+            index.add(key)
+        self.by_free[keys.lane].add(keys.free)
+
+    def drop(self, name: str) -> None:
+        """Remove a target from the indexes."""
+        keys = self._keys.pop(name, None)
+        if keys is None:
+            return
+        for index, key in zip(self._by_busy[keys.lane], keys.busy, strict=True):
+            index.remove(key)
+        self.by_free[keys.lane].remove(keys.free)
+
+    def by_busy(self, kept_for: Lane, lane: Lane) -> SortedList:
+        """Return the targets kept for a lane, by when they could prefill new work of `lane`."""
+        return self._by_busy[kept_for][TIERS[lane]]
+
+
+class Fleet:
+    """All targets of the pool."""
+
+    def __init__(self) -> None:
+        self._targets: dict[str, Target] = {}
+        self._groups: dict[Capability, Group] = {Capability(): Group()}
+        self.reserved: dict[str, Target] = {}
+
+    def __len__(self) -> int:
+        return len(self._targets)
+
+    def __iter__(self) -> Iterator[Target]:
+        return iter(self._targets.values())
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._targets
+
+    def __getitem__(self, name: str) -> Target:
+        return self._targets[name]
+
+    @property
+    def open_group(self) -> Group:
+        """Return the index of all targets."""
+        return self._groups[Capability()]
+
+    def find(self, name: str) -> Target | None:
+        """Return a target by name."""
+        return self._targets.get(name)
+
+    def add(self, target: Target) -> None:
+        """Add a target."""
+        self._targets[target.name] = target
+        for capability, group in self._groups.items():
+            self._join(group, capability, target)
+        self.refresh(target)
+
+    def remove(self, name: str) -> None:
+        """Remove a target."""
+        target = self._targets.pop(name)
+        self.reserved.pop(name, None)
+        for group in self._groups.values():
+            group.drop(name)
+            if name in group.members:
+                self._leave(group, target.name, target.memory_tokens)
+
+    def replace_announcement(self, target: Target, announcement: Announcement) -> None:
+        """Take a renewal; what the target can serve may have changed."""
+        old = target.announcement
+        target.announcement = announcement
+        is_same = (old.adapters, old.versions, old.memory_tokens, old.is_leaving) == (
+            announcement.adapters,
+            announcement.versions,
+            announcement.memory_tokens,
+            announcement.is_leaving,
+        )
+        if is_same:
+            return
+        for capability, group in self._groups.items():
+            if target.name in group.members:
+                self._leave(group, target.name, old.memory_tokens)
+            self._join(group, capability, target)
+        self.refresh(target)
+
+    def group(self, capability: Capability) -> Group:
+        """Return the index of the targets that have a capability, built on first use."""
+        found = self._groups.get(capability)
+        if found is not None:
+            return found
+        if len(self._groups) >= GROUP_LIMIT:
+            oldest = next(key for key in self._groups if key != Capability())
+            del self._groups[oldest]
+        group = Group()
+        self._groups[capability] = group
+        for target in self._targets.values():
+            self._join(group, capability, target)
+            if target.name in group.members and target.is_open and target.reserved_ms is None:
+                group.put(target)
+        return group
+
+    def refresh(self, target: Target) -> None:
+        """Index a target anew after a change."""
+        is_indexed = target.is_open and target.reserved_ms is None
+        for group in self._groups.values():
+            if target.name not in group.members:
+                group.drop(target.name)
+            elif is_indexed:
+                group.put(target)
+            else:
+                group.drop(target.name)
+
+    def charge(self, target: Target, permit: Permit) -> None:
+        """Claim a permit's memory on a target."""
+        target.permits[permit.permit] = permit
+        target.granted_tokens += permit.tokens_each
+        self.refresh(target)
+
+    def credit(self, target: Target, permit_id: PermitId) -> None:
+        """Give a permit's memory back."""
+        permit = target.permits.pop(permit_id, None)
+        if permit is not None:
+            target.granted_tokens -= permit.tokens_each
+            self.refresh(target)
+
+    def reserve(self, target: Target, tokens: int, start_ms: Millis) -> None:
+        """Keep `tokens` of a target for work that starts at about `start_ms`."""
+        target.reserved_ms = start_ms
+        target.reserved_tokens = tokens
+        self.reserved[target.name] = target
+        self.refresh(target)
+
+    def free_reservation(self, target: Target) -> None:
+        """End the reservation of a target."""
+        target.reserved_ms = None
+        target.reserved_tokens = 0
+        self.reserved.pop(target.name, None)
+        if target.name in self._targets:
+            self.refresh(target)
+
+    def _join(self, group: Group, capability: Capability, target: Target) -> None:
+        if not capability.matches(target.announcement):
+            return
+        group.members.add(target.name)
+        group.memory_tokens += target.memory_tokens
+        group.largest_memory = max(group.largest_memory, target.memory_tokens)
+
+    def _leave(self, group: Group, name: str, memory_tokens: int) -> None:
+        group.members.discard(name)
+        group.memory_tokens -= memory_tokens
+        if memory_tokens == group.largest_memory:
+            members = (self._targets.get(member) for member in group.members)
+            group.largest_memory = max((m.memory_tokens for m in members if m), default=0)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/pools/gangs.py
@@ -0,0 +1,80 @@
+"""Reservations: targets kept together for work that needs several, or one nearly whole."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from marigoldarch.clock import Millis
+    from marigoldarch.pools.fair_queue import Waiting
+    from marigoldarch.pools.fleet import Fleet, Target
+    from marigoldarch.pools.placement import Plan
+
+RESERVED_SHARE = 0.5
+"""The largest share of the targets that may be reserved at once, unless one gang needs more."""
+
+
+@dataclass(eq=False)
+class Reservation:
+    """All targets of one request; it starts when every one of them has the memory."""
+
+    waiting: Waiting
+    targets: list[Target]
+    tokens_each: int
+    start_ms: Millis
+
+
+class Reservations:
+    """The reservations of a pool; a target is in one at most, so that none waits for another."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._by_key: dict[tuple[str, int], Reservation] = {}
+
+    def __iter__(self) -> Iterator[Reservation]:
+        return iter(list(self._by_key.values()))
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def has_room(self, count: int) -> bool:
+        """Return whether `count` more targets may be reserved."""
+        if not self._by_key:
+            return True
+        return len(self._fleet.reserved) + count <= RESERVED_SHARE * len(self._fleet)
+
+    def make(self, waiting: Waiting, plan: Plan) -> None:
+        """Reserve the targets of a plan."""
+        reservation = Reservation(waiting, plan.targets, plan.tokens_each, plan.start_ms)
+        self._by_key[waiting.key] = reservation
+        for target in plan.targets:
+            self._fleet.reserve(target, plan.tokens_each, plan.start_ms)
+
+    def is_ready(self, reservation: Reservation, backlog_ms: Millis, now_ms: Millis) -> bool:
+        """Return whether every target has the memory, and no more than a backlog of prefill."""
+        return all(
+            target.is_open
+            and target.free_tokens >= reservation.tokens_each
+            and target.wait_ms(reservation.waiting.lane, now_ms) <= backlog_ms
+            for target in reservation.targets
+        )
+
+    def is_broken(self, reservation: Reservation) -> bool:
+        """Return whether a target has gone, or takes no new work any more."""
+        return any(
+            self._fleet.find(target.name) is not target or not target.is_open
+            for target in reservation.targets
+        )
+
+    def end(self, reservation: Reservation) -> None:
+        """Give the targets back to all work."""
+        del self._by_key[reservation.waiting.key]
+        for target in reservation.targets:
+            self._fleet.free_reservation(target)
+
+    def find(self, key: tuple[str, int]) -> Reservation | None:
+        """Return the reservation of a request's attempt."""
+        return self._by_key.get(key)
--- a/packages/marigoldarch/marigoldarch/pools/reducer.py
+++ b/packages/marigoldarch/marigoldarch/pools/reducer.py
@@ -15,6 +15,7 @@
     Event,
     MessageArrived,
     TargetAnnounced,
+    TargetCommandEnded,
     Tick,
 )
 from marigoldarch.identifiers import PoolId
@@ -25,7 +26,7 @@
     PermitsHeld,
     TargetReport,
 )
-from marigoldarch.pools.scheduler import RECOVERY_MS, PoolScheduler
+from marigoldarch.pools.scheduler import PoolScheduler
 from marigoldarch.targets import parse_announcement
 
 if TYPE_CHECKING:
@@ -33,6 +34,10 @@
     from marigoldarch.settings import CoreSettings
 
 
+RECOVERY_MARGIN_MS: Millis = 250.0
+"""How much longer than a lease a new scheduler waits for the permits of silent entries."""
+
+
 @dataclass
 class PoolsState:
     """The schedulers that this node holds, by pool."""
@@ -59,6 +64,8 @@
             return _forward(member, report)
         case MessageArrived(at_ms=now_ms, sender=sender):
             return _on_message(state, event, sender, member, now_ms)
+        case TargetCommandEnded():
+            return _on_command_ended(state, event, member)
     return []
 
 
@@ -78,7 +85,9 @@
     state: PoolsState, event: MessageArrived, sender: str, member: Member, now_ms: Millis
 ) -> list[Effect]:
     match event.message:
-        case TargetReport() | PermitRequest() | PermitReleased() | PermitsHeld() as message:
+        case (
+            TargetReport() | CacheReport() | PermitRequest() | PermitReleased() | PermitsHeld()
+        ) as message:
             scheduler = _find_scheduler(state, PoolId(*message.pool), member, now_ms)
         case _:
             return []
@@ -91,6 +100,8 @@
                     return scheduler.report_target(announcement, now_ms)
                 case _:
                     return []
+        case CacheReport():
+            return scheduler.report_cache(message, now_ms)
         case PermitRequest():
             return scheduler.request(sender, message, now_ms)
         case PermitReleased():
@@ -100,6 +111,15 @@
     return []
 
 
+def _on_command_ended(state: PoolsState, event: TargetCommandEnded, member: Member) -> list[Effect]:
+    scheduler = state.schedulers.get(event.pool)
+    if scheduler is None or not member.holds_pool(event.pool, event.at_ms):
+        return []
+    return scheduler.command_ended(
+        event.target, event.command_id, is_confirmed=event.is_confirmed, now_ms=event.at_ms
+    )
+
+
 def _find_scheduler(
     state: PoolsState, pool: PoolId, member: Member, now_ms: Millis
 ) -> PoolScheduler | None:
@@ -108,7 +128,9 @@
     fence = member.view.assignments[pool].fence
     scheduler = state.schedulers.get(pool)
     if scheduler is None or scheduler.fence != fence:
-        scheduler = PoolScheduler(pool, fence, state.settings.pools, now_ms + RECOVERY_MS)
+        wait_ms = state.settings.control.session_lease_ms + RECOVERY_MARGIN_MS
+        scheduler = PoolScheduler(pool, fence, state.settings.pools, now_ms + wait_ms, now_ms)
+        scheduler.note_nodes(frozenset(member.nodes), now_ms)
         state.schedulers[pool] = scheduler
     return scheduler
 
@@ -121,5 +143,20 @@
             del state.schedulers[pool]
             effects.append(Record("scheduler_closed", {"pool": str(pool)}))
         elif member.holds_pool(pool, now_ms):
+            scheduler.note_nodes(frozenset(member.nodes), now_ms)
+            adapters, versions = _wanted_loads(member, pool)
+            scheduler.roster.orders.want(adapters, versions)
             effects += scheduler.tick(now_ms)
     return effects
+
+
+def _wanted_loads(member: Member, pool: PoolId) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the adapters and versions that the teams declare for a pool's model."""
+    adapters: dict[str, None] = {}
+    versions: dict[str, None] = {}
+    for team in member.view.teams.values():
+        model = team.declaration.models.get(pool.name)
+        if model is not None:
+            adapters.update(dict.fromkeys(model.adapters))
+            versions.update(dict.fromkeys(model.versions))
+    return tuple(adapters), tuple(versions)
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/pools/roster.py
@@ -0,0 +1,274 @@
+"""The life of targets and permits: joining, renewal, failure, expiry, and what they hold."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from typing import TYPE_CHECKING
+
+from marigoldarch.effects import Effect, Record, ReleaseMemory, Send
+from marigoldarch.messages import PermitWithdrawn
+from marigoldarch.pools.estimates import prefill_ms
+from marigoldarch.pools.fleet import REPORT_LAG_MS, Fleet, Target
+from marigoldarch.pools.health import Health
+from marigoldarch.pools.orders import OrderBook
+from marigoldarch.pools.reconcile import Reconciler
+from marigoldarch.pools.recovery import Releasable
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.identifiers import PermitId, PoolId
+    from marigoldarch.pools.affinity import CacheIndex
+    from marigoldarch.pools.lane_share import LaneShare
+    from marigoldarch.pools.permits import Permit, PermitTable
+    from marigoldarch.settings import PoolSettings
+    from marigoldarch.targets import Announcement
+
+UNLISTED_GRACE_MS: Millis = 6_500.0
+"""A permit is used within 5 s of its grant or never, and listed a second later."""
+
+WITHDRAW_INTERVAL_MS: Millis = 500.0
+DEADLINE_SLACK_MS: Millis = 15_000.0
+"""How long after its request's deadline a permit is still taken for live."""
+
+REPLACED_LIMIT = 8
+
+
+class Roster:
+    """The targets and permits of one scheduler, in step with each other."""
+
+    def __init__(
+        self,
+        pool: PoolId,
+        fence: int,
+        settings: PoolSettings,
+        fleet: Fleet,
+        permits: PermitTable,
+        cache: CacheIndex,
+        shares: LaneShare,
+        now_ms: Millis,
+    ) -> None:
+        self.orders = OrderBook(pool, fence, fleet, settings, now_ms)
+        self.health = Health(fleet, settings)
+        self._pool = pool
+        self._fence = fence
+        self._settings = settings
+        self._fleet = fleet
+        self._permits = permits
+        self._cache = cache
+        self._shares = shares
+        self._reconciler = Reconciler(fence)
+        self._replaced: dict[str, deque[str]] = {}
+        self._expiries: list[tuple[Millis, str]] = []
+        self._deadlines: list[tuple[Millis, PermitId]] = []
+        self._withdrawn: dict[PermitId, Permit] = {}
+        self._nodes: frozenset[str] = frozenset()
+        self._missing_since: dict[str, Millis] = {}
+
+    def report(
+        self, announcement: Announcement, now_ms: Millis, releasable: Releasable
+    ) -> list[Effect]:
+        """Take an announcement, and release the orphans in it that may be."""
+        effects: list[Effect] = []
+        target = self._fleet.find(announcement.target)
+        if announcement.incarnation in self._replaced.get(announcement.target, ()):
+            return []
+        expires_ms = now_ms + announcement.ttl_ms
+        if target is not None and target.announcement.incarnation != announcement.incarnation:
+            if target.announcement.address != announcement.address:
+                # The name is taken: a second process under it must wait out the first one's lease.
+                return [Record("target_conflict", {"target": announcement.target})]
+            effects += self._replace(target, now_ms)
+            target = None
+        if target is None:
+            effects += self._join(announcement, expires_ms)
+        else:
+            target.expires_ms = expires_ms
+            self._fleet.replace_announcement(target, announcement)
+        self._take_load(self._fleet[announcement.target], now_ms)
+        if releasable is not Releasable.NONE and announcement.holdings is not None:
+            effects += self._release_orphans(announcement, releasable, now_ms)
+        return effects
+
+    def add(self, permit: Permit, prefill_tokens: int, now_ms: Millis) -> None:
+        """Account for a live permit that prefills `prefill_tokens` on each of its targets."""
+        self._permits.add(permit)
+        heapq.heappush(self._deadlines, (permit.deadline_ms + DEADLINE_SLACK_MS, permit.permit))
+        work_ms = prefill_ms(prefill_tokens, self._settings)
+        for address in permit.targets:
+            target = self._fleet.find(address.target)
+            if target is None or target.announcement.incarnation != address.incarnation:
+                continue
+            target.add_work(permit.lane, work_ms, now_ms)
+            if prefill_tokens:
+                target.recent_grants.append((now_ms, prefill_tokens))
+            self._fleet.charge(target, permit)
+
+    def drop(self, permit: Permit) -> None:
+        """End a permit and give its memory back."""
+        self._permits.remove(permit.permit)
+        self._withdrawn.pop(permit.permit, None)
+        for address in permit.targets:
+            target = self._fleet.find(address.target)
+            if target is not None:
+                self._fleet.credit(target, permit.permit)
+
+    def unlisted(self, node: str, listed: set[PermitId], now_ms: Millis) -> list[Permit]:
+        """Return the permits that a node no longer uses, as its list leaves them out."""
+        return [
+            permit
+            for permit in self._permits.of_node(node)
+            if permit.permit not in listed and now_ms >= permit.granted_ms + UNLISTED_GRACE_MS
+        ]
+
+    def note_nodes(self, nodes: frozenset[str], now_ms: Millis) -> None:
+        """Note which entry nodes are alive."""
+        self._nodes = nodes
+        for node in self._permits.nodes:
+            if node not in nodes:
+                self._missing_since.setdefault(node, now_ms)
+        for node in [node for node in self._missing_since if node in nodes]:
+            del self._missing_since[node]
+
+    def note_success(self, permit: Permit) -> list[Effect]:
+        """Note that a permit's targets served it, or at least did not fail it."""
+        effects: list[Effect] = []
+        for address in permit.targets:
+            target = self._fleet.find(address.target)
+            if target is not None and self.health.note_success(target):
+                effects.append(Record("target_restored", {"target": target.name}))
+        return effects
+
+    def note_failure(self, permit: Permit, name: str, now_ms: Millis) -> list[Effect]:
+        """Note that a target failed a permit."""
+        target = self._fleet.find(name)
+        is_meant = any(
+            target is not None
+            and (address.target, address.incarnation) == (name, target.announcement.incarnation)
+            for address in permit.targets
+        )
+        if not is_meant or not self.health.note_failure(target, now_ms):
+            return []
+        return [Record("target_set_aside", {"target": name})]
+
+    def tick(self, now_ms: Millis) -> list[Effect]:
+        """Expire targets and permits, repeat withdrawals, and send due orders."""
+        effects = self._expire_targets(now_ms)
+        effects += self._expire_permits(now_ms)
+        self.health.tick(now_ms)
+        moved = self._shares.rebalance(self._fleet, now_ms)
+        if moved is not None:
+            fields = {"target": moved.name, "lane": str(moved.lane)}
+            effects.append(Record("target_lane", fields))
+        return effects + self._repeat_withdrawals(now_ms) + self.orders.tick(now_ms)
+
+    def withdraw(self, permit: Permit, now_ms: Millis) -> list[Effect]:
+        """Take a permit back, and repeat that until its entry releases it.
+
+        Its memory counts as used until then.
+        """
+        self._withdrawn[permit.permit] = permit
+        permit.withdrawn_ms = now_ms
+        item = permit.item
+        message = PermitWithdrawn(self._pool, item.request_id, item.attempt, permit.permit)
+        fields = {"request": item.request_id, "permit": str(permit.permit)}
+        return [Record("permit_withdrawn", fields), Send(permit.node, message)]
+
+    def _join(self, announcement: Announcement, expires_ms: Millis) -> list[Effect]:
+        target = Target(announcement, expires_ms)
+        self._shares.join(target, len(self._fleet))
+        self._fleet.add(target)
+        heapq.heappush(self._expiries, (expires_ms, target.name))
+        for permit in self._permits.of_target(target.name):
+            if target.address in permit.targets:
+                self._fleet.charge(target, permit)
+        return [Record("target_joined", {"target": target.name})]
+
+    def _replace(self, target: Target, now_ms: Millis) -> list[Effect]:
+        """Forget an earlier run of a target: its memory is gone, and so is all that ran there."""
+        replaced = self._replaced.setdefault(target.name, deque(maxlen=REPLACED_LIMIT))
+        replaced.append(target.announcement.incarnation)
+        lost = [permit for permit in target.permits.values() if permit.withdrawn_ms is None]
+        self._remove(target)
+        effects: list[Effect] = [Record("target_restarted", {"target": target.name})]
+        for permit in lost:
+            if permit.item.model:
+                effects += self.withdraw(permit, now_ms)
+        return effects
+
+    def _remove(self, target: Target) -> None:
+        self._fleet.remove(target.name)
+        self._shares.leave(target.name)
+        self.health.forget(target.name)
+        self._cache.forget_target(target.name)
+        self._reconciler.forget(target.name)
+
+    def _take_load(self, target: Target, now_ms: Millis) -> None:
+        """Correct the estimate of granted prefill by what the target reports as still to do."""
+        pending = target.announcement.load.prefill_tokens
+        if pending is None:
+            return
+        recent = target.recent_grants
+        while recent and recent[0][0] < now_ms - REPORT_LAG_MS:
+            recent.popleft()
+        unseen = sum(tokens for _, tokens in recent)
+        lowest_ms = now_ms + prefill_ms(pending, self._settings)
+        highest_ms = lowest_ms + prefill_ms(unseen, self._settings)
+        target.limit_work(lowest_ms, highest_ms)
+        self._fleet.refresh(target)
+
+    def _release_orphans(
+        self, announcement: Announcement, releasable: Releasable, now_ms: Millis
+    ) -> list[Effect]:
+        target = self._fleet[announcement.target]
+        found = self._reconciler.read(
+            target.name, announcement.holdings, self._permits.__contains__, now_ms
+        )
+        effects: list[Effect] = [
+            ReleaseMemory(self._pool, target.address, permit)
+            for permit in found.orphans
+            if releasable is Releasable.ALL or permit.epoch == self._fence
+        ]
+        if found.unreadable:
+            fields = {"target": target.name, "count": found.unreadable}
+            effects.append(Record("holdings_unreadable", fields))
+        return effects
+
+    def _expire_targets(self, now_ms: Millis) -> list[Effect]:
+        effects: list[Effect] = []
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, name = heapq.heappop(self._expiries)
+            target = self._fleet.find(name)
+            if target is None:
+                continue
+            if target.expires_ms > now_ms:
+                heapq.heappush(self._expiries, (target.expires_ms, name))
+                continue
+            effects.append(Record("target_expired", {"target": name}))
+            gangs = [held for held in target.permits.values() if len(held.targets) > 1]
+            self._remove(target)
+            for permit in gangs:
+                if permit.withdrawn_ms is None:
+                    effects += self.withdraw(permit, now_ms)
+        return effects
+
+    def _expire_permits(self, now_ms: Millis) -> list[Effect]:
+        lost: list[Permit] = []
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            permit = self._permits.find(heapq.heappop(self._deadlines)[1])
+            if permit is not None:
+                lost.append(permit)
+        for node, since_ms in list(self._missing_since.items()):
+            if now_ms >= since_ms + self._settings.permit_silence_ms:
+                del self._missing_since[node]
+                lost += self._permits.of_node(node)
+        for permit in lost:
+            self.drop(permit)
+        return [Record("permit_expired", {"permit": str(permit.permit)}) for permit in lost]
+
+    def _repeat_withdrawals(self, now_ms: Millis) -> list[Effect]:
+        effects: list[Effect] = []
+        for permit in list(self._withdrawn.values()):
+            if now_ms >= permit.withdrawn_ms + WITHDRAW_INTERVAL_MS:
+                effects += self.withdraw(permit, now_ms)
+        return effects
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -1,15 +1,17 @@
-"""The scheduler of one pool: queue, permits, and exact accounting of its targets."""
+"""The scheduler of one pool: queues, permits, and exact accounting of its targets."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections import OrderedDict
+from typing import TYPE_CHECKING
 
-from marigoldarch.clock import Millis
-from marigoldarch.effects import Effect, Record, ReleaseMemory, Send
+from marigoldarch.effects import Effect, Record, Send
 from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
 from marigoldarch.messages import (
+    CacheReport,
     HeldPermit,
     PermitGranted,
+    PermitQueued,
     PermitRefused,
     PermitReleased,
     PermitRequest,
@@ -17,246 +19,408 @@
     WorkItem,
 )
 from marigoldarch.outcomes import RefusalReason
-from marigoldarch.settings import PoolSettings
-from marigoldarch.targets import Announcement
-
-RECOVERY_MS: Millis = 700.0
-"""How long a new scheduler waits for the live permits of entries before it grants."""
-
-PERMIT_RENEWAL_LIMIT_MS: Millis = 10_000.0
-"""A permit whose entry was silent for so long is given up, and its memory is reclaimed."""
-
-
-@dataclass
-class Target:
-    """A target and what the scheduler has granted on it, in tokens and streams."""
-
-    announcement: Announcement
-    expires_ms: Millis
-    granted_tokens: int = 0
-    granted_streams: int = 0
-
-    @property
-    def free_tokens(self) -> int:
-        """Return the memory that no permit has claimed."""
-        return self.announcement.memory_tokens - self.granted_tokens
-
-    @property
-    def address(self) -> TargetAddress:
-        """Return where the target listens."""
-        announced = self.announcement
-        return TargetAddress(announced.target, announced.incarnation, announced.address)
-
-
-@dataclass
-class Permit:
-    """A live permit: who uses it for what, and the tokens it claims on each target."""
+from marigoldarch.pools.admission import Admission, Refusal
+from marigoldarch.pools.affinity import CacheIndex
+from marigoldarch.pools.estimates import (
+    Lane,
+    Timing,
+    engine_priority,
+    size_of,
+)
+from marigoldarch.pools.fair_queue import FairQueue, Waiting
+from marigoldarch.pools.fleet import Fleet, Target
+from marigoldarch.pools.gangs import Reservation, Reservations
+from marigoldarch.pools.lane_share import LaneShare
+from marigoldarch.pools.permits import Permit, PermitTable
+from marigoldarch.pools.placement import Blocked, Placement
+from marigoldarch.pools.preemption import Preemption
+from marigoldarch.pools.recovery import Recovery
+from marigoldarch.pools.roster import Roster
 
-    permit: PermitId
-    node: str
-    item: WorkItem
-    targets: list[TargetAddress]
-    tokens_each: int
-    renewed_ms: Millis
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.settings import PoolSettings
+    from marigoldarch.targets import Announcement
 
+CANDIDATE_LIMIT = 4
+"""How many customers' next items are tried before a lane counts as blocked."""
 
-@dataclass
-class Waiting:
-    """A request that waits for its permit."""
+SINGLE_LANES = (Lane.SHORT, Lane.MEDIUM, Lane.LONG)
 
-    node: str
-    item: WorkItem
-    expires_ms: Millis
+FIRST_TARGETS_MS: Millis = 3_500.0
+"""How long a new scheduler waits for targets to announce before it refuses for want of them."""
 
 
-@dataclass
 class PoolScheduler:
     """The one authority over a pool, for one fencing number."""
 
-    pool: PoolId
-    fence: int
-    settings: PoolSettings
-    ready_ms: Millis
-    targets: dict[str, Target] = field(default_factory=dict)
-    permits: dict[PermitId, Permit] = field(default_factory=dict)
-    by_request: dict[tuple[str, int], PermitId] = field(default_factory=dict)
-    queue: dict[tuple[str, int], Waiting] = field(default_factory=dict)
-    serial: int = 0
+    def __init__(
+        self,
+        pool: PoolId,
+        fence: int,
+        settings: PoolSettings,
+        ready_ms: Millis,
+        created_ms: Millis | None = None,
+    ) -> None:
+        since_ms = ready_ms if created_ms is None else created_ms
+        self.pool = pool
+        self.fence = fence
+        self.settings = settings
+        self.recovery = Recovery(fence, ready_ms, since_ms + settings.permit_silence_ms)
+        self.fleet = Fleet()
+        self.permits = PermitTable()
+        self.cache = CacheIndex()
+        self.queues = {lane: FairQueue() for lane in Lane}
+        self.waiting: OrderedDict[tuple[str, int], Waiting] = OrderedDict()
+        self.reservations = Reservations(self.fleet)
+        self.shares = LaneShare(settings, since_ms)
+        self.roster = Roster(
+            pool, fence, settings, self.fleet, self.permits, self.cache, self.shares, since_ms
+        )
+        self.timing = Timing(settings)
+        self._placement = Placement(self.fleet, self.cache, settings, self.timing)
+        self._admission = Admission(self.fleet, self.queues, settings, self.timing)
+        self._preemption = Preemption(self.timing)
+        self._serial = 0
+        self._targets_due_ms = ready_ms + FIRST_TARGETS_MS
 
     def report_target(self, announcement: Announcement, now_ms: Millis) -> list[Effect]:
-        """Take an announcement, and reclaim memory that no live permit accounts for."""
-        effects: list[Effect] = []
-        known = self.targets.get(announcement.target)
-        expires_ms = now_ms + announcement.ttl_ms
-        if known is None:
-            self.targets[announcement.target] = Target(announcement, expires_ms)
-            self._recount(announcement.target)
-            effects.append(Record("target_joined", {"target": announcement.target}))
-        else:
-            known.announcement = announcement
-            known.expires_ms = expires_ms
-        effects += self._reclaim_orphans(announcement, now_ms)
+        """Take an announcement, and release memory that no live permit accounts for."""
+        releasable = self.recovery.releasable(now_ms)
+        effects = self.roster.report(announcement, now_ms, releasable)
         return effects + self._grant(now_ms)
 
+    def report_cache(self, report: CacheReport, now_ms: Millis) -> list[Effect]:
+        """Take prefix-cache events of a target."""
+        if report.target in self.fleet:
+            self.cache.report(report.target, report.sequence, report.stored, report.removed, now_ms)
+        return []
+
+    def command_ended(
+        self, target: str, command_id: str, *, is_confirmed: bool, now_ms: Millis
+    ) -> list[Effect]:
+        """Note what a target answered to an order; a release is confirmed by its holdings."""
+        self.roster.orders.ended(target, command_id, is_confirmed=is_confirmed)
+        return []
+
     def request(self, node: str, request: PermitRequest, now_ms: Millis) -> list[Effect]:
-        """Queue a request; a resent one gets its first answer."""
+        """Queue a request, or refuse it at once; a resent one gets its first answer."""
         item = request.item
         key = (item.request_id, item.attempt)
-        held = self.by_request.get(key)
+        held = self.permits.find_request(key)
         if held is not None:
-            permit = self.permits[held]
-            granted = PermitGranted(self.pool, *key, permit.permit, permit.targets, item.asked_ms)
-            return [Send(node, granted)]
-        if key not in self.queue and len(self.queue) >= self.settings.queue_limit:
-            return [self._refusal(node, item, RefusalReason.QUEUE_FULL, 1000.0)]
-        self.queue[key] = Waiting(node, item, now_ms + item.time_left_ms)
-        return self._grant(now_ms)
+            return [] if held.withdrawn_ms is not None else [self._granted(held, item)]
+        waiting = self.waiting.get(key)
+        if waiting is not None:
+            waiting.item = item
+            waiting.heard_ms = now_ms
+            self.waiting.move_to_end(key)
+            return [self._queued(waiting, now_ms)]
+        waiting = self._new_waiting(node, item, now_ms)
+        engines = self._admission.engines(item, waiting.lane)
+        has_all_targets = now_ms >= self._targets_due_ms
+        refusal = self._admission.check(
+            item, waiting.lane, engines, now_ms, has_all_targets=has_all_targets
+        )
+        if refusal is not None:
+            return [self._refused(waiting, refusal)]
+        self._enqueue(waiting, now_ms)
+        effects = self._grant(now_ms)
+        if key in self.waiting:
+            effects.append(self._queued(waiting, now_ms))
+        return effects
 
     def release(self, message: PermitReleased, now_ms: Millis) -> list[Effect]:
         """End a permit or a wait."""
-        self.queue.pop((message.request_id, message.attempt), None)
-        permit_id = message.permit
-        if permit_id is None:
-            permit_id = self.by_request.get((message.request_id, message.attempt))
-        if permit_id is not None:
-            self._drop(PermitId(*permit_id))
-        return self._grant(now_ms)
+        key = (message.request_id, message.attempt)
+        waiting = self.waiting.get(key)
+        if waiting is not None:
+            self._forget(waiting)
+        permit = self.permits.find_request(key)
+        if message.permit is not None:
+            permit = self.permits.find(PermitId(*message.permit))
+        effects: list[Effect] = []
+        if permit is not None:
+            effects += self._note_health(permit, message, now_ms)
+            self.roster.drop(permit)
+        return effects + self._grant(now_ms)
 
     def hold(self, node: str, message: PermitsHeld, now_ms: Millis) -> list[Effect]:
-        """Renew a node's live permits; take over those of an earlier scheduler."""
+        """Renew a node's live permits, take over those of an earlier scheduler, drop the others."""
+        self.recovery.presented(node, message.epoch)
+        listed: set[PermitId] = set()
         for held in message.held:
-            permit = self.permits.get(PermitId(*held.permit))
-            if permit is not None:
-                permit.renewed_ms = now_ms
-            elif held.permit[0] < self.fence:
+            permit_id = PermitId(*held.permit)
+            listed.add(permit_id)
+            if permit_id not in self.permits and permit_id.epoch <= self.fence:
                 self._adopt(node, held, now_ms)
-        return []
+        for permit in self.roster.unlisted(node, listed, now_ms):
+            self.roster.drop(permit)
+        return self._grant(now_ms)
+
+    def note_nodes(self, nodes: frozenset[str], now_ms: Millis) -> None:
+        """Note which entry nodes are alive, as the control part tells."""
+        self.recovery.note_nodes(nodes)
+        self.roster.note_nodes(nodes, now_ms)
 
     def tick(self, now_ms: Millis) -> list[Effect]:
-        """Expire targets, permits and waits."""
-        effects: list[Effect] = []
-        for name in [name for name, held in self.targets.items() if held.expires_ms <= now_ms]:
-            del self.targets[name]
-            effects.append(Record("target_expired", {"target": name}))
-        for permit in list(self.permits.values()):
-            if now_ms >= permit.renewed_ms + PERMIT_RENEWAL_LIMIT_MS:
-                self._drop(permit.permit)
-                effects.append(Record("permit_expired", {"permit": str(permit.permit)}))
-        for key, waiting in list(self.queue.items()):
-            if now_ms >= waiting.expires_ms:
-                del self.queue[key]
-                effects.append(
-                    self._refusal(waiting.node, waiting.item, RefusalReason.DEADLINE, 1000.0)
-                )
+        """Expire targets, permits and waits, and grant what has become possible."""
+        effects = self.roster.tick(now_ms)
+        effects += self._refuse_late(now_ms)
+        self._drop_silent(now_ms)
         return effects + self._grant(now_ms)
 
     def _grant(self, now_ms: Millis) -> list[Effect]:
-        if now_ms < self.ready_ms:
+        if not self.recovery.is_over(now_ms):
             return []
+        effects = self._start_reserved(now_ms)
+        for lane in SINGLE_LANES:
+            urgent = self.queues[lane].urgent(now_ms)
+            if urgent is not None:
+                effects += self._try(urgent, now_ms)
+        for lane in SINGLE_LANES:
+            effects += self._grant_lane(lane, now_ms)
+        if self._reserve_huge(now_ms):
+            effects += self._start_reserved(now_ms)
+        return effects
+
+    def _grant_lane(self, lane: Lane, now_ms: Millis) -> list[Effect]:
         effects: list[Effect] = []
-        for key, waiting in list(self.queue.items()):
-            targets = self._place(waiting.item)
-            if not targets:
-                continue
-            del self.queue[key]
-            effects += self._issue(waiting, targets, now_ms)
+        queue = self.queues[lane]
+        while len(queue):
+            granted: list[Effect] = []
+            for waiting in queue.candidates(now_ms, CANDIDATE_LIMIT):
+                granted = self._try(waiting, now_ms)
+                if granted:
+                    break
+            if not granted:
+                break
+            effects += granted
         return effects
 
-    def _usable(self, item: WorkItem) -> list[Target]:
-        usable = [
-            target
-            for target in self.targets.values()
-            if not target.announcement.is_leaving
-            and target.announcement.target not in item.avoid
-            and (not item.adapter or item.adapter in target.announcement.adapters)
-            and (not item.version or item.version in target.announcement.versions)
-        ]
-        return sorted(usable, key=lambda target: (target.granted_tokens, target.granted_streams))
-
-    def _place(self, item: WorkItem) -> list[Target]:
-        usable = self._usable(item)
-        if not item.model:
-            return usable[:1]
-        need = item.prompt_tokens + item.output_tokens
-        for target in usable:
-            if target.free_tokens >= need:
-                return [target]
-        largest = max((t.announcement.memory_tokens for t in usable), default=0)
-        if need <= largest or largest == 0:
+    def _try(self, waiting: Waiting, now_ms: Millis) -> list[Effect]:
+        """Grant an item, or reserve for it; return no effects if nothing could be done."""
+        item = waiting.item
+        match self._placement.place(item, waiting.lane, now_ms):
+            case Blocked(is_memory=True) if item.model:
+                return self._make_room(waiting, now_ms)
+            case Blocked():
+                return []
+            case placed:
+                self._leave_queue(waiting)
+                return self._issue(waiting, placed.targets, placed.cached_tokens, now_ms)
+
+    def _make_room(self, waiting: Waiting, now_ms: Millis) -> list[Effect]:
+        lane = self._admission.lane(waiting.item)
+        if lane is Lane.HUGE:
+            # The targets were not known yet when the item was queued.
+            self.queues[waiting.lane].remove(waiting, is_served=False)
+            waiting.lane = lane
+            self.queues[lane].push(waiting)
+            return [Record("queued_as_huge", {"request": waiting.item.request_id})]
+        is_urgent = waiting.urgent_ms <= now_ms
+        plan = None
+        if self.reservations.find(waiting.key) is None and self.reservations.has_room(1):
+            plan = self._placement.plan(waiting.item, 1, now_ms)
+        if plan is None or (waiting.lane is Lane.SHORT and not is_urgent):
             return []
-        size = -(-need // largest)
-        gang = [target for target in usable if target.free_tokens >= -(-need // size)]
-        return gang[:size] if len(gang) >= size else []
+        self.queues[waiting.lane].remove(waiting, is_served=True)
+        self.reservations.make(waiting, plan)
+        effects: list[Effect] = [Record("reserved", {"request": waiting.item.request_id})]
+        if is_urgent:
+            for permit in self._preemption.choose(plan, now_ms):
+                effects += self.roster.withdraw(permit, now_ms)
+        return effects
 
-    def _issue(self, waiting: Waiting, targets: list[Target], now_ms: Millis) -> list[Effect]:
-        self.serial += 1
+    def _reserve_huge(self, now_ms: Millis) -> bool:
+        queue = self.queues[Lane.HUGE]
+        for waiting in queue.candidates(now_ms, 1):
+            count = self._admission.engines(waiting.item, Lane.HUGE)
+            if not self.reservations.has_room(count):
+                return False
+            plan = self._placement.plan(waiting.item, count, now_ms)
+            if plan is not None:
+                queue.remove(waiting, is_served=True)
+                self.reservations.make(waiting, plan)
+                return True
+        return False
+
+    def _start_reserved(self, now_ms: Millis) -> list[Effect]:
+        effects: list[Effect] = []
+        for reservation in self.reservations:
+            waiting = reservation.waiting
+            if self.reservations.is_broken(reservation):
+                self.reservations.end(reservation)
+                self.queues[waiting.lane].push(waiting)
+            elif self.reservations.is_ready(reservation, self.settings.long_backlog_ms, now_ms):
+                effects += self._start(reservation, now_ms)
+        return effects
+
+    def _start(self, reservation: Reservation, now_ms: Millis) -> list[Effect]:
+        waiting = reservation.waiting
+        self.reservations.end(reservation)
+        del self.waiting[waiting.key]
+        return self._issue(waiting, reservation.targets, 0, now_ms)
+
+    def _issue(
+        self, waiting: Waiting, targets: list[Target], cached_tokens: int, now_ms: Millis
+    ) -> list[Effect]:
+        self._serial += 1
         item = waiting.item
-        need = item.prompt_tokens + item.output_tokens
+        size = size_of(item, min(cached_tokens, max(0, item.prompt_tokens - 1)))
+        share = -(-size.prefill_tokens // len(targets)) if item.model else 0
+        work_ms = self.timing.prefill_ms(share)
+        begin_ms = max(target.wait_ms(waiting.lane, now_ms) for target in targets) + now_ms
         permit = Permit(
-            PermitId(self.fence, self.serial),
+            PermitId(self.fence, self._serial),
             waiting.node,
             item,
+            waiting.lane,
             [target.address for target in targets],
-            -(-need // len(targets)),
+            -(-size.memory_tokens // len(targets)),
             now_ms,
+            begin_ms + work_ms,
+            begin_ms + work_ms + self.timing.decode.answer_ms(item, waiting.lane),
+            waiting.deadline_ms,
+            is_urgent=waiting.urgent_ms <= now_ms,
         )
-        self._add(permit)
-        granted = PermitGranted(
-            self.pool, item.request_id, item.attempt, permit.permit, permit.targets, item.asked_ms
-        )
+        self.roster.add(permit, share, now_ms)
+        if len(targets) == 1:
+            for name in item.prefix:
+                self.cache.note(targets[0].name, name, now_ms)
         fields = {
             "request": item.request_id,
             "permit": str(permit.permit),
-            "targets": [target.target for target in permit.targets],
+            "targets": [target.name for target in targets],
             "pool": str(self.pool),
         }
-        return [Record("permit_granted", fields), Send(waiting.node, granted)]
+        return [Record("permit_granted", fields), self._granted(permit, item)]
 
     def _adopt(self, node: str, held: HeldPermit, now_ms: Millis) -> None:
+        """Account for a permit of an earlier scheduler, or one that was given up too early."""
         item = held.item
-        need = item.prompt_tokens + item.output_tokens
         targets = [TargetAddress(*target) for target in held.targets]
-        permit_id = PermitId(*held.permit)
-        self._add(Permit(permit_id, node, item, targets, -(-need // len(targets)), now_ms))
-
-    def _add(self, permit: Permit) -> None:
-        self.permits[permit.permit] = permit
-        self.by_request[permit.item.request_id, permit.item.attempt] = permit.permit
-        for address in permit.targets:
-            self._charge(address.target, permit.tokens_each, 1)
-
-    def _drop(self, permit_id: PermitId) -> None:
-        permit = self.permits.pop(permit_id, None)
-        if permit is None:
-            return
-        self.by_request.pop((permit.item.request_id, permit.item.attempt), None)
-        for address in permit.targets:
-            self._charge(address.target, -permit.tokens_each, -1)
-
-    def _charge(self, target: str, tokens: int, streams: int) -> None:
-        held = self.targets.get(target)
-        if held is not None:
-            held.granted_tokens += tokens
-            held.granted_streams += streams
-
-    def _recount(self, target: str) -> None:
-        for permit in self.permits.values():
-            if target in [address.target for address in permit.targets]:
-                self._charge(target, permit.tokens_each, 1)
+        memory = size_of(item).memory_tokens
+        lane = self._admission.lane(item)
+        ends_ms = now_ms + self.timing.service_ms(item, lane, len(targets))
+        permit = Permit(
+            PermitId(*held.permit),
+            node,
+            item,
+            lane,
+            targets,
+            -(-memory // len(targets)),
+            now_ms,
+            now_ms,
+            ends_ms,
+            now_ms + item.time_left_ms,
+        )
+        waiting = self.waiting.get(permit.key)
+        if waiting is not None:
+            self._forget(waiting)
+        self.roster.add(permit, 0, now_ms)
+
+    def _new_waiting(self, node: str, item: WorkItem, now_ms: Millis) -> Waiting:
+        lane = self._admission.lane(item)
+        size = size_of(item)
+        engines = self._admission.engines(item, lane)
+        deadline_ms = now_ms + item.time_left_ms
+        service_ms = self.timing.service_ms(item, lane, engines)
+        latest_ms = deadline_ms - service_ms
+        urgent_ms = latest_ms - max(self.settings.urgent_guard_ms, service_ms)
+        work_ms = self.timing.prefill_ms(size.prefill_tokens)
+        order = min(now_ms + item.rank * self.settings.rank_step_ms + work_ms, latest_ms)
+        return Waiting(
+            node,
+            item,
+            lane,
+            size.cost_tokens,
+            now_ms,
+            now_ms,
+            deadline_ms,
+            latest_ms,
+            urgent_ms,
+            order,
+        )
 
-    def _reclaim_orphans(self, announcement: Announcement, now_ms: Millis) -> list[Effect]:
-        if now_ms < self.ready_ms or announcement.holdings is None:
-            return []
-        address = self.targets[announcement.target].address
+    def _enqueue(self, waiting: Waiting, now_ms: Millis) -> None:
+        self.waiting[waiting.key] = waiting
+        self.queues[waiting.lane].push(waiting)
+        if waiting.item.model:
+            work_ms = self.timing.prefill_ms(size_of(waiting.item).prefill_tokens)
+            self.shares.note(waiting.lane, work_ms, now_ms)
+
+    def _leave_queue(self, waiting: Waiting) -> None:
+        self.queues[waiting.lane].remove(waiting, is_served=True)
+        del self.waiting[waiting.key]
+
+    def _forget(self, waiting: Waiting) -> None:
+        del self.waiting[waiting.key]
+        reservation = self.reservations.find(waiting.key)
+        if reservation is not None:
+            self.reservations.end(reservation)
+        self.queues[waiting.lane].remove(waiting, is_served=False)
+
+    def _refuse_late(self, now_ms: Millis) -> list[Effect]:
+        """Refuse what can no longer finish in time, as soon as that is known."""
         effects: list[Effect] = []
-        for text in announcement.holdings:
-            permit = PermitId.parse(text)
-            if permit not in self.permits and permit.epoch <= self.fence:
-                effects.append(ReleaseMemory(self.pool, address, permit))
+        late: list[Waiting] = []
+        for queue in self.queues.values():
+            while (waiting := queue.late(now_ms)) is not None:
+                queue.remove(waiting, is_served=False)
+                late.append(waiting)
+        for reservation in self.reservations:
+            if reservation.waiting.latest_start_ms < now_ms:
+                late.append(reservation.waiting)
+        for waiting in late:
+            self._forget(waiting)
+            engines = self._admission.engines(waiting.item, waiting.lane)
+            estimate = self._admission.estimate(waiting.item, waiting.lane, engines, now_ms)
+            refusal = Refusal(RefusalReason.DEADLINE, max(1000.0, estimate.wait_ms))
+            effects.append(self._refused(waiting, refusal))
         return effects
 
-    def _refusal(
-        self, node: str, item: WorkItem, reason: RefusalReason, retry_after_ms: Millis
-    ) -> Send:
-        refused = PermitRefused(self.pool, item.request_id, item.attempt, reason, retry_after_ms)
-        return Send(node, refused)
+    def _drop_silent(self, now_ms: Millis) -> None:
+        """Drop requests whose entries have stopped asking for them."""
+        oldest_ms = now_ms - self.settings.queued_silence_ms
+        while self.waiting:
+            waiting = next(iter(self.waiting.values()))
+            if waiting.heard_ms > oldest_ms:
+                return
+            self._forget(waiting)
+
+    def _note_health(self, permit: Permit, message: PermitReleased, now_ms: Millis) -> list[Effect]:
+        if not message.is_target_failure:
+            elapsed_ms = now_ms - permit.prefilled_ms
+            if permit.item.model and elapsed_ms > 0 and permit.withdrawn_ms is None:
+                token_ms = elapsed_ms / max(1, permit.item.output_tokens)
+                self.timing.decode.learn(permit.lane, token_ms)
+            return self.roster.note_success(permit)
+        name = message.failed_target or permit.targets[0].target
+        return self.roster.note_failure(permit, name, now_ms)
+
+    def _granted(self, permit: Permit, item: WorkItem) -> Send:
+        granted = PermitGranted(
+            self.pool,
+            item.request_id,
+            item.attempt,
+            permit.permit,
+            permit.targets,
+            item.asked_ms,
+            engine_priority(item, permit.lane, is_urgent=permit.is_urgent),
+        )
+        return Send(permit.node, granted)
+
+    def _queued(self, waiting: Waiting, now_ms: Millis) -> Send:
+        item = waiting.item
+        engines = self._admission.engines(item, waiting.lane)
+        estimate = self._admission.estimate(item, waiting.lane, engines, now_ms)
+        queued = PermitQueued(self.pool, item.request_id, item.attempt, estimate.wait_ms)
+        return Send(waiting.node, queued)
+
+    def _refused(self, waiting: Waiting, refusal: Refusal) -> Send:
+        item = waiting.item
+        refused = PermitRefused(
+            self.pool, item.request_id, item.attempt, refusal.reason, refusal.retry_after_ms
+        )
+        return Send(waiting.node, refused)
--- a/packages/marigoldarch/marigoldarch/settings.py
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -41,7 +41,7 @@
     permit_retry_ms: Millis = 400.0
     queued_retry_ms: Millis = 1500.0
     grant_fresh_ms: Millis = 5000.0
-    permit_grace_ms: Millis = 8000.0
+    permit_grace_ms: Millis = 4000.0
     attempt_limit: int = 3
     retry_ratio: float = 0.2
     retry_floor_per_s: float = 1.0
@@ -60,12 +60,38 @@
 
 @dataclass(frozen=True)
 class PoolSettings:
-    """Bounds of a pool scheduler."""
+    """Bounds and policy of a pool scheduler.
+
+    `short_weight` is the objective: 1.0 weighs only the slowdown of short requests, 0.0 only the
+    time to first token over all lengths. It sets how busy the engines kept for short work may be.
+    """
 
     queue_limit: int = 10_000
+    customer_queue_limit: int = 4_000
     target_ttl_ms: Millis = 3000.0
     holdings_interval_ms: Millis = 1000.0
-    prefill_tokens_per_s: float = 20_000.0
+    prefill_tokens_per_s: float = 18_000.0
+    decode_token_ms: Millis = 30.0
+    short_weight: float = 0.5
+    short_prompt_tokens: int = 4096
+    medium_prompt_tokens: int = 16_384
+    long_prompt_tokens: int = 102_400
+    gang_memory_share: float = 0.6
+    short_room_share: float = 0.05
+    short_backlog_ms: Millis = 250.0
+    long_backlog_ms: Millis = 1000.0
+    medium_overflow_ms: Millis = 500.0
+    short_overflow_ms: Millis = 150.0
+    rank_step_ms: Millis = 5000.0
+    urgent_guard_ms: Millis = 2000.0
+    estimate_margin: float = 1.25
+    queued_silence_ms: Millis = 8000.0
+    permit_silence_ms: Millis = 6_500.0
+    set_aside_failures: int = 3
+    set_aside_share: float = 0.34
+    loading_share: float = 0.25
+    loading_limit: int = 4
+    order_travel_ms: Millis = 5000.0
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/targets.py
+++ b/packages/marigoldarch/marigoldarch/targets.py
@@ -12,11 +12,15 @@
 
 
 class TargetLoad(msgspec.Struct, frozen=True):
-    """A target's lagged load report, in streams and tokens."""
+    """A target's lagged load report, in streams and tokens.
+
+    `prefill_tokens` is what is still to be prefilled; None means that the target does not tell.
+    """
 
     running: int = 0
     waiting: int = 0
     used_tokens: int = 0
+    prefill_tokens: int | None = None
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
