--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 from typing import TYPE_CHECKING
 
 import trio
+from aioprometheus import Registry
 
 from marigoldarch.effects import (
     CallTarget,
@@ -23,13 +25,16 @@
     Send,
 )
 from marigoldarch.events import Event, MessageArrived, Persisted, Started, TargetCommandEnded, Tick
+from marigoldarch.exceptions import NodeFailedError
 from marigoldarch.reducer import NodeState, reduce
 from marigoldarch_node.attempts import Attempts
 from marigoldarch_node.calls import CallTable
 from marigoldarch_node.clock import SystemClock
-from marigoldarch_node.edge.peer_links import PeerLinks
+from marigoldarch_node.edge.peer_links import LinkSettings, PeerLinks
 from marigoldarch_node.edge.target_client import TargetClient
 from marigoldarch_node.logs import get_logger
+from marigoldarch_node.metrics import Metrics
+from marigoldarch_node.security.loaded import Security
 from marigoldarch_node.storage.folder import DataFolder
 from marigoldarch_node.timeline.recorder import Recorder
 
@@ -49,10 +54,20 @@
         self.settings = settings
         self.clock = SystemClock()
         self.calls = CallTable()
+        self.metrics = Metrics(core.pools.prefill_tokens_per_s, Registry())
         self.client = TargetClient()
-        timeline_file = settings.timeline_file
-        self.recorder = Recorder(core.node, timeline_file.open("a") if timeline_file else None)
-        self.links = PeerLinks(core.node, core.peers, settings.peer_key, self.clock, self.submit)
+        self.recorder = Recorder(core.node, settings.timeline_file)
+        self.security = Security(settings)
+        self.keys = self.security.keys
+        shared = LinkSettings(
+            core.node,
+            settings.peer_key,
+            self.clock,
+            self.recorder,
+            self.keys,
+            self.security.peer_tls,
+        )
+        self.links = PeerLinks(shared, core.peers, self.submit)
         self.attempts = Attempts(self.calls, self.client, self.clock, self.submit)
         self.stopped = trio.Event()
         self.operator_replies: dict[str, trio.MemorySendChannel] = {}
@@ -62,6 +77,7 @@
             self._folder = DataFolder(settings.data_folder, core.node, settings.installation)
             durable = self._folder.open()
         self.state = NodeState(core, durable)
+        self._failure: NodeFailedError | None = None
         self._nursery: trio.Nursery | None = None
         self._persists: deque[Persist | Checkpoint] = deque()
         self._persist_wakeup = trio.Event()
@@ -69,9 +85,29 @@
         self._held: deque[Send] = deque()
 
     def submit(self, event: Event) -> None:
-        """Reduce an event and carry out the effects."""
-        for effect in reduce(self.state, event):
-            self._carry_out(effect)
+        """Reduce an event and carry out the effects.
+
+        Raises `NodeFailedError`, and stops the node, when the core fails on the event: its state
+        may then be half changed, and acting on it could break a promise.
+        """
+        if self._failure is not None:
+            raise self._failure
+        with self.metrics.timed(event):
+            self.metrics.on_event(event)
+            try:
+                effects = reduce(self.state, event)
+            except Exception as error:
+                self._fail(event, error)
+            for effect in effects:
+                self.metrics.on_effect(effect)
+                self._carry_out(effect)
+
+    def _fail(self, event: Event, error: Exception) -> None:
+        kind = type(event).__name__
+        log.critical("The core failed on {} with {}.", kind, type(error).__name__, exc_info=True)
+        self._failure = NodeFailedError(f"the core failed on {kind} with {type(error).__name__}")
+        self.stopped.set()
+        raise self._failure from error
 
     async def run(self) -> None:
         """Run until the node has stopped."""
@@ -79,12 +115,15 @@
             self._nursery = nursery
             nursery.start_soon(self.links.run)
             nursery.start_soon(self._write_log)
+            nursery.start_soon(self.security.watch)
             self.submit(Started(self.clock.monotonic_ms()))
             nursery.start_soon(self._tick)
             await self.stopped.wait()
             nursery.cancel_scope.cancel()
         if self._folder is not None:
             self._folder.close()
+        if self._failure is not None:
+            raise self._failure
 
     async def _tick(self) -> None:
         while True:
@@ -132,7 +171,9 @@
                 await self._persist_wakeup.wait()
             batch = list(self._persists)
             self._persists.clear()
+            began_s = time.perf_counter()
             await trio.to_thread.run_sync(self._write_batch, batch)
+            self.metrics.on_synced(time.perf_counter() - began_s)
             self._on_synced(batch[-1].persist_id)
 
     def _write_batch(self, batch: list[Persist | Checkpoint]) -> None:
--- a/packages/marigoldarch/marigoldarch/entry/state.py
+++ b/packages/marigoldarch/marigoldarch/entry/state.py
@@ -6,7 +6,10 @@
 from typing import TYPE_CHECKING
 
 from marigoldarch.effects import CancelCall, Effect, Record, Reply, Send
-from marigoldarch.entry.limits import LimitKeeper, LimitShares
+from marigoldarch.entry.agenda import Agenda
+from marigoldarch.entry.keepers import Keepers
+from marigoldarch.entry.limit_keeper import LimitKeeper
+from marigoldarch.entry.limit_shares import LimitShares
 from marigoldarch.entry.pool_choice import PoolChoice
 from marigoldarch.entry.request import Attempt, Phase, Request
 from marigoldarch.entry.retries import RetryBudget
@@ -32,11 +35,14 @@
     present_due_ms: Millis = 0.0
     presented: dict[PoolId, int] = field(default_factory=dict)
     presented_revision: int = -1
+    empty_listings: dict[PoolId, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        self.agenda = Agenda()
         self.budget = RetryBudget(self.settings.entry)
         self.pool_choice = PoolChoice(self.settings.address.data_centre)
         self.shares = LimitShares(self.settings.entry)
+        self.keepers = Keepers()
         self.keeper = LimitKeeper(self.settings.node, self.settings.entry)
 
     def scheduler_of(self, pool: PoolId) -> str | None:
@@ -74,8 +80,8 @@
     """Give a request its final outcome; its attempts must have been ended."""
     if state.requests.pop(request.request_id, None) is None:
         return []
-    state.shares.withdraw(request.request_id)
-    state.shares.give_back(request.limits)
+    if not state.shares.withdraw(request.request_id):
+        state.shares.give_back(request.limits)
     fields = {"request": request.request_id, "outcome": type(outcome).__name__}
     if not isinstance(outcome, Answered):
         fields["reason"] = str(outcome.reason)
--- a/packages/marigoldarch/marigoldarch/pools/permits.py
+++ b/packages/marigoldarch/marigoldarch/pools/permits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from marigoldarch.clock import Millis
@@ -49,6 +50,9 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
+    def __iter__(self) -> Iterator[PermitId]:
+        return iter(self._by_id)
+
     def __contains__(self, permit_id: PermitId) -> bool:
         return permit_id in self._by_id
 
--- a/packages/marigoldarch/marigoldarch/pools/roster.py
+++ b/packages/marigoldarch/marigoldarch/pools/roster.py
@@ -14,6 +14,7 @@
 from marigoldarch.pools.orders import OrderBook
 from marigoldarch.pools.reconcile import Reconciler
 from marigoldarch.pools.recovery import Releasable
+from marigoldarch.targets import is_impostor
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
@@ -32,6 +33,7 @@
 """How long after its request's deadline a permit is still taken for live."""
 
 REPLACED_LIMIT = 8
+UNKNOWN_LIMIT = 1024
 
 
 class Roster:
@@ -62,7 +64,7 @@
         self._expiries: list[tuple[Millis, str]] = []
         self._deadlines: list[tuple[Millis, PermitId]] = []
         self._withdrawn: dict[PermitId, Permit] = {}
-        self._nodes: frozenset[str] = frozenset()
+        self._unknown: dict[PermitId, Millis] = {}
         self._missing_since: dict[str, Millis] = {}
 
     def report(
@@ -74,10 +76,9 @@
         if announcement.incarnation in self._replaced.get(announcement.target, ()):
             return []
         expires_ms = now_ms + announcement.ttl_ms
+        if target is not None and is_impostor(target.announcement, announcement):
+            return [Record("identity_conflict", {"target": announcement.target})]
         if target is not None and target.announcement.incarnation != announcement.incarnation:
-            if target.announcement.address != announcement.address:
-                # The name is taken: a second process under it must wait out the first one's lease.
-                return [Record("target_conflict", {"target": announcement.target})]
             effects += self._replace(target, now_ms)
             target = None
         if target is None:
@@ -121,9 +122,18 @@
             if permit.permit not in listed and now_ms >= permit.granted_ms + UNLISTED_GRACE_MS
         ]
 
+    def note_unknown(self, permits: list[PermitId], now_ms: Millis) -> None:
+        """Spare permits that an entry uses although their full listing was lost."""
+        for permit in permits:
+            self._unknown[permit] = now_ms
+        if len(self._unknown) > UNKNOWN_LIMIT:
+            oldest_ms = now_ms - UNLISTED_GRACE_MS
+            self._unknown = {
+                permit: at_ms for permit, at_ms in self._unknown.items() if at_ms > oldest_ms
+            }
+
     def note_nodes(self, nodes: frozenset[str], now_ms: Millis) -> None:
         """Note which entry nodes are alive."""
-        self._nodes = nodes
         for node in self._permits.nodes:
             if node not in nodes:
                 self._missing_since.setdefault(node, now_ms)
@@ -222,7 +232,10 @@
     ) -> list[Effect]:
         target = self._fleet[announcement.target]
         found = self._reconciler.read(
-            target.name, announcement.holdings, self._permits.__contains__, now_ms
+            target.name,
+            announcement.holdings,
+            lambda permit: self._is_live(permit, now_ms),
+            now_ms,
         )
         effects: list[Effect] = [
             ReleaseMemory(self._pool, target.address, permit)
@@ -234,6 +247,12 @@
             effects.append(Record("holdings_unreadable", fields))
         return effects
 
+    def _is_live(self, permit: PermitId, now_ms: Millis) -> bool:
+        if permit in self._permits:
+            return True
+        listed_ms = self._unknown.get(permit)
+        return listed_ms is not None and now_ms < listed_ms + UNLISTED_GRACE_MS
+
     def _expire_targets(self, now_ms: Millis) -> list[Effect]:
         effects: list[Effect] = []
         while self._expiries and self._expiries[0][0] <= now_ms:
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -84,6 +84,11 @@
         self._serial = 0
         self._targets_due_ms = ready_ms + FIRST_TARGETS_MS
 
+    @property
+    def targets(self) -> list[str]:
+        """Return the names of the pool's targets."""
+        return [target.name for target in self.fleet]
+
     def report_target(self, announcement: Announcement, now_ms: Millis) -> list[Effect]:
         """Take an announcement, and release memory that no live permit accounts for."""
         releasable = self.recovery.releasable(now_ms)
@@ -148,7 +153,10 @@
     def hold(self, node: str, message: PermitsHeld, now_ms: Millis) -> list[Effect]:
         """Renew a node's live permits, take over those of an earlier scheduler, drop the others."""
         self.recovery.presented(node, message.epoch)
-        listed: set[PermitId] = set()
+        renewed = [PermitId(*permit) for permit in message.renewed]
+        listed = set(renewed)
+        unknown = [permit for permit in renewed if permit not in self.permits]
+        self.roster.note_unknown(unknown, now_ms)
         for held in message.held:
             permit_id = PermitId(*held.permit)
             listed.add(permit_id)
--- a/packages/marigoldarch/marigoldarch/tests/entry/limits_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limit_keeper_tests.py
@@ -1,18 +1,20 @@
-"""Tests of limits that hold over all nodes."""
+"""Tests of what keepers lend."""
 
 from __future__ import annotations
 
 import unittest
 
-from marigoldarch.entry.limits import Claim, Limit, LimitKeeper, LimitShares, find_keeper
+from marigoldarch.entry.keepers import place
+from marigoldarch.entry.limit_keeper import LimitKeeper
+from marigoldarch.entry.limits import Limit
 from marigoldarch.messages import LimitNeed
 from marigoldarch.settings import EntrySettings
 
 SUBJECT = "customer/guild/harbor"
 SETTINGS = EntrySettings()
 NODES = [f"n{number}" for number in range(200)]
-BEST = find_keeper(SUBJECT, NODES)
-OWN = find_keeper(SUBJECT, [node for node in NODES if node != BEST])
+BEST = place(SUBJECT, NODES)
+OWN = place(SUBJECT, [node for node in NODES if node != BEST])
 
 
 def need(
@@ -81,8 +83,8 @@
 
     def move_here(self) -> None:
         """Let the node that kept the subject die, so that this one keeps it."""
-        self.keeper.watch_nodes(frozenset({OWN, BEST}), 0.0)
-        self.keeper.watch_nodes(frozenset({OWN}), 100.0)
+        self.keeper.watch_nodes((OWN, BEST), 0.0)
+        self.keeper.watch_nodes((OWN,), 100.0)
 
     def test_new_keeper_starts_with_an_empty_rate(self) -> None:
         self.move_here()
@@ -100,9 +102,9 @@
         self.assertEqual(third.slots, 1)
 
     def test_subject_that_did_not_move_is_not_disturbed_by_a_change_of_membership(self) -> None:
-        later = next(n for n in NODES if find_keeper(SUBJECT, [OWN, n]) == OWN and n != OWN)
-        self.keeper.watch_nodes(frozenset({OWN, later}), 0.0)
-        self.keeper.watch_nodes(frozenset({OWN}), 100.0)
+        later = next(n for n in NODES if place(SUBJECT, [OWN, n]) == OWN and n != OWN)
+        self.keeper.watch_nodes((OWN, later), 0.0)
+        self.keeper.watch_nodes((OWN,), 100.0)
         lent = self.keeper.lend("n1", need(requests=5.0), Limit(5.0, 0.0, 0), 100.0)
         self.assertEqual(lent.requests, 5.0)
 
@@ -114,63 +116,3 @@
         self.assertEqual(self.keeper.account_count, 1)
         self.keeper.forget_idle(View(), 1000.0)
         self.assertEqual(self.keeper.account_count, 0)
-
-
-class LimitSharesTests(unittest.TestCase):
-    """What an entry does with what it was lent."""
-
-    def setUp(self) -> None:
-        self.shares = LimitShares(SETTINGS)
-        self.limits = {SUBJECT: Limit(10.0, 0.0, 2)}
-        self.claim = Claim("r1", (SUBJECT,), 10, 0.0)
-
-    def borrow(self, keeper: LimitKeeper, now_ms: float) -> None:
-        """Ask the keeper and take its answer."""
-        needs = self.shares.needs(now_ms)
-        number = self.shares.ask("k", frozenset(needs), now_ms)
-        lent = [keeper.lend("n1", item, self.limits[SUBJECT], now_ms) for item in needs.values()]
-        self.shares.take_answer("k", number, lent, now_ms)
-
-    def test_share_that_was_lent_is_used_once(self) -> None:
-        self.assertFalse(self.shares.try_take(self.claim, self.limits, 0.0))
-        self.shares.wait(self.claim)
-        self.borrow(LimitKeeper(OWN, SETTINGS), 0.0)
-        self.assertTrue(self.shares.try_take(self.claim, self.limits, 0.0))
-        self.assertFalse(self.shares.try_take(self.claim, self.limits, 0.0))
-
-    def test_stale_share_is_not_used(self) -> None:
-        self.shares.wait(self.claim)
-        self.borrow(LimitKeeper(OWN, SETTINGS), 0.0)
-        late_ms = SETTINGS.limit_lease_ms + 1.0
-        self.assertFalse(self.shares.try_take(self.claim, self.limits, late_ms))
-
-    def test_repeated_answer_adds_nothing(self) -> None:
-        keeper = LimitKeeper(OWN, SETTINGS)
-        self.shares.wait(self.claim)
-        number = self.shares.ask("k", frozenset({SUBJECT}), 0.0)
-        lent = [keeper.lend("n1", need(1.0, slots=1), self.limits[SUBJECT], 0.0)]
-        self.shares.take_answer("k", number, lent, 0.0)
-        self.shares.take_answer("k", number, lent, 0.0)
-        self.assertTrue(self.shares.try_take(self.claim, self.limits, 0.0))
-        other = Claim("r2", (SUBJECT,), 10, 0.0)
-        self.assertFalse(self.shares.try_take(other, self.limits, 0.0))
-
-    def test_slots_in_use_are_asked_for_again_before_they_expire(self) -> None:
-        self.shares.wait(self.claim)
-        self.borrow(LimitKeeper(OWN, SETTINGS), 0.0)
-        self.shares.try_take(self.claim, self.limits, 0.0)
-        self.assertEqual(self.shares.needs(100.0), {})
-        renewal = self.shares.needs(SETTINGS.slot_lease_ms / 2.0)
-        self.assertEqual(renewal[SUBJECT].slots, 1)
-
-
-class FindKeeperTests(unittest.TestCase):
-    """The placement of keepers."""
-
-    def test_only_subjects_of_a_lost_node_move(self) -> None:
-        nodes = [f"n{number}" for number in range(9)]
-        subjects = [f"customer/guild/c{number}" for number in range(500)]
-        before = {subject: find_keeper(subject, nodes) for subject in subjects}
-        after = {subject: find_keeper(subject, nodes[1:]) for subject in subjects}
-        moved = {subject for subject in subjects if before[subject] != after[subject]}
-        self.assertEqual(moved, {subject for subject in subjects if before[subject] == "n0"})
--- a/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
@@ -264,6 +264,15 @@
             self.assertEqual(outcome.reason, RefusalReason.LIMIT)
             self.assertGreater(outcome.retry_after_ms, 0.0)
 
+    def test_caller_that_goes_while_it_waits_for_a_limit_frees_no_slot_of_others(self) -> None:
+        self.prompt("r1", key=SLOW_KEY)
+        state = self.cluster.nodes["n2"].state
+        call = CallInfo("r2", SLOW_KEY, "quiz", model="coach", prompt_tokens=100)
+        self.cluster.submit("n2", CallArrived(self.cluster.now_ms, call))
+        self.assertEqual(len(state.entry.shares.waiting), 1)
+        self.cluster.submit("n2", CallerGone(self.cluster.now_ms, "r2"))
+        self.assertEqual(state.entry.shares.used("customer/guild/pier"), 1)
+
     def test_slots_of_ended_requests_are_lent_again(self) -> None:
         for number in range(6):
             self.prompt(f"r{number}", key=SLOW_KEY)
@@ -287,6 +296,7 @@
         self.assertFalse(any(isinstance(e, Exit) for e in self.cluster.nodes["n2"].effects))
         self.answer("r1", self.target_calls("r1")[0])
         self.assertEqual(self.outcomes("r1"), [Answered("", 10)])
+        self.run_for(500)
         self.assertTrue(any(isinstance(e, Exit) for e in self.cluster.nodes["n2"].effects))
 
     def test_dead_node_leaves_the_directory_within_two_seconds(self) -> None:
