Ask silent entries for their permits, and fuzz the loss of a scheduler

Cause: an entry lists its permits for a new scheduler by one message. If that of an idle entry is lost, the scheduler waits for it for ever and never releases memory held for earlier permits. Also: prompts with late deadlines in the permits machine.

--- a/packages/marigoldarch/marigoldarch/entry/permit_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/permit_calls.py
@@ -18,6 +18,7 @@
     PermitReleased,
     PermitRequest,
     PermitsHeld,
+    PermitsWanted,
     PermitWithdrawn,
 )
 from marigoldarch.outcomes import Answered, Failed, FailureReason, NotRun, RefusalReason
@@ -314,6 +315,18 @@
     return left > 0
 
 
+def on_permits_wanted(
+    state: EntryState, sender: str, message: PermitsWanted, now_ms: Millis
+) -> list[Effect]:
+    """List the permits of a pool for a new scheduler that has not heard of them."""
+    pool = PoolId(*message.pool)
+    assignment = state.member.view.assignments.get(pool)
+    if assignment is None or (assignment.node, assignment.fence) != (sender, message.epoch):
+        return []
+    attempts = _attempts_with_permits(state).get(pool, [])
+    return [Send(sender, _held_message(pool, message.epoch, attempts, True, now_ms))]
+
+
 def _held_message(
     pool: PoolId,
     fence: int,
--- a/packages/marigoldarch/marigoldarch/entry/reducer.py
+++ b/packages/marigoldarch/marigoldarch/entry/reducer.py
@@ -29,6 +29,7 @@
     PermitGranted,
     PermitQueued,
     PermitRefused,
+    PermitsWanted,
     PermitWithdrawn,
     ProposeReply,
 )
@@ -104,6 +105,8 @@
             return permit_calls.on_refused(state, message, now_ms)
         case PermitWithdrawn() as message:
             return permit_calls.on_withdrawn(state, message, now_ms)
+        case PermitsWanted() as message:
+            return permit_calls.on_permits_wanted(state, event.sender, message, now_ms)
         case LimitAsk() as message:
             return limit_calls.on_ask(state, event.sender, message, now_ms)
         case LimitAnswer() as message:
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -415,6 +415,14 @@
     shares: list[LimitShare]
 
 
+@dataclass(frozen=True)
+class PermitsWanted:
+    """Ask an entry to list its permits of a pool for the scheduler of `epoch`; repeated."""
+
+    pool: PoolId
+    epoch: int
+
+
 @dataclass(frozen=True)
 class TargetReport:
     """A target's announcement, forwarded to its pool's scheduler."""
@@ -465,6 +473,7 @@
     PermitWithdrawn,
     PermitReleased,
     PermitsHeld,
+    PermitsWanted,
     LimitAsk,
     LimitAnswer,
     TargetReport,
@@ -504,6 +513,7 @@
     | PermitWithdrawn
     | PermitReleased
     | PermitsHeld
+    | PermitsWanted
     | LimitAsk
     | LimitAnswer
     | TargetReport
--- a/packages/marigoldarch/marigoldarch/pools/recovery.py
+++ b/packages/marigoldarch/marigoldarch/pools/recovery.py
@@ -9,6 +9,12 @@
     from marigoldarch.clock import Millis
 
 
+ASK_INTERVAL_MS = 1000.0
+"""How often a new scheduler asks silent entries for their permits, in milliseconds."""
+
+NEVER_MS = float("-inf")
+
+
 class Releasable(StrEnum):
     """Whose permits may be taken for dead when no entry has listed them."""
 
@@ -33,6 +39,7 @@
         self._nodes: frozenset[str] = frozenset()
         self._presented: set[str] = set()
         self._is_over = False
+        self._ask_due_ms = NEVER_MS
 
     def presented(self, node: str, epoch: int) -> None:
         """Note that a node has listed its permits for a scheduler's epoch."""
@@ -43,6 +50,17 @@
         """Note which nodes are alive."""
         self._nodes = nodes
 
+    def take_missing(self, now_ms: Millis) -> list[str]:
+        """Return the live nodes to ask for their permits: those that have listed none, at times.
+
+        An entry lists its permits for a new scheduler by one message, which may get lost.
+        """
+        if now_ms < self._ask_due_ms:
+            return []
+        is_first = self._ask_due_ms == NEVER_MS
+        self._ask_due_ms = now_ms + ASK_INTERVAL_MS
+        return [] if is_first else sorted(self._nodes - self._presented)
+
     def is_over(self, now_ms: Millis) -> bool:
         """Return whether the scheduler may grant."""
         if not self._is_over:
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -16,6 +16,7 @@
     PermitReleased,
     PermitRequest,
     PermitsHeld,
+    PermitsWanted,
     WorkItem,
 )
 from marigoldarch.outcomes import RefusalReason
@@ -176,6 +177,10 @@
         effects = self.roster.tick(now_ms)
         effects += self._refuse_late(now_ms)
         self._drop_silent(now_ms)
+        effects += [
+            Send(node, PermitsWanted(self.pool, self.fence))
+            for node in self.recovery.take_missing(now_ms)
+        ]
         return effects + self._grant(now_ms)
 
     def _grant(self, now_ms: Millis) -> list[Effect]:
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/broken_pools_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/broken_pools_tests.py
@@ -17,7 +17,14 @@
 from marigoldarch.events import MessageArrived
 from marigoldarch.messages import PermitsHeld, TargetReport
 from marigoldarch.tests.fuzz.broken import run_script
-from marigoldarch.tests.fuzz.permits_tests import GANG_PROMPT, POOL, SHORT_PROMPT, PermitMachine
+from marigoldarch.tests.fuzz.permits_tests import (
+    GANG_PROMPT,
+    LONG_PROMPT,
+    LONGEST_DEADLINE_MS,
+    POOL,
+    SHORT_PROMPT,
+    PermitMachine,
+)
 
 
 def hang_engines(machine: PermitMachine) -> None:
@@ -35,17 +42,6 @@
     raise AssertionError("no node holds the pool")
 
 
-def lose_scheduler(machine: PermitMachine) -> None:
-    """Kill the scheduler while another node's prompts run."""
-    scheduler = find_scheduler(machine)
-    entry = next(name for name in machine.cluster.running if name != scheduler)
-    hang_engines(machine)
-    machine.ask(machine.cluster.running.index(entry), SHORT_PROMPT, 2)
-    machine.advance(300.0)
-    machine.kill_scheduler()
-    machine.advance(4500.0)
-
-
 def lose_entry(machine: PermitMachine) -> None:
     """Kill an entry node while its gang and its short prompts run."""
     scheduler = find_scheduler(machine)
@@ -65,6 +61,14 @@
     machine.advance(6000.0)
 
 
+def hang_for_long(machine: PermitMachine) -> None:
+    """Let prompts with a late deadline run without an answer."""
+    hang_engines(machine)
+    for name in machine.cluster.running:
+        machine.ask_one(name, SHORT_PROMPT, deadline_ms=LONGEST_DEADLINE_MS)
+    machine.advance(15_000.0)
+
+
 def answer_one(machine: PermitMachine) -> None:
     """Let a prompt be answered."""
     machine.ask(0, SHORT_PROMPT, 1)
@@ -76,6 +80,7 @@
     machine.drain_engine(0)
     for _ in range(18):
         machine.ask(0, SHORT_PROMPT, 4)
+        machine.ask(0, LONG_PROMPT, 2)
         machine.advance(500.0)
 
 
@@ -108,12 +113,15 @@
         self.assertIn(breach, run_script(PermitMachine, fault, script))
         self.assertEqual(run_script(PermitMachine, nullcontext(), script), "")
 
-    def test_forgetting_permits_of_the_earlier_scheduler_is_caught(self) -> None:
-        def without_permits(event: Any) -> Any:
-            is_list = isinstance(event, MessageArrived) and isinstance(event.message, PermitsHeld)
-            return None if is_list else event
+    def test_forgetting_permits_that_an_entry_lists_is_caught(self) -> None:
+        def with_empty_list(event: Any) -> Any:
+            if isinstance(event, MessageArrived) and isinstance(event.message, PermitsHeld):
+                empty = PermitsHeld(event.message.pool, event.message.epoch, [], [])
+                return MessageArrived(event.at_ms, event.sender, empty)
+            return event
 
-        self.assert_caught(reduce_pools_with(without_permits), lose_scheduler, "the live permit")
+        fault = reduce_pools_with(with_empty_list)
+        self.assert_caught(fault, hang_for_long, "the live permit")
 
     def test_leaving_orphans_alone_is_caught(self) -> None:
         fault = reduce_pools_with(keeps=lambda effect: not isinstance(effect, ReleaseMemory))
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/permits_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/permits_tests.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import rule, run_state_machine_as_test
 
+from marigoldarch.clock import Millis
 from marigoldarch.effects import Effect, Reply
 from marigoldarch.events import CallArrived, CallerGone, CallInfo, DeclareRequested
 from marigoldarch.identifiers import PoolId
@@ -26,6 +27,7 @@
 KEY = hashlib.sha256(b"secret").hexdigest()
 POOL = PoolId("dc1", "coach")
 DEADLINE_MS = 5000.0
+LONGEST_DEADLINE_MS = 20_000.0
 GRACE_MS = 2 * STEP_MS
 OUTPUT_TOKENS = 4
 SHORT_PROMPT, LONG_PROMPT, GANG_PROMPT = 500, 6000, 16_000
@@ -34,7 +36,7 @@
 DECLARATION = {
     "team": "guild",
     "models": {"coach": {}},
-    "kinds": {"quiz": {"deadline_ms": int(DEADLINE_MS)}},
+    "kinds": {"quiz": {"deadline_ms": int(LONGEST_DEADLINE_MS)}},
     "customers": {"harbor": {"key_sha256": [KEY]}},
 }
 
@@ -71,11 +73,12 @@
         number=NUMBERS,
         prompt=st.sampled_from([SHORT_PROMPT, SHORT_PROMPT, LONG_PROMPT, GANG_PROMPT]),
         count=st.integers(1, 4),
+        deadline_ms=st.sampled_from([DEADLINE_MS, LONGEST_DEADLINE_MS]),
     )
-    def ask(self, number: int, prompt: int, count: int) -> None:
+    def ask(self, number: int, prompt: int, count: int, deadline_ms: Millis = DEADLINE_MS) -> None:
         """Send prompts to a node."""
         for _ in range(count):
-            self._ask(self.running_name(number), prompt)
+            self.ask_one(self.running_name(number), prompt, deadline_ms=deadline_ms)
 
     @rule(number=NUMBERS)
     def leave(self, number: int) -> None:
@@ -142,12 +145,12 @@
         fresh = [request for request in self.oracle.calls if request.startswith("fresh")]
         if any(isinstance(self.oracle.outcomes.get(request), Answered) for request in fresh):
             return True
-        self._ask(self.running_name(0), SHORT_PROMPT, f"fresh{len(fresh)}")
+        self.ask_one(self.running_name(0), SHORT_PROMPT, f"fresh{len(fresh)}")
         return False
 
     def check_recovery(self) -> None:
         """Check that no engine holds memory, and that no scheduler counts any, in the end."""
-        limit_ms = self.cluster.now_ms + DEADLINE_MS + RECLAIM_LIMIT_MS
+        limit_ms = self.cluster.now_ms + LONGEST_DEADLINE_MS + RECLAIM_LIMIT_MS
         while any(self.world.held().values()):
             assert self.cluster.now_ms < limit_ms, f"memory is lost: {self.world.held()}"
             self.advance(500.0)
@@ -157,7 +160,14 @@
             requests = self.at_node.get(self._run(name), [])
             self.oracle.check_deadlines(requests, self.cluster.local_ms(name) - GRACE_MS)
 
-    def _ask(self, name: str | None, prompt_tokens: int, request_id: str = "") -> None:
+    def ask_one(
+        self,
+        name: str | None,
+        prompt_tokens: int,
+        request_id: str = "",
+        deadline_ms: Millis = DEADLINE_MS,
+    ) -> None:
+        """Send one prompt to a node."""
         if name is None:
             return
         request_id = request_id or f"r{len(self.oracle.calls) + 1}"
@@ -168,9 +178,10 @@
             model="coach",
             prompt_tokens=prompt_tokens,
             output_tokens=OUTPUT_TOKENS,
+            deadline_ms=deadline_ms,
         )
         now_ms = self.cluster.local_ms(name)
-        self.oracle.ask(call, now_ms + DEADLINE_MS)
+        self.oracle.ask(call, now_ms + deadline_ms)
         self.at_node.setdefault(self._run(name), []).append(request_id)
         self.cluster.submit(name, CallArrived(now_ms, call))
 
