End connections when their callers do, and speak HTTP/1.1 only

Cause: an idle connection whose caller had closed it stayed open in the HTTP server for its whole keep-alive time of 60 s, and plain connections could switch to HTTP/2, where one stayed open too. Change: a connection ends when its caller has closed it; wishes for another protocol are ignored; a fault inside one connection cannot end the node. Tests over real sockets show that a gone or stalled caller, a hung, cut, duplicating or crossing engine leave no permit, stream or call behind.

--- a/packages/marigoldarch-fakes/marigoldarch_fakes/caller.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/caller.py
@@ -82,6 +82,11 @@
         self._addresses: list[str] = []
         self._expires_at = 0.0
 
+    def use(self, address: str) -> None:
+        """Use one address and never ask the directory."""
+        self._addresses = [address]
+        self._expires_at = float("inf")
+
     async def address(self) -> str:
         """Return the address that the directory prefers."""
         return (await self.addresses())[0]
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/engine.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/engine.py
@@ -94,13 +94,14 @@
             settings.address,
             settings.data_centre,
         )
-        announcer = Announcer(identity, settings.nodes, settings.key, self._describe)
+        announcer = Announcer(identity, settings.nodes, settings.key, self.describe)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(serve_routes, self.routes, settings.address)
             nursery.start_soon(announcer.run)
             nursery.start_soon(self._publish_cache, announcer)
 
-    def _describe(self) -> dict[str, Any]:
+    def describe(self) -> dict[str, Any]:
+        """Return what the engine announces besides its identity."""
         present = {
             "running": len(self._streams),
             "used_tokens": sum(stream.tokens for stream in self._streams.values()),
--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/tests/data_path_tests.py
@@ -0,0 +1,168 @@
+"""Tests of the whole data path in one process: caller, node and engine over real sockets."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import httpcore
+import trio
+
+from marigoldarch.codec import encode_json
+from marigoldarch_fakes.announcer import Announcer, TargetIdentity
+from marigoldarch_fakes.caller import Caller, CallOutcome
+from marigoldarch_fakes.engine import Engine, EngineSettings
+from marigoldarch_node.edge.http import Router
+from marigoldarch_node.edge.listener import Listener, ListenerSettings
+from marigoldarch_node.metrics import waiting_items
+from marigoldarch_node.tests import harness
+
+TIME_LIMIT_S = 60.0
+LONG = 1_000_000
+
+
+class Setup:
+    """One node with one engine."""
+
+    def __init__(self, node: harness.Node, engine: Engine, address: str) -> None:
+        self.node = node
+        self.engine = engine
+        self.address = address
+
+    @property
+    def holdings(self) -> list[str]:
+        """Return the permits whose streams the engine holds."""
+        return self.engine.describe()["holdings"]
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing of any request is left anywhere."""
+        runtime = self.node.runtime
+        schedulers = runtime.state.pools.schedulers.values()
+        return (
+            not self.holdings
+            and not len(runtime.calls)
+            and not len(runtime.attempts)
+            and not runtime.state.active
+            and all(not len(item.permits) and not waiting_items(item) for item in schedulers)
+        )
+
+    async def wait_until_idle(self) -> None:
+        """Wait until nothing of any request is left."""
+        while not self.is_idle:
+            await trio.sleep(0.01)
+
+    async def show_fault(self, name: str) -> None:
+        """Let the engine's next stream show a fault."""
+        path = f"/fault/show/{name}"
+        await harness.send(Router(self.engine.routes), "POST", path, [], b"")
+
+
+class DataPathTests(unittest.TestCase):
+    """Whatever ends a stream, nothing of it is left behind."""
+
+    def run_with(self, test: Callable[[Setup], Awaitable[None]]) -> None:
+        """Run a test with a node and an engine."""
+
+        async def main(folder: Path) -> None:
+            with trio.fail_after(TIME_LIMIT_S):
+                async with trio.open_nursery() as nursery:
+                    await test(await self.start(nursery, folder))
+                    nursery.cancel_scope.cancel()
+
+        with tempfile.TemporaryDirectory() as folder:
+            trio.run(main, Path(folder))
+
+    async def start(self, nursery: trio.Nursery, folder: Path) -> Setup:
+        """Start a node and an engine, and wait until the engine is known."""
+        node = harness.Node(folder)
+        await node.start(nursery)
+        address = await self.listen(nursery, node.public)
+        settings = EngineSettings(
+            "e1", "", "dc1", "coach", (), memory_tokens=10 * LONG, decode_step_ms=1.0
+        )
+        engine = Engine(settings)
+        at = await self.listen(nursery, Router(engine.routes))
+        identity = TargetIdentity("e1", "i1", "engine", "coach", at, "dc1")
+        announcer = Announcer(identity, (address,), harness.TARGET_KEY, engine.describe)
+        nursery.start_soon(announcer.run)
+        while "e1" not in str((await node.get("/v1/operator/status", harness.OPERATOR_KEY)).json):
+            await trio.sleep(0.02)
+        return Setup(node, engine, address)
+
+    async def listen(self, nursery: trio.Nursery, router: Router) -> str:
+        """Serve a router and return its address."""
+        listener = Listener(router, ListenerSettings("127.0.0.1:0"))
+        return f"127.0.0.1:{await nursery.start(listener.serve, trio.Event())}"
+
+    def open_stream(self, pool: httpcore.AsyncConnectionPool, address: str, tokens: int) -> Any:
+        """Open a stream of that many tokens."""
+        body = {"model": "coach", "prompt": "hi", "max_tokens": tokens, "stream": True}
+        headers = {"authorization": f"Bearer {harness.KEY}", "x-marigoldarch-kind": "quiz"}
+        url = f"http://{address}/v1/completions"
+        return pool.stream("POST", url, headers=headers, content=encode_json(body))
+
+    def test_caller_that_goes_away_frees_its_permit_and_the_engine(self) -> None:
+        async def test(setup: Setup) -> None:
+            async with (
+                httpcore.AsyncConnectionPool() as pool,
+                self.open_stream(pool, setup.address, LONG) as response,
+            ):
+                await anext(response.aiter_stream())
+                self.assertEqual(len(setup.holdings), 1)
+            await setup.wait_until_idle()
+
+        self.run_with(test)
+
+    def test_caller_that_stops_reading_is_ended_by_its_deadline(self) -> None:
+        async def test(setup: Setup) -> None:
+            host, port = setup.address.split(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            body = encode_json(
+                {"model": "coach", "prompt": "hi", "max_tokens": LONG, "stream": True}
+            )
+            head = (
+                f"POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {len(body)}\r\n"
+                f"authorization: Bearer {harness.KEY}\r\nx-marigoldarch-kind: quiz\r\n"
+                "x-marigoldarch-deadline-ms: 1500\r\n\r\n"
+            )
+            await stream.send_all(head.encode() + body)
+            while not setup.holdings:
+                await trio.sleep(0.01)
+            await setup.wait_until_idle()
+
+        self.run_with(test)
+
+    def test_hung_engine_ends_the_request_at_its_deadline(self) -> None:
+        async def test(setup: Setup) -> None:
+            await setup.show_fault("hang")
+            caller = Caller([setup.address], harness.KEY)
+            caller.use(setup.address)
+            headers = {"x-marigoldarch-deadline-ms": "800"}
+            result = await caller.prompt("coach", "quiz", "hi", 8, headers)
+            self.assertEqual(result.outcome, CallOutcome.FAILED)
+            self.assertEqual(result.text, "w0 w1 w2 w3 ")
+            await setup.wait_until_idle()
+
+        self.run_with(test)
+
+    def test_cut_stream_goes_on_and_faults_of_frames_do_not_show(self) -> None:
+        async def test(setup: Setup) -> None:
+            caller = Caller([setup.address], harness.KEY)
+            caller.use(setup.address)
+            whole = "".join(f"w{number} " for number in range(8))
+            for fault in ("duplicate", "cross"):
+                await setup.show_fault(fault)
+                result = await caller.prompt("coach", "quiz", "hi", 8)
+                self.assertEqual((result.outcome, result.text), (CallOutcome.ANSWERED, whole))
+            await setup.show_fault("cut")
+            result = await caller.prompt("coach", "quiz", "hi", 8, {})
+            self.assertIn(result.outcome, (CallOutcome.ANSWERED, CallOutcome.FAILED))
+            self.assertTrue(whole.startswith(result.text))
+            self.assertEqual(result.text == whole, result.outcome is CallOutcome.ANSWERED)
+            await setup.wait_until_idle()
+
+        self.run_with(test)
--- a/packages/marigoldarch-node/marigoldarch_node/edge/listener.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/listener.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import socket
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
 from hypercorn.config import Config
+from hypercorn.events import Event, Updated
+from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
@@ -17,6 +19,8 @@
 from marigoldarch_node.logs import get_logger
 
 if TYPE_CHECKING:
+    from hypercorn.protocol import ProtocolWrapper
+
     from marigoldarch_node.edge.http import Router
     from marigoldarch_node.security.tls import Tls
 
@@ -69,6 +73,42 @@
     ]
 
 
+class Connection(TCPServer):
+    """A connection of hypercorn that speaks HTTP/1.1 only and ends when its caller has closed it.
+
+    Left to itself it would keep a closed connection open until its keep-alive time has passed, and
+    let plain connections switch to HTTP/2.
+    """
+
+    _is_read_to_end = False
+
+    @property
+    def protocol(self) -> ProtocolWrapper:
+        """Return the protocol."""
+        return self._protocol
+
+    @protocol.setter
+    def protocol(self, protocol: ProtocolWrapper) -> None:
+        if isinstance(protocol.protocol, H11Protocol):
+            protocol.protocol._check_protocol = _keep_protocol
+        self._protocol = protocol
+
+    async def protocol_send(self, event: Event) -> None:
+        """Act on an event of the protocol; nothing is idle once the caller has closed."""
+        if self._is_read_to_end and isinstance(event, Updated):
+            return
+        await super().protocol_send(event)
+
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        self._is_read_to_end = True
+        await self.idle_task.stop()
+
+
+async def _keep_protocol(request: Any) -> None:
+    """Ignore a request's wish for another protocol (RFC 9110, section 7.8)."""
+
+
 class Listener:
     """Serve a router on one address."""
 
@@ -122,9 +162,12 @@
             for option in connection_options(UNACKNOWLEDGED_MS):
                 stream.setsockopt(*option)
             state = ConnectionState({})
-            await TCPServer(self._app, self._config, self._context, state, self._secured(stream))
+            await Connection(self._app, self._config, self._context, state, self._secured(stream))
         except OSError:
             log.debug("A connection ended before it was served.")
+        except Exception as error:
+            log.error("A connection failed with {}.", type(error).__name__, exc_info=True)
+            await trio.aclose_forcefully(stream)
         finally:
             self._connections -= 1
 
