--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/limits.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/limits.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from marigoldarch.entry.limits import Limit, LimitKeeper
+from marigoldarch.entry.limit_keeper import LimitKeeper
+from marigoldarch.entry.limits import Limit
 from marigoldarch.events import CallArrived
 from marigoldarch.messages import LimitAnswer, LimitAsk, LimitNeed, LimitShare
 from marigoldarch.settings import EntrySettings
