Refuse by known answer times only, and tell schedulers how fast targets are

Schedulers had no way to learn how fast engines prefill. Change: refusals rest on answers seen in the last 30 s; releases carry the time to the first frame and the length of the answer; a scheduler can ask an entry to list its permits in full.

--- a/packages/marigoldarch/marigoldarch/entry/permit_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/permit_calls.py
@@ -19,13 +19,14 @@
     PermitRequest,
     PermitsHeld,
     PermitWithdrawn,
+    PresentPermits,
 )
 from marigoldarch.outcomes import Answered, Failed, FailureReason, NotRun, RefusalReason
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
     from marigoldarch.entry.state import EntryState
-    from marigoldarch.events import TargetAnswered, TargetFailed
+    from marigoldarch.events import FirstToken, TargetAnswered, TargetFailed
 
 PRESENT_INTERVAL_MS: Millis = 1000.0
 EMPTY_LISTINGS = 10
@@ -191,13 +192,23 @@
     return effects + begin(state, request, now_ms)
 
 
+def on_first_token(state: EntryState, event: FirstToken) -> list[Effect]:
+    """Note how long the target took to begin its answer."""
+    request = state.requests.get(event.request_id)
+    attempt = request.attempts.get(event.attempt) if request else None
+    if attempt is not None:
+        attempt.first_token_ms = event.at_ms - attempt.called_ms
+    return [Record("first_token", {"request": event.request_id, "attempt": event.attempt})]
+
+
 def on_answered(state: EntryState, event: TargetAnswered) -> list[Effect]:
     """Give the caller the answer; the other attempts of a hedged lookup end here."""
     request = state.requests.get(event.request_id)
     attempt = request.attempts.pop(event.attempt, None) if request else None
     if attempt is None:
         return []
-    effects = release(state, request, attempt) + drop_attempts(state, request)
+    effects = release(state, request, attempt, output_tokens=event.output_tokens)
+    effects += drop_attempts(state, request)
     if not request.is_idempotent:
         effects += ledger_calls.record_answer(state, request, event.body, event.at_ms)
     return effects + finish(state, request, Answered(event.body, event.output_tokens))
@@ -214,7 +225,7 @@
     request.is_started = request.is_started or not event.is_unsent
     fields = {"request": event.request_id, "attempt": event.attempt, "target": event.target}
     effects: list[Effect] = [Record("attempt_failed", fields)]
-    effects += release(state, request, attempt, is_target_failure=True)
+    effects += release(state, request, attempt, failed_target=event.target)
     if request.attempts:
         return effects
     failure = Failure(event.is_unsent, event.at_ms)
@@ -282,9 +293,17 @@
     return begin(state, request, now_ms)
 
 
+def on_present(state: EntryState, message: PresentPermits) -> list[Effect]:
+    """List the permits of a pool in full with the next tick."""
+    state.presented.pop(PoolId(*message.pool), None)
+    state.is_asked_to_present = True
+    return []
+
+
 def present_permits(state: EntryState, now_ms: Millis) -> list[Effect]:
     """List the live permits of each pool: at an interval, and once for each new scheduler."""
-    is_due = now_ms >= state.present_due_ms
+    is_due = now_ms >= state.present_due_ms or state.is_asked_to_present
+    state.is_asked_to_present = False
     view = state.member.view
     if not is_due and view.revision == state.presented_revision:
         return []
--- a/packages/marigoldarch/marigoldarch/entry/reducer.py
+++ b/packages/marigoldarch/marigoldarch/entry/reducer.py
@@ -30,6 +30,7 @@
     PermitQueued,
     PermitRefused,
     PermitWithdrawn,
+    PresentPermits,
     ProposeReply,
 )
 from marigoldarch.outcomes import Failed, FailureReason, NotRun, OutcomeUnknown, RefusalReason
@@ -47,8 +48,8 @@
             return _on_call(state, event, is_closed)
         case CallerGone(at_ms=now_ms, request_id=request_id):
             return _on_caller_gone(state, request_id, now_ms)
-        case FirstToken(request_id=request_id, attempt=attempt):
-            return [Record("first_token", {"request": request_id, "attempt": attempt})]
+        case FirstToken():
+            return permit_calls.on_first_token(state, event)
         case TargetAnswered():
             return permit_calls.on_answered(state, event)
         case TargetFailed():
@@ -104,6 +105,8 @@
             return permit_calls.on_refused(state, message, now_ms)
         case PermitWithdrawn() as message:
             return permit_calls.on_withdrawn(state, message, now_ms)
+        case PresentPermits() as message:
+            return permit_calls.on_present(state, message)
         case LimitAsk() as message:
             return limit_calls.on_ask(state, event.sender, message, now_ms)
         case LimitAnswer() as message:
--- a/packages/marigoldarch/marigoldarch/entry/request.py
+++ b/packages/marigoldarch/marigoldarch/entry/request.py
@@ -33,6 +33,7 @@
     permit: PermitId | None = None
     targets: tuple[TargetAddress, ...] = ()
     called_ms: Millis = 0.0
+    first_token_ms: Millis = 0.0
 
 
 @dataclass
--- a/packages/marigoldarch/marigoldarch/entry/state.py
+++ b/packages/marigoldarch/marigoldarch/entry/state.py
@@ -35,6 +35,7 @@
     present_due_ms: Millis = 0.0
     presented: dict[PoolId, int] = field(default_factory=dict)
     presented_revision: int = -1
+    is_asked_to_present: bool = False
     empty_listings: dict[PoolId, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -52,14 +53,26 @@
 
 
 def release(
-    state: EntryState, request: Request, attempt: Attempt, *, is_target_failure: bool = False
+    state: EntryState,
+    request: Request,
+    attempt: Attempt,
+    *,
+    failed_target: str = "",
+    output_tokens: int = 0,
 ) -> list[Effect]:
     """Give an attempt's permit back, or withdraw it from the queue."""
     node = state.scheduler_of(attempt.pool)
     if node is None:
         return []
     message = PermitReleased(
-        attempt.pool, request.request_id, attempt.number, attempt.permit, is_target_failure
+        attempt.pool,
+        request.request_id,
+        attempt.number,
+        attempt.permit,
+        bool(failed_target),
+        failed_target,
+        attempt.first_token_ms,
+        output_tokens,
     )
     return [Send(node, message)]
 
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -339,7 +339,9 @@
 class PermitReleased:
     """End a permit, or withdraw a request that still waits (`permit` is None).
 
-    `failed_target` names the member that failed, where the entry knows it.
+    `failed_target` names the member that failed, where the entry knows it. `first_token_ms` is the
+    time from the target call to its first frame (0 if there was none), and `output_tokens` the
+    length of a whole answer.
     """
 
     pool: PoolId
@@ -348,6 +350,8 @@
     permit: PermitId | None
     is_target_failure: bool = False
     failed_target: str = ""
+    first_token_ms: Millis = 0.0
+    output_tokens: int = 0
 
 
 class HeldPermit(NamedTuple):
@@ -398,6 +402,13 @@
     retry_after_ms: Millis
 
 
+@dataclass(frozen=True)
+class PresentPermits:
+    """Ask an entry to list its permits in full, for it has renewed some that are not known."""
+
+    pool: PoolId
+
+
 @dataclass(frozen=True)
 class LimitAsk:
     """Ask the keeper of some limits for shares; `round` is echoed."""
@@ -465,6 +476,7 @@
     PermitWithdrawn,
     PermitReleased,
     PermitsHeld,
+    PresentPermits,
     LimitAsk,
     LimitAnswer,
     TargetReport,
@@ -504,6 +516,7 @@
     | PermitWithdrawn
     | PermitReleased
     | PermitsHeld
+    | PresentPermits
     | LimitAsk
     | LimitAnswer
     | TargetReport
--- a/packages/marigoldarch/marigoldarch/pools/admission.py
+++ b/packages/marigoldarch/marigoldarch/pools/admission.py
@@ -83,7 +83,8 @@
         if has_all_targets and self._lacks_targets(item):
             return Refusal(RefusalReason.NO_TARGET, NO_TARGET_RETRY_MS)
         margin = self._settings.estimate_margin
-        finish_ms = estimate.wait_ms * margin + estimate.service_ms
+        service_ms = self._timing.known_service_ms(item, lane, engines, now_ms)
+        finish_ms = estimate.wait_ms * margin + service_ms
         if finish_ms > item.time_left_ms:
             overdue_ms = finish_ms - item.time_left_ms
             # Waiting less helps only down to no wait at all.
--- a/packages/marigoldarch/marigoldarch/pools/estimates.py
+++ b/packages/marigoldarch/marigoldarch/pools/estimates.py
@@ -77,17 +77,30 @@
 
     RISE = 0.1
     FALL = 0.01
+    BELIEVED_MS = 30_000.0
+    """How long an estimate is believed without an answer that confirms it."""
 
     def __init__(self, initial_ms: Millis) -> None:
         self._token_ms = dict.fromkeys((True, False), initial_ms)
+        self._learned_at_ms = dict.fromkeys((True, False), float("-inf"))
 
     def answer_ms(self, item: WorkItem, lane: Lane) -> Millis:
         """Return how long the answer takes after its first token."""
         return item.output_tokens * self._token_ms[lane is Lane.SHORT] if item.model else 0.0
 
-    def learn(self, lane: Lane, token_ms: Millis) -> None:
+    def known_answer_ms(self, item: WorkItem, lane: Lane, now_ms: Millis) -> Millis:
+        """Return how long the answer takes as far as recent answers tell, otherwise 0.
+
+        A refusal must not rest on a guess: a guess too high would refuse all work, and then no
+        answer could ever correct it.
+        """
+        is_recent = now_ms < self._learned_at_ms[lane is Lane.SHORT] + self.BELIEVED_MS
+        return self.answer_ms(item, lane) if is_recent else 0.0
+
+    def learn(self, lane: Lane, token_ms: Millis, now_ms: Millis) -> None:
         """Take the time a token took in an answer."""
         is_short = lane is Lane.SHORT
+        self._learned_at_ms[is_short] = now_ms
         known_ms = self._token_ms[is_short]
         share = self.RISE if token_ms > known_ms else self.FALL
         self._token_ms[is_short] = known_ms + share * (token_ms - known_ms)
@@ -108,3 +121,8 @@
         """Return how long an item takes once it runs on `engines` engines."""
         prefill = self.prefill_ms(size_of(item).prefill_tokens) / engines
         return prefill + self.decode.answer_ms(item, lane)
+
+    def known_service_ms(self, item: WorkItem, lane: Lane, engines: int, now_ms: Millis) -> Millis:
+        """Return the time an item takes at least, as far as recent answers tell."""
+        prefill = self.prefill_ms(size_of(item).prefill_tokens) / engines
+        return prefill + self.decode.known_answer_ms(item, lane, now_ms)
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -402,7 +402,7 @@
             elapsed_ms = now_ms - permit.prefilled_ms
             if permit.item.model and elapsed_ms > 0 and permit.withdrawn_ms is None:
                 token_ms = elapsed_ms / max(1, permit.item.output_tokens)
-                self.timing.decode.learn(permit.lane, token_ms)
+                self.timing.decode.learn(permit.lane, token_ms, now_ms)
             return self.roster.note_success(permit)
         name = message.failed_target or permit.targets[0].target
         return self.roster.note_failure(permit, name, now_ms)
--- a/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
@@ -6,13 +6,15 @@
 import unittest
 from typing import Any
 
-from marigoldarch.effects import CallTarget, CancelCall, Exit, Reply
+from marigoldarch.effects import CallTarget, CancelCall, Exit, Reply, Send
 from marigoldarch.events import (
     CallArrived,
     CallerGone,
     CallInfo,
     DeclareRequested,
     DrainRequested,
+    Event,
+    FirstToken,
     MessageArrived,
     TargetAnnounced,
     TargetAnswered,
@@ -20,7 +22,7 @@
     Tick,
 )
 from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
-from marigoldarch.messages import PermitGranted
+from marigoldarch.messages import PermitGranted, PermitReleased, PermitsHeld, PresentPermits
 from marigoldarch.outcomes import (
     Answered,
     Failed,
@@ -29,6 +31,7 @@
     OutcomeUnknown,
     RefusalReason,
 )
+from marigoldarch.reducer import reduce
 from marigoldarch.settings import EntrySettings
 from marigoldarch.targets import Announcement
 from marigoldarch.tests.cluster import MemoryCluster
@@ -254,6 +257,35 @@
         self.cluster.submit(node, MessageArrived(self.cluster.now_ms, assignment.node, granted))
         self.assertEqual(self.target_calls("r1"), [])
 
+    def entry_apart_from_scheduler(self) -> tuple[str, str]:
+        """Return an entry that does not schedule the model's pool, and the node that does."""
+        view = self.cluster.nodes["n1"].state.control.member.view
+        holder = view.assignments[PoolId("dc1", "coach")].node
+        return next(name for name in self.cluster.nodes if name != holder), holder
+
+    def sent(self, node: str, event: Event, sort: type) -> list:
+        """Let a node reduce an event and return the messages of one sort that it sends."""
+        effects = reduce(self.cluster.nodes[node].state, event)
+        messages = [effect.message for effect in effects if isinstance(effect, Send)]
+        return [message for message in messages if isinstance(message, sort)]
+
+    def test_entry_lists_its_permits_in_full_when_asked(self) -> None:
+        node, holder = self.entry_apart_from_scheduler()
+        self.prompt("r1", node=node)
+        asked = PresentPermits(PoolId("dc1", "coach"))
+        self.sent(node, MessageArrived(self.cluster.now_ms, holder, asked), PermitsHeld)
+        (listed,) = self.sent(node, Tick(self.cluster.now_ms), PermitsHeld)
+        self.assertEqual([held.item.request_id for held in listed.held], ["r1"])
+
+    def test_release_tells_how_fast_the_target_was(self) -> None:
+        node, _ = self.entry_apart_from_scheduler()
+        self.prompt("r1", node=node)
+        begun_ms = self.cluster.nodes[node].state.entry.requests["r1"].attempts[1].called_ms
+        self.cluster.submit(node, FirstToken(begun_ms + 30.0, "r1", 1))
+        answered = TargetAnswered(self.cluster.now_ms, "r1", 1, 7)
+        (released,) = self.sent(node, answered, PermitReleased)
+        self.assertEqual((released.first_token_ms, released.output_tokens), (30.0, 7))
+
     def test_limits_of_a_customer_hold_over_all_nodes(self) -> None:
         for number in range(9):
             self.prompt(f"r{number}", node=f"n{number % 3 + 1}", key=SLOW_KEY)
