--- a/packages/marigoldarch/marigoldarch/control/commands.py
+++ b/packages/marigoldarch/marigoldarch/control/commands.py
@@ -143,6 +143,13 @@
     team: str
 
 
+@dataclass(frozen=True)
+class DeclareKeyTaken:
+    """A customer's key in the declaration is already a key of another team's customer."""
+
+    customer: str
+
+
 @dataclass(frozen=True)
 class LedgerStarted:
     """This request holds the only right to send the call."""
@@ -186,6 +193,7 @@
     | Declared
     | DeclareConflict
     | DeclareForbidden
+    | DeclareKeyTaken
     | LedgerStarted
     | LedgerRunning
     | LedgerUnknown
@@ -214,6 +222,7 @@
         Declared,
         DeclareConflict,
         DeclareForbidden,
+        DeclareKeyTaken,
         LedgerStarted,
         LedgerRunning,
         LedgerUnknown,
--- a/packages/marigoldarch/marigoldarch/control/leadership.py
+++ b/packages/marigoldarch/marigoldarch/control/leadership.py
@@ -40,6 +40,7 @@
 
 LEDGER_EXPIRY_INTERVAL_MS: Millis = 10_000.0
 LEDGER_FULL_RETRY_MS = 60_000
+REPAIR_MEMORY_MS: Millis = 600_000.0
 
 
 class Leadership:
@@ -58,6 +59,7 @@
         self._waiting: dict[int, list[tuple[str, str]]] = {}
         self._proposed: dict[str, int] = {}
         self._expiry_due_ms: Millis = float("-inf")
+        self._repairs_since_ms: dict[str, Millis] = {}
 
     @property
     def term(self) -> int:
@@ -124,16 +126,21 @@
     def on_repair_request(
         self, sender: str, request: RepairRequest, now_ms: Millis
     ) -> list[Effect]:
-        """Take a repair one step further and report how far it is."""
+        """Take a repair one step further and report how far it is.
+
+        Only what replicas have acknowledged since the request counts: what came before may be of a
+        disk that is no more.
+        """
+        since_ms = self._repairs_since_ms.setdefault(request.request_id, now_ms)
+        for request_id, asked_ms in list(self._repairs_since_ms.items()):
+            if now_ms >= asked_ms + REPAIR_MEMORY_MS:
+                del self._repairs_since_ms[request_id]
         session = self._sessions.by_node.get(request.replacement)
         if session is None or not session.replica_id:
-            reply = RepairReply(request.lost, request.replacement, RepairState.NO_REPLACEMENT)
-            return [Send(sender, reply)]
+            return [Send(sender, RepairReply(request.request_id, RepairState.NO_REPLACEMENT))]
         replacement = ReplicaName(request.replacement, session.replica_id)
-        step = next_step(self._replica, request.lost, replacement, self._settings, now_ms)
-        effects: list[Effect] = [
-            Send(sender, RepairReply(request.lost, request.replacement, step.state))
-        ]
+        step = next_step(self._replica, request.lost, replacement, since_ms)
+        effects: list[Effect] = [Send(sender, RepairReply(request.request_id, step.state))]
         if step.configuration is not None and self._replica.has_leader_lease(now_ms):
             fields = {"state": str(step.state), "lost": request.lost, "by": str(replacement)}
             effects.append(Record("repair_step", fields))
--- a/packages/marigoldarch/marigoldarch/control/machine.py
+++ b/packages/marigoldarch/marigoldarch/control/machine.py
@@ -16,6 +16,7 @@
     DeclareConflict,
     Declared,
     DeclareForbidden,
+    DeclareKeyTaken,
     Done,
     Entry,
     LedgerAbandon,
@@ -146,6 +147,9 @@
         if command.base_revision != revision:
             winner = last.change_id if last else ""
             return DeclareConflict(revision, winner, last.operator if last else "")
+        taken = self._view.find_taken_key(command.team, command.declaration)
+        if taken:
+            return DeclareKeyTaken(taken)
         self._change_view(index, command)
         return Declared(index)
 
--- a/packages/marigoldarch/marigoldarch/control/operators.py
+++ b/packages/marigoldarch/marigoldarch/control/operators.py
@@ -11,6 +11,7 @@
     DeclareConflict,
     Declared,
     DeclareForbidden,
+    DeclareKeyTaken,
 )
 from marigoldarch.control.member import Member
 from marigoldarch.control.proposals import Proposals
@@ -37,7 +38,6 @@
 class PendingRepair:
     """An operator's repair on its way."""
 
-    request_id: str
     request: RepairRequest
     expires_ms: Millis
     asked_ms: Millis
@@ -52,7 +52,7 @@
         self._member = member
         self._proposals = proposals
         self._declares: dict[str, PendingDeclare] = {}
-        self._repairs: dict[tuple[str, str], PendingRepair] = {}
+        self._repairs: dict[str, PendingRepair] = {}
 
     def on_declare_requested(self, event: DeclareRequested) -> list[Effect]:
         """Propose a change."""
@@ -92,6 +92,8 @@
                 }
             case DeclareForbidden():
                 body = {"status": "forbidden", "operator": result.operator, "team": result.team}
+            case DeclareKeyTaken(customer=customer):
+                body = {"status": "key_taken", "customer": customer}
             case _:
                 return []
         del self._declares[proposal_id]
@@ -110,22 +112,20 @@
 
     def on_repair_requested(self, event: RepairRequested) -> list[Effect]:
         """Ask the leader for the first step of a repair."""
-        key = (event.lost, event.replacement)
-        request = RepairRequest(event.lost, event.replacement)
+        request = RepairRequest(event.request_id, event.lost, event.replacement)
         expires_ms = event.at_ms + event.timeout_ms
-        self._repairs[key] = PendingRepair(event.request_id, request, expires_ms, event.at_ms)
+        self._repairs[event.request_id] = PendingRepair(request, expires_ms, event.at_ms)
         return [Send(self._member.leader, request)]
 
     def on_repair_reply(self, reply: RepairReply) -> list[Effect]:
         """Note the state of a repair; answer when it is final."""
-        key = (reply.lost, reply.replacement)
-        pending = self._repairs.get(key)
+        pending = self._repairs.get(reply.request_id)
         if pending is None:
             return []
         pending.state = reply.state
         if not reply.state.is_final:
             return []
-        del self._repairs[key]
+        del self._repairs[reply.request_id]
         return [_repair_answer(pending), Record("repair_ended", {"state": str(reply.state)})]
 
     def tick(self, now_ms: Millis) -> list[Effect]:
@@ -157,4 +157,4 @@
         "lost": pending.request.lost,
         "replacement": pending.request.replacement,
     }
-    return OperatorReply(pending.request_id, body)
+    return OperatorReply(pending.request.request_id, body)
--- a/packages/marigoldarch/marigoldarch/control/repair.py
+++ b/packages/marigoldarch/marigoldarch/control/repair.py
@@ -15,7 +15,6 @@
 from marigoldarch.control.repair_state import RepairState
 from marigoldarch.control.replica import Replica
 from marigoldarch.identifiers import ReplicaName
-from marigoldarch.settings import ControlSettings
 
 
 class RepairStep(NamedTuple):
@@ -26,18 +25,17 @@
 
 
 def next_step(
-    replica: Replica,
-    lost_node: str,
-    replacement: ReplicaName,
-    settings: ControlSettings,
-    now_ms: Millis,
+    replica: Replica, lost_node: str, replacement: ReplicaName, since_ms: Millis
 ) -> RepairStep:
-    """Return the next step of replacing the lost replica of a node, as its leader sees it."""
+    """Return the next step of replacing the lost replica of a node, as its leader sees it.
+
+    The replacement counts as synced by what it has acknowledged since `since_ms`.
+    """
     configuration = replica.configuration
     lost = [item for item in configuration.voters if item.node == lost_node and item != replacement]
     if replica.name in lost:
         return RepairStep(RepairState.IS_LEADER)
-    is_synced = replacement == replica.name or _is_synced(replica, replacement, settings, now_ms)
+    is_synced = replacement == replica.name or _is_synced(replica, replacement, since_ms)
     if replacement in configuration.voters and not lost:
         # Only now a second loss right after would lose nothing that was acknowledged.
         is_done = replica.is_configuration_committed and is_synced
@@ -55,11 +53,9 @@
     return RepairStep(RepairState.ADDING, configuration.with_voter(replacement))
 
 
-def _is_synced(
-    replica: Replica, replacement: ReplicaName, settings: ControlSettings, now_ms: Millis
-) -> bool:
-    """Return whether the new replica has synced everything committed, and answers."""
+def _is_synced(replica: Replica, replacement: ReplicaName, since_ms: Millis) -> bool:
+    """Return whether the new replica has synced everything committed, and still answers."""
     progress = replica.progress_of(replacement)
-    if progress is None or now_ms > progress.acked_ms + settings.election_timeout_min_ms:
+    if progress is None or progress.acked_ms < since_ms:
         return False
     return progress.match_index >= replica.commit_index
--- a/packages/marigoldarch/marigoldarch/control/replica.py
+++ b/packages/marigoldarch/marigoldarch/control/replica.py
@@ -352,7 +352,9 @@
             return []
         progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
         if not reply.is_success:
-            progress.next_index = max(1, min(progress.next_index - 1, reply.match_index + 1))
+            # A late refusal never moves back behind what the replica has acknowledged.
+            hinted = min(progress.next_index - 1, reply.match_index + 1)
+            progress.next_index = max(progress.match_index + 1, hinted)
             return [self._append_to(replica, now_ms)]
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
@@ -401,6 +403,8 @@
         progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
         if progress.outgoing is None or progress.outgoing.snapshot.index != reply.index:
             return []
+        if reply.offset == progress.offset:
+            return []
         progress.offset = reply.offset
         return [self._append_to(replica, now_ms)]
 
@@ -570,7 +574,12 @@
         ]
 
     def _append_to_all(self, now_ms: Millis) -> list[Effect]:
-        return [self._append_to(replica, now_ms) for replica in self._replication.replicas]
+        """Send what is new at once, but to a replica in a snapshot's transfer only when it asks."""
+        return [
+            self._append_to(replica, now_ms)
+            for replica in self._replication.replicas
+            if self._replication.find(replica).outgoing is None
+        ]
 
     def _append_to(self, replica: ReplicaName, now_ms: Millis) -> Send:
         progress = self._replication.find(replica)
--- a/packages/marigoldarch/marigoldarch/control/view.py
+++ b/packages/marigoldarch/marigoldarch/control/view.py
@@ -119,6 +119,15 @@
             return False
         return team in declared.teams or loader.ALL_TEAMS in declared.teams
 
+    def find_taken_key(self, team: str, plain: dict[str, Any]) -> str:
+        """Return a customer of a declaration whose key belongs to another team, or nothing."""
+        for name, customer in plain.get("customers", {}).items():
+            for digest in customer.get("key_sha256", ()):
+                held = self._customers.get(digest)
+                if held is not None and held.team != team:
+                    return name
+        return ""
+
     def find_customer(self, key_sha256: str) -> CustomerRecord | None:
         """Return the customer with this key digest."""
         return self._customers.get(key_sha256)
@@ -184,7 +193,6 @@
         view = cls()
         for revision, change_id, operator, declaration in plain["teams"]:
             view._set_team(Change(revision, change_id, operator), declaration)
-        view._index_customers()
         for data_centre, name, node, incarnation, fence in plain["assignments"]:
             view._assignments[PoolId(data_centre, name)] = Assignment(node, incarnation, fence)
         view._voters = tuple(plain["voters"])
@@ -203,7 +211,6 @@
             self._set_operators(command.declaration)
             return
         self._set_team(change, command.declaration)
-        self._index_customers()
 
     def _set_operators(self, plain: dict[str, Any]) -> None:
         match loader.operators_from_plain(plain):
@@ -215,15 +222,19 @@
         match loader.from_plain(plain):
             case Result(tag="ok", ok=declaration):
                 state = TeamState(*change, declaration, plain)
+                self._index_customers(self._teams.get(declaration.team), state)
                 self._teams[declaration.team] = state
             case _:
                 # Only validated declarations are proposed; an invalid one changes nothing.
                 pass
 
-    def _index_customers(self) -> None:
-        self._customers = {
-            digest: CustomerRecord(team, name, customer)
-            for team, state in self._teams.items()
-            for name, customer in state.declaration.customers.items()
-            for digest in customer.key_sha256
-        }
+    def _index_customers(self, before: TeamState | None, state: TeamState) -> None:
+        """Exchange the customers of one team, without a walk over all others."""
+        if before is not None:
+            for customer in before.declaration.customers.values():
+                for digest in customer.key_sha256:
+                    self._customers.pop(digest, None)
+        team = state.declaration.team
+        for name, customer in state.declaration.customers.items():
+            record = CustomerRecord(team, name, customer)
+            self._customers.update(dict.fromkeys(customer.key_sha256, record))
--- a/packages/marigoldarch/marigoldarch/declarations/loader.py
+++ b/packages/marigoldarch/marigoldarch/declarations/loader.py
@@ -82,6 +82,9 @@
         unknown = set(customer.kinds) - set(declaration.kinds)
         if unknown:
             return f"customers.{name}.kinds names undeclared kinds: {sorted(unknown)}"
+    digests = [key for item in declaration.customers.values() for key in item.key_sha256]
+    if len(set(digests)) < len(digests):
+        return "customers: a key_sha256 may stand only once"
     for name, kind in declaration.kinds.items():
         if kind.deadline_ms <= 0 or kind.max_prompt_tokens <= 0:
             return f"kinds.{name}: deadline_ms and max_prompt_tokens must be positive"
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -193,6 +193,7 @@
 class RepairRequest:
     """Ask the leader for the next step of a repair; resent until the state is final."""
 
+    request_id: str
     lost: str
     replacement: str
 
@@ -201,8 +202,7 @@
 class RepairReply:
     """Report how far a repair is."""
 
-    lost: str
-    replacement: str
+    request_id: str
     state: RepairState
 
 
--- a/packages/marigoldarch/marigoldarch/tests/cluster.py
+++ b/packages/marigoldarch/marigoldarch/tests/cluster.py
@@ -146,12 +146,8 @@
                     node.held.append(effect)
                 case Send():
                     self._send(name, effect)
-                case Persist():
-                    node.disk.append(effect.records)
-                    collected += self._sync(name, effect.persist_id)
-                case Checkpoint():
-                    node.disk.replace(effect.records)
-                    collected += self._sync(name, effect.persist_id)
+                case Persist() | Checkpoint():
+                    collected += self._write(name, effect)
                 case _:
                     collected.append(effect)
         node.effects += collected
@@ -187,6 +183,16 @@
         due_ms = self.now_ms + self.random.uniform(0.2, 3.0)
         self.flying.append(Delivery(due_ms, self._serial, name, effect.node, data))
 
+    def _write(self, name: str, effect: Persist | Checkpoint) -> list[Effect]:
+        """Write and sync at once; a subclass may take its time."""
+        disk = self.nodes[name].disk
+        match effect:
+            case Persist():
+                disk.append(effect.records)
+            case Checkpoint():
+                disk.replace(effect.records)
+        return self._sync(name, effect.persist_id)
+
     def _sync(self, name: str, persist_id: int) -> list[Effect]:
         node = self.nodes[name]
         node.synced_id = persist_id
--- a/packages/marigoldarch/marigoldarch/tests/control/replica_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/control/replica_tests.py
@@ -137,6 +137,19 @@
         self.assertIn(cluster.leader(), (other, "n4"))
         self.assertEqual(cluster.nodes["n4"].state.control.member.view.voters[-1], "n4")
 
+    def test_repair_asked_at_once_is_not_done_by_what_the_lost_disk_acknowledged(self) -> None:
+        lost, other = other_nodes(self.cluster, self.cluster.leader())
+        self.cluster.kill(lost)
+        self.cluster.empty_disk(lost)
+        repair(self.cluster, other, lost, lost)
+        self.cluster.run(200)
+        self.assertEqual(replies(self.cluster, other), [])
+        self.cluster.start(lost)
+        self.cluster.run(5000)
+        self.assertEqual(replies(self.cluster, other)[-1]["status"], "done")
+        voters = replica_of(self.cluster, other).configuration.voters
+        self.assertIn(replica_of(self.cluster, lost).name, voters)
+
     def test_repair_of_an_unknown_replica_is_refused(self) -> None:
         cluster = MemoryCluster(nodes=5, voters=3, data_folders=("n4",))
         cluster.run(3000)
