--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -23,11 +23,12 @@
     Send,
 )
 from marigoldarch.events import Event, MessageArrived, Persisted, Started, TargetCommandEnded, Tick
+from marigoldarch.exceptions import NodeFailedError
 from marigoldarch.reducer import NodeState, reduce
 from marigoldarch_node.attempts import Attempts
 from marigoldarch_node.calls import CallTable
 from marigoldarch_node.clock import SystemClock
-from marigoldarch_node.edge.peer_links import PeerLinks
+from marigoldarch_node.edge.peer_links import LinkSettings, PeerLinks
 from marigoldarch_node.edge.target_client import TargetClient
 from marigoldarch_node.logs import get_logger
 from marigoldarch_node.storage.folder import DataFolder
@@ -50,9 +51,9 @@
         self.clock = SystemClock()
         self.calls = CallTable()
         self.client = TargetClient()
-        timeline_file = settings.timeline_file
-        self.recorder = Recorder(core.node, timeline_file.open("a") if timeline_file else None)
-        self.links = PeerLinks(core.node, core.peers, settings.peer_key, self.clock, self.submit)
+        self.recorder = Recorder(core.node, settings.timeline_file)
+        shared = LinkSettings(core.node, settings.peer_key, self.clock, self.recorder)
+        self.links = PeerLinks(shared, core.peers, self.submit)
         self.attempts = Attempts(self.calls, self.client, self.clock, self.submit)
         self.stopped = trio.Event()
         self.operator_replies: dict[str, trio.MemorySendChannel] = {}
@@ -62,6 +63,7 @@
             self._folder = DataFolder(settings.data_folder, core.node, settings.installation)
             durable = self._folder.open()
         self.state = NodeState(core, durable)
+        self._failure: NodeFailedError | None = None
         self._nursery: trio.Nursery | None = None
         self._persists: deque[Persist | Checkpoint] = deque()
         self._persist_wakeup = trio.Event()
@@ -69,10 +71,27 @@
         self._held: deque[Send] = deque()
 
     def submit(self, event: Event) -> None:
-        """Reduce an event and carry out the effects."""
-        for effect in reduce(self.state, event):
+        """Reduce an event and carry out the effects.
+
+        Raises `NodeFailedError`, and stops the node, when the core fails on the event: its state
+        may then be half changed, and acting on it could break a promise.
+        """
+        if self._failure is not None:
+            raise self._failure
+        try:
+            effects = reduce(self.state, event)
+        except Exception as error:
+            self._fail(event, error)
+        for effect in effects:
             self._carry_out(effect)
 
+    def _fail(self, event: Event, error: Exception) -> None:
+        kind = type(event).__name__
+        log.critical("The core failed on {} with {}.", kind, type(error).__name__, exc_info=True)
+        self._failure = NodeFailedError(f"the core failed on {kind} with {type(error).__name__}")
+        self.stopped.set()
+        raise self._failure from error
+
     async def run(self) -> None:
         """Run until the node has stopped."""
         async with trio.open_nursery() as nursery:
@@ -85,6 +104,8 @@
             nursery.cancel_scope.cancel()
         if self._folder is not None:
             self._folder.close()
+        if self._failure is not None:
+            raise self._failure
 
     async def _tick(self) -> None:
         while True:
--- a/packages/marigoldarch/marigoldarch/control/leadership.py
+++ b/packages/marigoldarch/marigoldarch/control/leadership.py
@@ -29,6 +29,7 @@
     AwaitInForce,
     Heartbeat,
     NodeLeaving,
+    NodeLoad,
     PoolRelinquished,
     Propose,
     ProposeReply,
@@ -44,9 +45,18 @@
 
 
 class Leadership:
-    """One leader's term, from when all entries of earlier terms were applied."""
+    """One leader's term, from when all entries of earlier terms were applied.
 
-    def __init__(self, replica: Replica, machine: StateMachine, settings: ControlSettings) -> None:
+    `nodes` are those that this node knew of before.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        machine: StateMachine,
+        settings: ControlSettings,
+        nodes: dict[str, NodeLoad],
+    ) -> None:
         self._replica = replica
         self._machine = machine
         self._settings = settings
@@ -54,7 +64,8 @@
         old_leases_end_ms = (
             replica.grants_end_ms + settings.session_lease_ms + settings.clock_drift_ms
         )
-        self._sessions = Sessions(settings, old_leases_end_ms)
+        assumed = {name: load for name, load in nodes.items() if name != replica.earlier_leader}
+        self._sessions = Sessions(settings, old_leases_end_ms, replica.led_since_ms, assumed)
         self._assignments = Assignments()
         self._waiting: dict[int, list[tuple[str, str]]] = {}
         self._proposed: dict[str, int] = {}
--- a/packages/marigoldarch/marigoldarch/control/reducer.py
+++ b/packages/marigoldarch/marigoldarch/control/reducer.py
@@ -115,7 +115,9 @@
     if not state.leads:
         state.leadership = None
     elif state.leadership is None or state.leadership.term != state.replica.term:
-        state.leadership = Leadership(state.replica, state.machine, state.settings.control)
+        state.leadership = Leadership(
+            state.replica, state.machine, state.settings.control, state.member.nodes
+        )
     return state.leadership
 
 
--- a/packages/marigoldarch/marigoldarch/control/replica.py
+++ b/packages/marigoldarch/marigoldarch/control/replica.py
@@ -86,6 +86,7 @@
         self._bootstrap = Bootstrap(self._name, voters, settings)
         self._role = ReplicaRole.FOLLOWER
         self._leader = ""
+        self._earlier_leader = ""
         self._commit = self._log.base_index
         self._applied = self._log.base_index
         self._durable_index = self._log.last_index
@@ -116,6 +117,16 @@
         """Return the leader this replica knows of, or an empty string."""
         return self._leader
 
+    @property
+    def led_since_ms(self) -> Millis:
+        """Return when this replica became leader."""
+        return self._led_since_ms
+
+    @property
+    def earlier_leader(self) -> str:
+        """Return the last other replica that led, as far as this one knows."""
+        return self._earlier_leader
+
     @property
     def is_leader(self) -> bool:
         """Return whether this replica leads its term."""
@@ -435,6 +446,7 @@
         if term > self._term or self._role is not ReplicaRole.FOLLOWER:
             effects += self._step_down(term, now_ms)
         self._leader = leader
+        self._earlier_leader = leader
         self._leader_contact_ms = now_ms
         grants_end_ms = now_ms + self._settings.election_timeout_min_ms
         self._grants_end_ms = max(self._grants_end_ms, grants_end_ms)
--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -50,10 +50,14 @@
 
     Leases that earlier leaders granted have run out at `old_leases_end_ms`. Only nodes that the log
     knows are granted leases, so that the next leader knows every node that can hold one.
+    `assumed` holds the nodes that the new leader knew of; it offers them to callers until they have
+    had time to send it a heartbeat.
     """
 
     settings: ControlSettings
     old_leases_end_ms: Millis
+    since_ms: Millis
+    assumed: dict[str, NodeLoad] = field(default_factory=dict)
     by_node: dict[str, Session] = field(default_factory=dict)
     wanted_pools: set[PoolId] = field(default_factory=set)
     holders: dict[tuple[str, str], Millis] = field(default_factory=dict)
@@ -201,28 +205,39 @@
         settings = self.settings
         session.expires_ms = now_ms + settings.session_lease_ms + settings.clock_drift_ms
         self.holders[node, session.incarnation] = session.expires_ms
-        loads = self._loads_for(session.load, now_ms)
+        loads = self._loads_for(session.load, machine, now_ms)
         revision = owed.revision
         ack = HeartbeatAck(owed.sent_ms, settings.session_lease_ms, revision, loads)
         return [Send(node, ack)]
 
-    def _loads_for(self, receiver: NodeLoad, now_ms: Millis) -> list[NodeLoad]:
+    def _loads_for(
+        self, receiver: NodeLoad, machine: StateMachine, now_ms: Millis
+    ) -> list[NodeLoad]:
         """Return the nodes that callers may be sent to: those that missed no two heartbeats.
 
         A dead node thereby leaves the directory before its lease has run out. The list is bounded:
-        nodes of the receiver's data centre go first.
+        nodes that hold a replica of the log come first, since they keep limits for all, then those
+        of the receiver's data centre.
         """
-        oldest_ms = now_ms - MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
-        loads = [item.load for item in self.by_node.values() if item.heard_ms >= oldest_ms]
+        silence_ms = MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
+        oldest_ms = now_ms - silence_ms
+        heard = {
+            node: item.load for node, item in self.by_node.items() if item.heard_ms >= oldest_ms
+        }
+        if now_ms < self.since_ms + silence_ms:
+            heard = self.assumed | heard
+        loads = list(heard.values())
         limit = self.settings.directory_nodes
         if len(loads) <= limit:
             return loads
         own = receiver.address
 
-        def order(load: NodeLoad) -> tuple[bool, bool, str]:
+        voters = machine.view.voters
+
+        def order(load: NodeLoad) -> tuple[bool, bool, bool, str]:
             address = load.address
             is_remote = address.data_centre != own.data_centre
-            return is_remote, address.node < own.node, address.node
+            return address.node not in voters, is_remote, address.node < own.node, address.node
 
         return sorted(loads, key=order)[:limit]
 
--- a/packages/marigoldarch/marigoldarch/entry/state.py
+++ b/packages/marigoldarch/marigoldarch/entry/state.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from marigoldarch.effects import CancelCall, Effect, Record, Reply, Send
+from marigoldarch.entry.agenda import Agenda
+from marigoldarch.entry.keepers import Keepers
 from marigoldarch.entry.limits import LimitKeeper, LimitShares
 from marigoldarch.entry.pool_choice import PoolChoice
 from marigoldarch.entry.request import Attempt, Phase, Request
@@ -34,10 +36,12 @@
     presented_revision: int = -1
 
     def __post_init__(self) -> None:
+        self.agenda = Agenda()
         self.budget = RetryBudget(self.settings.entry)
         self.pool_choice = PoolChoice(self.settings.address.data_centre)
         self.shares = LimitShares(self.settings.entry)
-        self.keeper = LimitKeeper(self.settings.entry)
+        self.keepers = Keepers()
+        self.keeper = LimitKeeper(self.settings.node, self.settings.entry)
 
     def scheduler_of(self, pool: PoolId) -> str | None:
         """Return the node that schedules a pool."""
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -344,12 +344,14 @@
 class PermitsHeld:
     """List all live permits of one entry in one pool: a renewal, or recovery of a new scheduler.
 
-    Sent at an interval while there are any, and once, even if empty, for each new `epoch`.
+    Sent at an interval while there are any, with their ids in `renewed` only, and once for each new
+    `epoch`, even if empty, with all that its scheduler has to know in `held`.
     """
 
     pool: PoolId
     epoch: int
     held: list[HeldPermit]
+    renewed: list[PermitId] = field(default_factory=list)
 
 
 class LimitNeed(NamedTuple):
@@ -357,7 +359,7 @@
 
     `requests` and `tokens` come on top of earlier shares, `first_tokens` of them for the oldest
     waiting request alone; `slots` is the whole number of requests in progress that the entry wants
-    to be allowed.
+    to be allowed, `used_slots` of which it has in progress already.
     """
 
     subject: str
@@ -365,6 +367,7 @@
     tokens: float
     first_tokens: float
     slots: int
+    used_slots: int
 
 
 class LimitShare(NamedTuple):
