Give operators rights per subtree, and commands for diff, get, history and repair

Change: operators are a subtree of the replicated state with hashed keys; rights are checked where the key is read and again when the change is applied. Conflicts name change and operator, answers and history are bounded, a customer's key belongs to one team. apply keeps its change identity over resends; repair asks until it is done.

--- a/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
+++ b/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
@@ -12,6 +12,10 @@
 from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch_cli.client import NodeClient
 from marigoldarch_cli.commands import apply as apply_command
+from marigoldarch_cli.commands import diff as diff_command
+from marigoldarch_cli.commands import get as get_command
+from marigoldarch_cli.commands import history as history_command
+from marigoldarch_cli.commands import repair as repair_command
 from marigoldarch_cli.commands import timeline as timeline_command
 
 EXIT_FAILURE = 1
@@ -28,18 +32,34 @@
         base: int | None = None,
         change_id: str = "",
         key: str = "",
+        wait: bool = True,
     ) -> None:
-        """Apply the declaration at PATH and wait until it is in force."""
+        """Apply the declaration at PATH and wait until it is in force; --nowait: is committed."""
+        change = apply_command.Change(Path(path), operator, base, change_id, wait)
+        _finish(apply_command.apply(NodeClient(node, key), change))
+
+    def diff(self, path: str, node: str = "", key: str = "") -> None:
+        """Show what applying the declaration at PATH would change."""
+        _finish(diff_command.diff(NodeClient(node, key), Path(path)))
+
+    def history(self, team: str = "", node: str = "", key: str = "") -> None:
+        """Show the latest changes of a team, or of all."""
+        _finish(history_command.history(NodeClient(node, key), team))
+
+    def repair(
+        self, lost: str, by: str = "", node: str = "", key: str = "", timeout_s: float = 60.0
+    ) -> None:
+        """Replace the lost replica of node LOST by the one of node BY, or by its own new one."""
         client = NodeClient(node, key)
-        _finish(apply_command.apply(client, Path(path), operator, base, change_id))
+        _finish(repair_command.repair(client, lost, by or lost, timeout_s))
 
     def status(self, node: str = "", key: str = "") -> None:
         """Show the state of a node."""
         _show(NodeClient(node, key), "GET", "/v1/operator/status")
 
-    def get(self, node: str = "", key: str = "") -> None:
-        """Show the declarations and assignments that a node acts on."""
-        _show(NodeClient(node, key), "GET", "/v1/operator/view")
+    def get(self, team: str = "", node: str = "", key: str = "") -> None:
+        """Show the declaration of TEAM, or all that a node acts on."""
+        _finish(get_command.get(NodeClient(node, key), team))
 
     def directory(self, node: str = "", key: str = "") -> None:
         """Show which addresses a caller should use."""
--- a/packages/marigoldarch-cli/marigoldarch_cli/commands/apply.py
+++ b/packages/marigoldarch-cli/marigoldarch_cli/commands/apply.py
@@ -4,52 +4,80 @@
 
 import uuid
 from pathlib import Path
+from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 
-from marigoldarch.declarations import loader
 from marigoldarch.exceptions import MarigoldarchError
-from marigoldarch_cli.client import NodeClient, RequestError
+from marigoldarch_cli.client import Answer, NodeClient, RequestError
+from marigoldarch_cli.commands.subtrees import Subtree, find_subtree, read_file
 
+ATTEMPTS = 3
+"""How often a change is sent whose answer was lost; its identity stays the same."""
 
-def apply(
-    client: NodeClient, path: Path, operator: str, base: int | None, change_id: str
-) -> Result[str, MarigoldarchError]:
-    """Apply the declaration at `path`; without `base`, from the revision in force now."""
-    match loader.parse_toml(path.read_text()):
+
+class Change(NamedTuple):
+    """What to apply; without `base` the change is made from the revision in force now."""
+
+    path: Path
+    operator: str
+    base: int | None
+    change_id: str
+    waits: bool
+
+
+def apply(client: NodeClient, change: Change) -> Result[str, MarigoldarchError]:
+    """Apply a declaration file."""
+    match read_file(change.path):
         case Result(tag="error", error=problem):
             return Error(problem)
-        case Result(tag="ok", ok=declaration):
+        case Result(tag="ok", ok=subtree):
             pass
+    base = change.base
     if base is None:
-        match current_revision(client, declaration.team):
+        match find_subtree(client, subtree.name):
             case Result(tag="error", error=problem):
                 return Error(problem)
-            case Result(tag="ok", ok=base):
-                pass
+            case Result(tag="ok", ok=held):
+                base = held.revision
     body = {
-        "change_id": change_id or uuid.uuid4().hex,
-        "operator": operator,
+        "change_id": change.change_id or uuid.uuid4().hex,
+        "operator": change.operator,
         "base_revision": base,
-        "declaration": loader.to_plain(declaration),
+        "declaration": subtree.plain,
     }
-    match client.request("POST", "/v1/operator/apply", body):
-        case Result(tag="error", error=problem):
-            return Error(problem)
-        case Result(tag="ok", ok=answer):
-            pass
-    if answer.body.get("status") == "in_force":
-        return Ok(f"{declaration.team} is in force at revision {answer.body['revision']}")
-    return Error(RequestError(f"not in force: {answer.body}"))
-
-
-def current_revision(client: NodeClient, team: str) -> Result[int, MarigoldarchError]:
-    """Return the revision of a team's subtree, 0 if there is none."""
-    match client.request("GET", "/v1/operator/view"):
-        case Result(tag="ok", ok=answer) if answer.status == 200:
-            revisions = {item[3]["team"]: item[0] for item in answer.body["teams"]}
-            return Ok(revisions.get(team, 0))
-        case Result(tag="ok", ok=answer):
-            return Error(RequestError(f"the node refuses: {answer.body}"))
-        case Result(error=problem):
-            return Error(problem)
+    if not change.waits:
+        body["wait_ms"] = 1000.0
+    return _send(client, body).bind(lambda answer: _report(subtree, answer, change))
+
+
+def _send(client: NodeClient, body: dict[str, Any]) -> Result[Answer, MarigoldarchError]:
+    result = client.request("POST", "/v1/operator/apply", body)
+    for _ in range(ATTEMPTS - 1):
+        if result.is_ok():
+            break
+        result = client.request("POST", "/v1/operator/apply", body)
+    return result
+
+
+def _report(subtree: Subtree, answer: Answer, change: Change) -> Result[str, MarigoldarchError]:
+    body = answer.body
+    match body.get("status"):
+        case "in_force":
+            return Ok(f"{subtree.name} is in force at revision {body['revision']}")
+        case "committed" if not change.waits:
+            return Ok(f"{subtree.name} is committed at revision {body['revision']}")
+        case "conflict":
+            winner = f"change {body['winner']} of {body['winner_operator']}"
+            remedy = "run diff, then apply again"
+            return Error(
+                RequestError(
+                    f"conflict: {winner} came first, revision {body['revision']}; {remedy}"
+                )
+            )
+        case "forbidden":
+            return Error(RequestError(f"{body['operator']} may not change {body['team']}"))
+        case "key_taken":
+            problem = f"a key of customer {body['customer']} belongs to another team"
+            return Error(RequestError(problem))
+    return Error(RequestError(f"not in force: {body}"))
--- a/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/operators.py
@@ -1,41 +1,24 @@
-"""The interface to operators: declarations, status, drain and the time line."""
+"""The interface to operators: status, drain and the time line."""
 
 from __future__ import annotations
 
-import uuid
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Any
 
 import aioprometheus
 import msgspec
-import trio
-from expression import Result
 
-from marigoldarch.declarations import loader
-from marigoldarch.events import DeclareRequested, DrainRequested
+from marigoldarch.events import DrainRequested
+from marigoldarch_node.edge.declarations import DeclarationRoutes
 from marigoldarch_node.edge.http import HttpError, HttpRequest, Route
+from marigoldarch_node.edge.operator_keys import identify, require_all_rights
 from marigoldarch_node.timeline.recorder import BUFFER_EVENTS, Filter
 
 if TYPE_CHECKING:
+    from marigoldarch.control.replica import Replica
     from marigoldarch_node.runtime import Runtime
 
-MAX_DECLARATION_BYTES = 4 * 1024 * 1024
-DEFAULT_WAIT_MS = 10_000.0
-MAX_WAIT_MS = 60_000.0
-REPLY_MARGIN_MS = 2_000.0
 DEFAULT_EVENTS = 2_000
 
-Label = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-
-
-class ApplyBody(msgspec.Struct, forbid_unknown_fields=True):
-    """A change of one team's subtree, made from `base_revision`."""
-
-    change_id: Label
-    operator: Label
-    base_revision: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-    declaration: dict[str, Any]
-    wait_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_MS)] = DEFAULT_WAIT_MS
-
 
 class OperatorRoutes:
     """Serve operators, and the health and metrics that they watch."""
@@ -47,8 +30,7 @@
     def routes(self) -> list[Route]:
         """Return the routes for operators."""
         return [
-            Route("POST", "/v1/operator/apply", self._serve_apply),
-            Route("GET", "/v1/operator/view", self._serve_view),
+            *DeclarationRoutes(self._runtime).routes,
             Route("GET", "/v1/operator/status", self._serve_status),
             Route("GET", "/v1/operator/timeline", self._serve_timeline),
             Route("POST", "/v1/operator/drain", self._serve_drain),
@@ -57,54 +39,8 @@
             Route("GET", "/metrics", self._serve_metrics),
         ]
 
-    async def _serve_apply(self, request: HttpRequest) -> None:
-        self._check_key(request)
-        body = await self._read_apply(request)
-        answer = await self._declare(body)
-        status = {"in_force": 200, "committed": 202, "conflict": 409}.get(answer["status"], 504)
-        await request.send_json(status, answer)
-
-    async def _declare(self, body: ApplyBody) -> dict[str, Any]:
-        """Submit a change and wait for its answer, at most a margin longer than asked for."""
-        request_id = f"op-{uuid.uuid4().hex}"
-        sender, receiver = trio.open_memory_channel[dict[str, Any]](1)
-        self._runtime.operator_replies[request_id] = sender
-        try:
-            self._runtime.submit(
-                DeclareRequested(
-                    self._runtime.clock.monotonic_ms(),
-                    request_id,
-                    body.change_id,
-                    body.operator,
-                    body.declaration["team"],
-                    body.base_revision,
-                    body.declaration,
-                    body.wait_ms,
-                )
-            )
-            with trio.move_on_after((body.wait_ms + REPLY_MARGIN_MS) / 1000.0):
-                return await receiver.receive()
-            return {"status": "unknown"}
-        finally:
-            self._runtime.operator_replies.pop(request_id, None)
-
-    async def _read_apply(self, request: HttpRequest) -> ApplyBody:
-        plain = await request.read_json(MAX_DECLARATION_BYTES)
-        try:
-            body = msgspec.convert(plain, ApplyBody)
-        except msgspec.ValidationError as error:
-            raise HttpError(400, "invalid_change", str(error)) from error
-        match loader.from_plain(body.declaration):
-            case Result(tag="error", error=problem):
-                raise HttpError(400, "invalid_declaration", str(problem))
-        return body
-
-    async def _serve_view(self, request: HttpRequest) -> None:
-        self._check_key(request)
-        await request.send_json(200, self._runtime.state.control.member.view.to_plain())
-
     async def _serve_status(self, request: HttpRequest) -> None:
-        self._check_key(request)
+        identify(self._runtime, request)
         state = self._runtime.state
         member = state.control.member
         now_ms = self._runtime.clock.monotonic_ms()
@@ -115,6 +51,8 @@
             "has_lease": member.has_lease(now_ms),
             "leader": member.leader,
             "role": str(replica.role) if replica else "member",
+            "replica": _replica_status(replica) if replica else None,
+            "voters": member.view.voters,
             "is_leaving": state.is_leaving,
             "active": state.active,
             "link_bytes": {
@@ -134,7 +72,7 @@
         await request.send_json(200, body)
 
     async def _serve_timeline(self, request: HttpRequest) -> None:
-        self._check_key(request)
+        identify(self._runtime, request)
         query = request.query
         wanted = Filter(*(query.get(name, "") for name in Filter._fields))
         events = self._runtime.recorder.select(wanted, _read_limit(query.get("limit", "")))
@@ -144,7 +82,7 @@
         await request.send_json(200, body)
 
     async def _serve_drain(self, request: HttpRequest) -> None:
-        self._check_key(request)
+        require_all_rights(self._runtime, request)
         self._runtime.submit(DrainRequested(self._runtime.clock.monotonic_ms()))
         await request.send_json(202, {"status": "draining"})
 
@@ -164,11 +102,6 @@
         await request.start(200, content_type, {})
         await request.send_chunk(content, is_last=True)
 
-    def _check_key(self, request: HttpRequest) -> None:
-        expected = self._runtime.settings.operator_key
-        if expected and request.bearer != expected:
-            raise HttpError(401, "unknown_operator_key", "the operator key is wrong")
-
 
 def _read_limit(text: str) -> int:
     if not text:
@@ -176,3 +109,15 @@
     if not (text.isascii() and text.isdigit() and 0 < int(text[:9]) <= BUFFER_EVENTS):
         raise HttpError(400, "invalid_query", f"limit must be from 1 to {BUFFER_EVENTS}")
     return int(text)
+
+
+def _replica_status(replica: Replica) -> dict[str, Any]:
+    configuration = replica.configuration
+    return {
+        "name": str(replica.name),
+        "term": replica.term,
+        "commit_index": replica.commit_index,
+        "log_entries": len(replica.log),
+        "voters": [str(voter) for voter in configuration.voters],
+        "learners": [str(learner) for learner in configuration.learners],
+    }
--- a/packages/marigoldarch/marigoldarch/declarations/loader.py
+++ b/packages/marigoldarch/marigoldarch/declarations/loader.py
@@ -31,6 +31,15 @@
     return from_plain(plain)
 
 
+def parse_plain(text: str) -> Result[dict[str, Any], DeclarationError]:
+    """Parse and validate the TOML text of a team or of the operators; return plain types."""
+    try:
+        plain = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Error(DeclarationError(f"not valid TOML: {error}"))
+    return subtree_of(plain).map(lambda _: plain)
+
+
 def from_plain(plain: Any) -> Result[TeamDeclaration, DeclarationError]:
     """Validate plain types as one team's declaration."""
     try:
