--- a/packages/marigoldarch-node/marigoldarch_node/edge/operator_keys.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/operator_keys.py
@@ -1,17 +1,16 @@
 """Who an operator is, by the key of the request.
 
-The key of the settings belongs to the root operator, who has all rights. Other operators are
+The keys of the settings belong to the root operator, who has all rights. Other operators are
 declared in the replicated state with digests of their keys. Where neither exists, an installation
 is open: every request has all rights under the name that it gives.
 """
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 from typing import TYPE_CHECKING, NamedTuple
 
 from marigoldarch_node.edge.http import HttpError, HttpRequest
+from marigoldarch_node.security.keys import Role, digest_of
 
 if TYPE_CHECKING:
     from marigoldarch_node.runtime import Runtime
@@ -28,14 +27,15 @@
 
 def identify(runtime: Runtime, request: HttpRequest) -> Operator:
     """Return the operator of a request; raise `HttpError` when the key is of none."""
-    root_key = runtime.settings.operator_key
+    keys = runtime.keys
     view = runtime.state.control.member.view
-    if not root_key and not view.operators:
+    is_open = keys.is_open(Role.OPERATOR)
+    if is_open and not view.operators:
         return Operator("", True)
     presented = request.bearer
-    if root_key and hmac.compare_digest(presented.encode(), root_key.encode()):
+    if not is_open and keys.allows(Role.OPERATOR, presented):
         return Operator(ROOT, True)
-    name = view.find_operator(hashlib.sha256(presented.encode()).hexdigest()) if presented else None
+    name = view.find_operator(digest_of(presented)) if presented else None
     if name is None:
         raise HttpError(401, "unknown_operator_key", "the operator key is wrong")
     return Operator(name, False)
--- a/packages/marigoldarch/marigoldarch/control/leadership.py
+++ b/packages/marigoldarch/marigoldarch/control/leadership.py
@@ -119,10 +119,13 @@
         message: ViewAck | AwaitInForce | PoolRelinquished | NodeLeaving,
         now_ms: Millis,
     ) -> list[Effect]:
-        """Take a node's message that needs no leader lease."""
+        """Take a message that reports what a node does; it never waits for the leader's lease."""
         match message:
             case ViewAck(revision=revision):
-                return self._sessions.on_view_ack(sender, revision, self._machine, now_ms)
+                may_grant = self._replica.has_leader_lease(now_ms)
+                return self._sessions.on_view_ack(
+                    sender, revision, self._machine, now_ms, may_grant=may_grant
+                )
             case AwaitInForce(revision=revision):
                 return self._sessions.on_await(sender, revision, self._machine, now_ms)
             case PoolRelinquished():
--- a/packages/marigoldarch/marigoldarch/control/replica.py
+++ b/packages/marigoldarch/marigoldarch/control/replica.py
@@ -227,7 +227,7 @@
         entry = Entry(self._log.last_index + 1, self._term, plain, self.log_ms(now_ms))
         self._log.append(entry)
         if self._note_entry(entry):
-            self._replication.sync(self.configuration, entry.index, now_ms)
+            self._replication.sync(self.configuration, entry.index, NEVER_MS)
         effects: list[Effect] = [self._persist((entry,))]
         effects += self._append_to_all(now_ms)
         return entry.index, effects
@@ -296,7 +296,9 @@
         )
         if request.is_probe:
             is_granted = is_up_to_date and request.term >= self._term
-            return [self._vote(sender, request.term, request, now_ms, is_granted=is_granted)]
+            # A refusal names the own term, so that a candidate behind it can catch up with it.
+            term = request.term if is_granted else self._term
+            return [self._vote(sender, term, request, now_ms, is_granted=is_granted)]
         effects: list[Effect] = []
         if request.term > self._term:
             effects += self._step_down(request.term, now_ms)
--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -93,14 +93,17 @@
         return effects + self._grant_owed(sender, session, machine, now_ms)
 
     def on_view_ack(
-        self, sender: str, revision: int, machine: StateMachine, now_ms: Millis
+        self, sender: str, revision: int, machine: StateMachine, now_ms: Millis, *, may_grant: bool
     ) -> list[Effect]:
-        """Note the revision that a node acts on, and grant the lease that waited for it."""
+        """Note the revision that a node acts on, and grant the lease that waited for it.
+
+        Without its own lease (`may_grant`) a leader grants none: another may lead by now.
+        """
         session = self.by_node.get(sender)
         if session is None:
             return []
         session.revision = max(session.revision, revision)
-        effects = self._grant_owed(sender, session, machine, now_ms)
+        effects = self._grant_owed(sender, session, machine, now_ms) if may_grant else []
         return effects + self.answer_waits(machine, now_ms)
 
     def on_leaving(self, sender: str, incarnation: str, now_ms: Millis) -> None:
