--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True)
 class VoteRequest:
-    """Ask for a vote, or with `is_probe` only whether one would be given."""
+    """Ask for a vote, or with `is_probe` only whether one would be given.
+
+    With `is_transfer` the leader has given its leadership up, so voters need not wait for it.
+    """
 
     term: int
     last_index: int
@@ -27,6 +30,15 @@
     is_probe: bool
     from_replica: str
     to_replica: str
+    is_transfer: bool = False
+
+
+@dataclass(frozen=True)
+class LeadershipTransfer:
+    """Tell a voter that the leader of `term` has stepped down for it to be elected at once."""
+
+    term: int
+    to_replica: str
 
 
 @dataclass(frozen=True)
@@ -280,6 +292,7 @@
 
     `asked_ms` echoes the latest `PermitRequest`: an entry uses no grant whose request it sent too
     long ago, so that the scheduler may drop a permit that its entry has not listed for longer.
+    `priority` is the one to give the engines (0 goes first), None for the rank of the kind.
     """
 
     pool: PoolId
@@ -288,6 +301,7 @@
     permit: PermitId
     targets: list[TargetAddress]
     asked_ms: Millis = 0.0
+    priority: int | None = None
 
 
 @dataclass(frozen=True)
@@ -323,13 +337,17 @@
 
 @dataclass(frozen=True)
 class PermitReleased:
-    """End a permit, or withdraw a request that still waits (`permit` is None)."""
+    """End a permit, or withdraw a request that still waits (`permit` is None).
+
+    `failed_target` names the member that failed, where the entry knows it.
+    """
 
     pool: PoolId
     request_id: str
     attempt: int
     permit: PermitId | None
     is_target_failure: bool = False
+    failed_target: str = ""
 
 
 class HeldPermit(NamedTuple):
@@ -418,6 +436,7 @@
 
 MESSAGE_CLASSES = (
     VoteRequest,
+    LeadershipTransfer,
     VoteReply,
     AppendRequest,
     AppendReply,
@@ -456,6 +475,7 @@
 
 Message = (
     VoteRequest
+    | LeadershipTransfer
     | VoteReply
     | AppendRequest
     | AppendReply
