--- a/packages/marigoldarch-fakes/marigoldarch_fakes/measure_data_path.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/measure_data_path.py
@@ -4,6 +4,8 @@
 
 - added time to first token: sequential requests, taken in turns over the direct way, the bare proxy
   and the node; the median over the direct way is what each adds
+- processor time per request of the process in the middle, which other load on the machine changes
+  less than it changes times
 - chunks per second per core: concurrent streams; chunks divided by the processor time that the
   process in the middle has used, so that neither caller nor target can be what limits it
 """
@@ -31,6 +33,7 @@
 
 KEY = "measure-key"
 REQUESTS = 300
+CPU_REQUESTS = 500
 STREAMS = 64
 PACED_CHUNKS = 250
 PACED_INTERVAL_S = 0.02
@@ -139,6 +142,13 @@
                 nursery.start_soon(self._read, way, chunks, int(interval_s * 1000))
         return streams * chunks / (cpu_s(way.pid) - before)
 
+    async def cpu_of_requests(self, way: Way, count: int) -> float:
+        """Return the processor time in seconds of that many short answers, one by one."""
+        before = cpu_s(way.pid)
+        for _ in range(count):
+            await self.first_token_ms(way)
+        return cpu_s(way.pid) - before
+
     async def _read(self, way: Way, chunks: int, pause_ms: int) -> None:
         seen = b""
         async with self._stream(way, chunks, pause_ms) as response:
@@ -182,6 +192,9 @@
         f"first_token_ms {name}": round(statistics.median(values), 3)
         for name, values in times.items()
     }
+    for way in ways[1:]:
+        spent_s = await prober.cpu_of_requests(way, CPU_REQUESTS)
+        results[f"cpu_ms_per_request {way.name}"] = round(spent_s * 1000.0 / CPU_REQUESTS, 3)
     for load, streams, chunks, interval_s in (
         ("paced", STREAMS, PACED_CHUNKS, PACED_INTERVAL_S),
         ("flood", FLOOD_STREAMS, FLOOD_CHUNKS, 0.0),
--- a/packages/marigoldarch-node/marigoldarch_node/attempts.py
+++ b/packages/marigoldarch-node/marigoldarch_node/attempts.py
@@ -163,10 +163,10 @@
             async for frame in stream:
                 if not check.accept(frame):
                     continue
+                await attempt.call.send(frame)
                 if is_first:
                     is_first = False
-                    self._first_token(attempt)
-                await attempt.call.send(frame)
+                    await self._first_token(attempt)
                 if check.is_ended:
                     self._answered(attempt, check.offset, "")
                     with trio.move_on_after(STREAM_END_S):
@@ -174,9 +174,11 @@
                     return
         raise StreamError("the stream ended without its end marker")
 
-    def _first_token(self, attempt: Attempt) -> None:
+    async def _first_token(self, attempt: Attempt) -> None:
+        """Let the caller's task write the first frame, then tell the core of it."""
         effect = attempt.effect
         now_ms = self._clock.monotonic_ms()
+        await trio.lowlevel.checkpoint()
         self._submit(FirstToken(now_ms, effect.request_id, effect.attempt))
 
     async def _hold_member(self, attempt: Attempt, rank: int) -> MemberFailedError:
