--- a/packages/marigoldarch/marigoldarch/entry/state.py
+++ b/packages/marigoldarch/marigoldarch/entry/state.py
@@ -35,6 +35,7 @@
     present_due_ms: Millis = 0.0
     presented: dict[PoolId, int] = field(default_factory=dict)
     presented_revision: int = -1
+    empty_listings: dict[PoolId, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.agenda = Agenda()
