Make the tests of the data path stall for real, and keep the first token's event under a cancel

Cause: the new admission refuses answers that cannot be in time, so two tests asked for too much; the test of a caller that does not read never filled its connection; a cancel right after the first frame lost its FirstToken event. Change: the stand-in engine can send long words; the event is submitted also under a cancel.

--- a/packages/marigoldarch-fakes/marigoldarch_fakes/engine.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/engine.py
@@ -23,7 +23,8 @@
 class EngineSettings(NamedTuple):
     """The engine's identity, size, rates and habits.
 
-    `load_lag` counts announcements; `cache_loss` is the share of cache events that get lost.
+    `load_lag` counts announcements; `cache_loss` is the share of cache events that get lost; each
+    token's text is at least `word_bytes` long.
     """
 
     target: str
@@ -40,6 +41,7 @@
     cache_loss: float = 0.0
     cache_delay_ms: float = 200.0
     load_lag: int = 1
+    word_bytes: int = 0
     seed: int = 0
 
 
@@ -171,7 +173,9 @@
             await trio.sleep(self._settings.decode_step_ms / 1000.0)
             if position == middle and await self._shows_fault(request, order, position):
                 return
-            await request.send_chunk(_frame(order, position, end=position + 1 == last))
+            word = f"w{position} ".rjust(self._settings.word_bytes)
+            frame = _frame(order, position, text=word, end=position + 1 == last)
+            await request.send_chunk(frame)
 
     async def _shows_fault(self, request: HttpRequest, order: dict[str, Any], offset: int) -> bool:
         """Show what is due in the middle of a stream; return whether the stream ends here."""
--- a/packages/marigoldarch-node/marigoldarch_node/attempts.py
+++ b/packages/marigoldarch-node/marigoldarch_node/attempts.py
@@ -178,7 +178,7 @@
         """Let the caller's task write the first frame, then tell the core of it."""
         effect = attempt.effect
         now_ms = self._clock.monotonic_ms()
-        await trio.lowlevel.checkpoint()
+        await trio.lowlevel.cancel_shielded_checkpoint()
         self._submit(FirstToken(now_ms, effect.request_id, effect.attempt))
 
     async def _hold_member(self, attempt: Attempt, rank: int) -> MemberFailedError:
