Let complete answers reach slow callers through a stop, and bound what calls hold in memory

Cause: once its last request had its outcome the node ended within 1 s, also where a slow caller had not yet read the end of its answer; prompts of calls in progress were not bounded together. Change: a stopping listener accepts nothing and lets answers end for up to 30 s; all prompts and bodies of calls in progress hold at most 512 Mi characters, above which a call is refused as not run; frames that wait are bounded by their text too; the command line tool fails when a node refuses.

--- a/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
+++ b/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
@@ -6,15 +6,16 @@
 from pathlib import Path
 
 import fire
-from expression import Result
+from expression import Error, Ok, Result
 
 from marigoldarch.codec import encode_json
 from marigoldarch.exceptions import MarigoldarchError
-from marigoldarch_cli.client import NodeClient
+from marigoldarch_cli.client import Answer, NodeClient, RequestError
 from marigoldarch_cli.commands import apply as apply_command
 from marigoldarch_cli.commands import timeline as timeline_command
 
 EXIT_FAILURE = 1
+FIRST_ERROR_STATUS = 400
 
 
 class Commands:
@@ -67,7 +68,14 @@
 
 
 def _show(client: NodeClient, method: str, path: str) -> None:
-    _finish(client.request(method, path).map(lambda answer: encode_json(answer.body).decode()))
+    _finish(client.request(method, path).bind(_to_text))
+
+
+def _to_text(answer: Answer) -> Result[str, MarigoldarchError]:
+    text = encode_json(answer.body).decode()
+    if answer.status >= FIRST_ERROR_STATUS:
+        return Error(RequestError(f"the node refuses: {text}"))
+    return Ok(text)
 
 
 def _finish(result: Result[str, MarigoldarchError]) -> None:
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/tests/data_path_tests.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/tests/data_path_tests.py
@@ -17,7 +17,6 @@
 from marigoldarch_fakes.engine import Engine, EngineSettings
 from marigoldarch_node.edge.http import Router
 from marigoldarch_node.edge.listener import Listener, ListenerSettings
-from marigoldarch_node.metrics import waiting_items
 from marigoldarch_node.tests import harness
 
 TIME_LIMIT_S = 60.0
@@ -48,7 +47,7 @@
             and not len(runtime.calls)
             and not len(runtime.attempts)
             and not runtime.state.active
-            and all(not len(item.permits) and not waiting_items(item) for item in schedulers)
+            and all(not len(item.permits) and not item.waiting for item in schedulers)
         )
 
     async def wait_until_idle(self) -> None:
@@ -116,6 +115,9 @@
             ):
                 await anext(response.aiter_stream())
                 self.assertEqual(len(setup.holdings), 1)
+                metrics = (await setup.node.get("/metrics")).body.decode()
+                self.assertIn('marigoldarch_permits{pool="dc1/coach"} 1', metrics)
+                self.assertIn('first_token_seconds_count{class="short"} 1', metrics)
             await setup.wait_until_idle()
 
         self.run_with(test, step_ms=60.0)
--- a/packages/marigoldarch-node/marigoldarch_node/calls.py
+++ b/packages/marigoldarch-node/marigoldarch_node/calls.py
@@ -13,6 +13,9 @@
 FRAMES_IN_FLIGHT = 16
 """How many frames a slow caller may have outstanding before its target is held back."""
 
+CHARACTERS_IN_FLIGHT = 1024 * 1024
+"""How much text of such frames may be outstanding, apart from the last frame."""
+
 
 class Payload(NamedTuple):
     """What a target needs of a call: a prompt, or the body of a plain service call."""
@@ -36,6 +39,7 @@
         self._outcome: Outcome | None = None
         self._relayed_tokens = 0
         self._frames: list[Frame] = []
+        self._characters = 0
         self._is_abandoned = False
         self._readers = trio.lowlevel.ParkingLot()
         self._writers = trio.lowlevel.ParkingLot()
@@ -53,7 +57,8 @@
     @property
     def is_full(self) -> bool:
         """Return whether the caller is behind by as much as it may be."""
-        return len(self._frames) >= FRAMES_IN_FLIGHT
+        is_long = self._characters >= CHARACTERS_IN_FLIGHT
+        return is_long or len(self._frames) >= FRAMES_IN_FLIGHT
 
     async def send(self, frame: Frame) -> None:
         """Pass a frame on; wait while the caller is behind.
@@ -66,6 +71,7 @@
         if self._is_closed:
             return
         self._frames.append(frame)
+        self._characters += len(frame.text)
         self._relayed_tokens = frame.offset + frame.tokens
         self._readers.unpark_all()
 
@@ -74,6 +80,7 @@
         while not self._frames and self._outcome is None:
             await self._readers.park()
         frames, self._frames = self._frames, []
+        self._characters = 0
         self._writers.unpark_all()
         return frames
 
--- a/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
@@ -15,7 +15,7 @@
 from marigoldarch.outcomes import Answered, Failed, NotRun, Outcome, OutcomeUnknown
 from marigoldarch_node.calls import Call, Payload
 from marigoldarch_node.edge.errors import error_response
-from marigoldarch_node.edge.http import HttpError, HttpRequest, Route
+from marigoldarch_node.edge.http import BodyBudget, HttpError, HttpRequest, Route
 
 if TYPE_CHECKING:
     from marigoldarch_node.runtime import Runtime
@@ -26,6 +26,9 @@
 SERVICE_PREFIX = "/v1/services/"
 MAX_OUTPUT_TOKENS = 1_000_000
 MAX_NAME_CHARACTERS = 256
+MAX_HELD_CHARACTERS = 512 * 1024 * 1024
+"""How much text of prompts and bodies all calls in progress may hold together."""
+
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_DEADLINE_MS = 1e10
 
@@ -37,6 +40,7 @@
 
     def __init__(self, runtime: Runtime) -> None:
         self._runtime = runtime
+        self._held = BodyBudget(MAX_HELD_CHARACTERS)
 
     @property
     def routes(self) -> list[Route]:
@@ -108,6 +112,8 @@
     async def _serve_call(
         self, request: HttpRequest, info: CallInfo, payload: Payload, answer: AnswerWriter
     ) -> None:
+        size = len(payload.prompt) + len(payload.body)
+        self._held.take(size)
         call = self._runtime.calls.open(info.request_id, payload)
         try:
             self._runtime.submit(CallArrived(self._runtime.clock.monotonic_ms(), info))
@@ -116,6 +122,7 @@
                 await answer.write(call)
                 nursery.cancel_scope.cancel()
         finally:
+            self._held.give_back(size)
             call.abandon()
             if call.outcome is None:
                 self._caller_gone(info.request_id)
--- a/packages/marigoldarch-node/marigoldarch_node/edge/listener.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/listener.py
@@ -50,11 +50,15 @@
 
 
 class ListenerSettings(NamedTuple):
-    """Where to listen, the most connections at once, and the certificates, if any."""
+    """Where to listen, the most connections at once, and the certificates, if any.
+
+    `flush_s` is how long answers in progress may go on once the node has stopped.
+    """
 
     address: str
     max_connections: int = MAX_CONNECTIONS
     tls: Tls | None = None
+    flush_s: float = SHUTDOWN_S
 
 
 def connection_options(unacknowledged_ms: int) -> list[tuple[int, int, int]]:
@@ -133,7 +137,7 @@
         stopped: trio.Event,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until `stopped`, then give what runs a moment to end; started with the port."""
+        """Serve until `stopped`, then let answers in progress end; started with the port."""
         host, _, port = self._settings.address.rpartition(":")
         try:
             listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
@@ -148,7 +152,7 @@
                 await stopped.wait()
                 accepting.cancel_scope.cancel()
             await self._context.terminated.set()
-            connections.cancel_scope.deadline = trio.current_time() + SHUTDOWN_S
+            connections.cancel_scope.deadline = trio.current_time() + self._settings.flush_s
 
     async def _accept(self, listener: trio.SocketListener, connections: trio.Nursery) -> None:
         await trio.serve_listeners(self._handle, [listener], handler_nursery=connections)
--- a/packages/marigoldarch-node/marigoldarch_node/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/metrics.py
@@ -28,7 +28,6 @@
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
-    from marigoldarch.messages import WorkItem
     from marigoldarch.reducer import NodeState
     from marigoldarch_node.edge.peer_links import PeerLinks
 
@@ -151,8 +150,9 @@
             gauge.values.clear()
         for pool, scheduler in state.pools.schedulers.items():
             self._permits.set({"pool": str(pool)}, len(scheduler.permits))
-            self._targets.set({"pool": str(pool)}, len(_targets(scheduler)))
-            for item in waiting_items(scheduler):
+            self._targets.set({"pool": str(pool)}, len(scheduler.fleet))
+            for waiting in scheduler.waiting.values():
+                item = waiting.item
                 name = length_class(item.prompt_tokens, is_service=not item.model)
                 self._queued.inc({"pool": str(pool), "class": name})
 
@@ -184,15 +184,3 @@
         if prompt_tokens <= limit:
             return name
     return LONGEST_CLASS
-
-
-def waiting_items(scheduler: object) -> list[WorkItem]:
-    """Return the items that wait at a scheduler."""
-    waiting = getattr(scheduler, "waiting", None)
-    queue = scheduler.queue if waiting is None else waiting
-    return [entry.item for entry in queue.values()]
-
-
-def _targets(scheduler: object) -> object:
-    fleet = getattr(scheduler, "fleet", None)
-    return scheduler.targets if fleet is None else fleet
--- a/packages/marigoldarch-node/marigoldarch_node/server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/server.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from marigoldarch_node.config.node import NodeSettings
 
+FLUSH_S = 30.0
+"""How long slow callers may take to read the end of answers that are complete."""
+
 log = get_logger("server")
 
 
@@ -29,16 +32,17 @@
     caller_routes = CallerRoutes(runtime).routes
     public = Router(caller_routes + TargetRoutes(runtime).routes + OperatorRoutes(runtime).routes)
     peers = Router(runtime.links.routes)
-    tls = runtime.security.caller_tls
     log.info("Node {} starts.", address.node)
+    public_settings = ListenerSettings(
+        address.caller_address, settings.max_connections, runtime.security.caller_tls, FLUSH_S
+    )
+    peer_settings = ListenerSettings(address.peer_address, tls=runtime.security.peer_tls)
     async with trio.open_nursery() as nursery:
-        for router, listen in (
-            (public, ListenerSettings(address.caller_address, settings.max_connections, tls)),
-            (peers, ListenerSettings(address.peer_address, tls=runtime.security.peer_tls)),
-        ):
-            nursery.start_soon(Listener(router, listen).serve, runtime.stopped)
         nursery.start_soon(_watch_signals, runtime)
-        await runtime.run()
+        async with trio.open_nursery() as listeners:
+            listeners.start_soon(Listener(public, public_settings).serve, runtime.stopped)
+            listeners.start_soon(Listener(peers, peer_settings).serve, runtime.stopped)
+            await runtime.run()
         log.info("Node {} has stopped.", address.node)
         nursery.cancel_scope.cancel()
 
--- a/packages/marigoldarch-node/marigoldarch_node/tests/attempts_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/attempts_tests.py
@@ -16,7 +16,7 @@
 from marigoldarch.identifiers import PermitId, TargetAddress
 from marigoldarch.outcomes import Failed, FailureReason
 from marigoldarch_node.attempts import Attempts
-from marigoldarch_node.calls import FRAMES_IN_FLIGHT, Call, CallTable, Payload
+from marigoldarch_node.calls import CHARACTERS_IN_FLIGHT, FRAMES_IN_FLIGHT, Call, CallTable, Payload
 from marigoldarch_node.edge.http import HttpRequest, Route, Router
 from marigoldarch_node.edge.listener import Listener, ListenerSettings
 from marigoldarch_node.edge.target_client import TargetClient
@@ -346,3 +346,15 @@
             self.assertEqual(call.relayed_tokens, FRAMES_IN_FLIGHT)
 
         trio.run(main)
+
+    def test_long_frames_are_bounded_by_their_text(self) -> None:
+        async def main() -> None:
+            call = Call("r1", Payload())
+            text = "x" * (CHARACTERS_IN_FLIGHT // 2)
+            for number in range(2):
+                await call.send(Frame("p", 1, number, text, 1, False))
+            self.assertTrue(call.is_full)
+            await call.take()
+            self.assertFalse(call.is_full)
+
+        trio.run(main)
--- a/packages/marigoldarch-node/marigoldarch_node/tests/edge/listener_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/edge/listener_tests.py
@@ -6,10 +6,11 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import httpcore
 import trio
 
 from marigoldarch_node.edge.http import HttpRequest, Route, Router
-from marigoldarch_node.edge.listener import Listener, ListenerSettings
+from marigoldarch_node.edge.listener import SHUTDOWN_S, Listener, ListenerSettings
 
 TIME_LIMIT_S = 20.0
 GET = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -116,3 +117,24 @@
                 await trio.sleep(0.001)
 
         self.run_with(test)
+
+    def test_answer_in_progress_is_not_cut_off_by_a_stop(self) -> None:
+        stopped = trio.Event()
+
+        async def slow(request: HttpRequest) -> None:
+            await request.start(200, "text/plain", {})
+            stopped.set()
+            await trio.sleep(SHUTDOWN_S + 0.3)
+            await request.send_chunk(b"whole", is_last=True)
+
+        async def main() -> None:
+            settings = ListenerSettings("127.0.0.1:0", flush_s=TIME_LIMIT_S)
+            listener = Listener(Router([Route("GET", "/", slow)]), settings)
+            with trio.fail_after(TIME_LIMIT_S):
+                async with trio.open_nursery() as nursery:
+                    port = await nursery.start(listener.serve, stopped)
+                    async with httpcore.AsyncConnectionPool() as pool:
+                        response = await pool.request("GET", f"http://127.0.0.1:{port}/")
+                    self.assertEqual(response.content, b"whole")
+
+        trio.run(main)
