--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/tests/process/__init__.py
@@ -0,0 +1,1 @@
+"""Failures of real processes over real sockets and files."""
