Wait for the engine itself in the tests of the data path

Cause: the tests waited until the status held the text e1, which a random incarnation may hold as well (about one start in eight); the first request then found no scheduler. Ruled out: a live stream being cancelled - the time lines of four failing runs end with the refusal 'no_scheduler'. Change: they wait until a scheduler lists a target. Conclusion: a fault of the test, not of the product; the checks themselves are unchanged.

--- a/packages/marigoldarch-fakes/marigoldarch_fakes/tests/data_path_tests.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/tests/data_path_tests.py
@@ -91,10 +91,15 @@
         identity = TargetIdentity("e1", "i1", "engine", "coach", at, "dc1")
         announcer = Announcer(identity, (address,), harness.TARGET_KEY, engine.describe)
         nursery.start_soon(announcer.run)
-        while "e1" not in str((await node.get("/v1/operator/status", harness.OPERATOR_KEY)).json):
+        while not await self.has_targets(node):
             await trio.sleep(0.02)
         return Setup(node, engine, address)
 
+    async def has_targets(self, node: harness.Node) -> bool:
+        """Return whether a scheduler knows a target."""
+        status = (await node.get("/v1/operator/status", harness.OPERATOR_KEY)).json
+        return any(status["targets"].values())
+
     async def listen(self, nursery: trio.Nursery, router: Router) -> str:
         """Serve a router and return its address."""
         listener = Listener(router, ListenerSettings("127.0.0.1:0"))
