Bound the cost of a decision, and test the scheduler's promises

Cause: with full memory each step tried a dozen items against all reserved targets (950 us a tick at 50 replicas); a stream of smaller work starved a gang (found by a test), and a withdrawn prefill still counted as to be done.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format bench capacity settings-page fuzz
+.PHONY: setup demo test lint format bench capacity settings-page fuzz bench-decisions
 
 setup: $(VENV)/.stamp
 
@@ -41,3 +41,6 @@
 STEPS ?= 20000
 fuzz: setup
 	$(BIN)/python -m marigoldarch.tests.fuzz.run $(SEED) $(STEPS) $(MACHINE)
+
+bench-decisions: setup
+	$(BIN)/python -m marigoldarch_fakes.bench.decisions
--- a/packages/marigoldarch/marigoldarch/pools/fair_queue.py
+++ b/packages/marigoldarch/marigoldarch/pools/fair_queue.py
@@ -62,7 +62,7 @@
 
 
 class FairQueue:
-    """The waiting items of one lane."""
+    """The waiting items of one lane; `changes` counts those of customers' next items."""
 
     def __init__(self) -> None:
         self._customers: dict[str, CustomerQueue] = {}
@@ -72,6 +72,7 @@
         self._serial = itertools.count()
         self._virtual_time = 0.0
         self._count = 0
+        self.changes = 0
         self._cost_tokens = 0
         self._active_weight = 0.0
 
@@ -190,6 +191,7 @@
 
     def _post_head(self, customer: str, queue: CustomerQueue) -> None:
         queue.version = next(self._serial)
+        self.changes += 1
         head = queue.items[0][2]
         finish_tag = queue.start_tag + head.cost_tokens / queue.weight
         heapq.heappush(self._heads, (finish_tag, next(self._serial), customer, queue.version))
--- a/packages/marigoldarch/marigoldarch/pools/fleet.py
+++ b/packages/marigoldarch/marigoldarch/pools/fleet.py
@@ -167,12 +167,13 @@
 
 
 class Fleet:
-    """All targets of the pool."""
+    """All targets of the pool; `freed` counts the changes that may let blocked work start."""
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
         self._groups: dict[Capability, Group] = {Capability(): Group()}
         self.reserved: dict[str, Target] = {}
+        self.freed = 0
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -198,6 +199,7 @@
     def add(self, target: Target) -> None:
         """Add a target."""
         self._targets[target.name] = target
+        self.freed += 1
         for capability, group in self._groups.items():
             self._join(group, capability, target)
         self.refresh(target)
@@ -267,6 +269,7 @@
         permit = target.permits.pop(permit_id, None)
         if permit is not None:
             target.granted_tokens -= permit.tokens_each
+            self.freed += 1
             self.refresh(target)
 
     def reserve(self, target: Target, tokens: int, start_ms: Millis) -> None:
@@ -281,6 +284,7 @@
         target.reserved_ms = None
         target.reserved_tokens = 0
         self.reserved.pop(target.name, None)
+        self.freed += 1
         if target.name in self._targets:
             self.refresh(target)
 
--- a/packages/marigoldarch/marigoldarch/pools/gangs.py
+++ b/packages/marigoldarch/marigoldarch/pools/gangs.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
+from itertools import islice
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from marigoldarch.clock import Millis
     from marigoldarch.pools.fair_queue import Waiting
     from marigoldarch.pools.fleet import Fleet, Target
     from marigoldarch.pools.placement import Plan
+    from marigoldarch.settings import PoolSettings
 
-RESERVED_SHARE = 0.5
-"""The largest share of the targets that may be reserved at once, unless one gang needs more."""
+TURN_LIMIT = 8
+"""How many reservations are looked at in one step."""
 
 
 @dataclass(eq=False)
@@ -30,12 +31,18 @@
 class Reservations:
     """The reservations of a pool; a target is in one at most, so that none waits for another."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, settings: PoolSettings) -> None:
+        self._settings = settings
         self._fleet = fleet
-        self._by_key: dict[tuple[str, int], Reservation] = {}
+        self._by_key: OrderedDict[tuple[str, int], Reservation] = OrderedDict()
 
-    def __iter__(self) -> Iterator[Reservation]:
-        return iter(list(self._by_key.values()))
+    def next_ones(self) -> list[Reservation]:
+        """Return some reservations to look at, in turn."""
+        chosen = list(islice(self._by_key.values(), TURN_LIMIT))
+        if len(self._by_key) > TURN_LIMIT:
+            for reservation in chosen:
+                self._by_key.move_to_end(reservation.waiting.key)
+        return chosen
 
     def __len__(self) -> int:
         return len(self._by_key)
@@ -44,7 +51,7 @@
         """Return whether `count` more targets may be reserved."""
         if not self._by_key:
             return True
-        return len(self._fleet.reserved) + count <= RESERVED_SHARE * len(self._fleet)
+        return len(self._fleet.reserved) + count <= self._settings.reserved_share * len(self._fleet)
 
     def make(self, waiting: Waiting, plan: Plan) -> None:
         """Reserve the targets of a plan."""
--- a/packages/marigoldarch/marigoldarch/pools/permits.py
+++ b/packages/marigoldarch/marigoldarch/pools/permits.py
@@ -30,6 +30,7 @@
     ends_ms: Millis
     deadline_ms: Millis
     withdrawn_ms: Millis | None = None
+    work_ms: Millis = 0.0
     is_urgent: bool = False
 
     @property
--- a/packages/marigoldarch/marigoldarch/pools/placement.py
+++ b/packages/marigoldarch/marigoldarch/pools/placement.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import NamedTuple
 
 from marigoldarch.clock import Millis
 from marigoldarch.messages import WorkItem
 from marigoldarch.pools.affinity import CacheIndex
-from marigoldarch.pools.estimates import Lane, Timing, WorkSize, size_of
+from marigoldarch.pools.estimates import TIERS, Lane, Timing, WorkSize, size_of
 from marigoldarch.pools.fleet import ENGINE_LANES, Capability, Fleet, Group, Target
 from marigoldarch.settings import PoolSettings
 
 PROBE_LIMIT = 8
 """How many targets of an index are looked at for one that fits."""
 
+BACKFILL_LIMIT = 6
+"""How many reserved targets are looked at for work beside their reservation."""
+
 
 class Placed(NamedTuple):
     """The targets to grant now, and the cached tokens expected on the first."""
@@ -52,6 +56,19 @@
         self._cache = cache
         self._settings = settings
 
+    def has_room(self, lane: Lane, now_ms: Millis) -> bool:
+        """Return whether any target might take work of a lane now; a cheap check before `place`."""
+        limit_ms = now_ms + self._backlog_ms(lane)
+        group = self._fleet.open_group
+        for kept_for, _ in self._choices(group, lane):
+            index = group.by_busy(kept_for, lane)
+            if index and index[0][0] <= limit_ms:
+                return True
+        return any(
+            target.busy_until_ms[TIERS[lane]] <= limit_ms
+            for target in islice(self._fleet.reserved.values(), BACKFILL_LIMIT)
+        )
+
     def place(self, item: WorkItem, lane: Lane, now_ms: Millis) -> Placed | Blocked:
         """Return targets for an item that one target can serve."""
         group = self._fleet.group(capability_of(item))
@@ -93,7 +110,7 @@
     def _place_call(self, group: Group, item: WorkItem) -> Placed | Blocked:
         for kept_for in ENGINE_LANES:
             index = group.by_busy(kept_for, Lane.SHORT)
-            for _, _, name in index[: PROBE_LIMIT + len(item.avoid)]:
+            for _, _, name in islice(index, PROBE_LIMIT + len(item.avoid)):
                 if name not in item.avoid:
                     return Placed([self._fleet[name]])
         return Blocked(False)
@@ -109,7 +126,7 @@
         best: tuple[Millis, Target] | None = None
         has_memory = False
         for kept_for, penalty_ms in self._choices(group, lane):
-            target = self._first_fit(group, kept_for, item, lane, tokens)
+            target = self._least_busy(group, kept_for, item, lane, tokens, now_ms)
             if target is None:
                 continue
             has_memory = True
@@ -141,12 +158,31 @@
         is_short = lane is Lane.SHORT
         return self._settings.short_backlog_ms if is_short else self._settings.long_backlog_ms
 
+    def _least_busy(
+        self,
+        group: Group,
+        kept_for: Lane,
+        item: WorkItem,
+        lane: Lane,
+        tokens: int,
+        now_ms: Millis,
+    ) -> Target | None:
+        """Return the target with the least prefill of all tiers, if it is soon enough.
+
+        Otherwise the one that could start the soonest: it lets more urgent work overtake.
+        """
+        if lane is not Lane.SHORT:
+            target = self._first_fit(group, kept_for, item, Lane.HUGE, tokens)
+            if target is None or target.wait_ms(lane, now_ms) <= self._backlog_ms(lane):
+                return target
+        return self._first_fit(group, kept_for, item, lane, tokens)
+
     def _first_fit(
         self, group: Group, kept_for: Lane, item: WorkItem, lane: Lane, tokens: int
     ) -> Target | None:
         """Return the first of the least busy targets with the memory, else the one with most."""
         limit = PROBE_LIMIT + len(item.avoid)
-        for _, _, name in group.by_busy(kept_for, lane)[:limit]:
+        for _, _, name in islice(group.by_busy(kept_for, lane), limit):
             target = self._fleet[name]
             if target.free_tokens >= tokens and name not in item.avoid:
                 return target
@@ -193,7 +229,7 @@
         if lane is Lane.HUGE:
             return None
         capability = capability_of(item)
-        for target in self._fleet.reserved.values():
+        for target in islice(self._fleet.reserved.values(), BACKFILL_LIMIT):
             if not target.is_open or target.name in item.avoid:
                 continue
             if target.free_tokens < size.memory_tokens:
@@ -211,4 +247,4 @@
 
 
 def _most_free(group: Group, lane: Lane, limit: int) -> list[str]:
-    return [name for _, name in reversed(group.by_free[lane][-limit:])]
+    return [name for _, name in islice(reversed(group.by_free[lane]), limit)]
--- a/packages/marigoldarch/marigoldarch/pools/roster.py
+++ b/packages/marigoldarch/marigoldarch/pools/roster.py
@@ -100,18 +100,21 @@
             target = self._fleet.find(address.target)
             if target is None or target.announcement.incarnation != address.incarnation:
                 continue
+            permit.work_ms = work_ms
             target.add_work(permit.lane, work_ms, now_ms)
             if prefill_tokens:
                 target.recent_grants.append((now_ms, prefill_tokens))
             self._fleet.charge(target, permit)
 
-    def drop(self, permit: Permit) -> None:
-        """End a permit and give its memory back."""
+    def drop(self, permit: Permit, now_ms: Millis) -> None:
+        """End a permit and give its memory back, and the prefill that it did not come to."""
+        unused_ms = min(permit.work_ms, max(0.0, permit.prefilled_ms - now_ms))
         self._permits.remove(permit.permit)
         self._withdrawn.pop(permit.permit, None)
         for address in permit.targets:
             target = self._fleet.find(address.target)
-            if target is not None:
+            if target is not None and permit.permit in target.permits:
+                target.add_work(permit.lane, -unused_ms, now_ms)
                 self._fleet.credit(target, permit.permit)
 
     def unlisted(self, node: str, listed: set[PermitId], now_ms: Millis) -> list[Permit]:
@@ -282,7 +285,7 @@
                 del self._missing_since[node]
                 lost += self._permits.of_node(node)
         for permit in lost:
-            self.drop(permit)
+            self.drop(permit, now_ms)
         return [Record("permit_expired", {"permit": str(permit.permit)}) for permit in lost]
 
     def _repeat_withdrawals(self, now_ms: Millis) -> list[Effect]:
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from marigoldarch.effects import Effect, Record, Send
 from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
@@ -42,7 +42,7 @@
     from marigoldarch.settings import PoolSettings
     from marigoldarch.targets import Announcement
 
-CANDIDATE_LIMIT = 4
+CANDIDATE_LIMIT = 2
 """How many customers' next items are tried before a lane counts as blocked."""
 
 SINGLE_LANES = (Lane.SHORT, Lane.MEDIUM, Lane.LONG)
@@ -50,6 +50,17 @@
 FIRST_TARGETS_MS: Millis = 3_500.0
 """How long a new scheduler waits for targets to announce before it refuses for want of them."""
 
+STUCK_RETRY_MS: Millis = 20.0
+"""How long placement is not tried again while neither targets nor queue have changed."""
+
+
+class Stuck(NamedTuple):
+    """The state in which no next item of a lane could be placed, and until when that counts."""
+
+    freed: int
+    changes: int
+    until_ms: Millis
+
 
 class PoolScheduler:
     """The one authority over a pool, for one fencing number."""
@@ -72,7 +83,7 @@
         self.cache = CacheIndex()
         self.queues = {lane: FairQueue() for lane in Lane}
         self.waiting: OrderedDict[tuple[str, int], Waiting] = OrderedDict()
-        self.reservations = Reservations(self.fleet)
+        self.reservations = Reservations(self.fleet, settings)
         self.shares = LaneShare(settings, since_ms)
         self.roster = Roster(
             pool, fence, settings, self.fleet, self.permits, self.cache, self.shares, since_ms
@@ -82,6 +93,7 @@
         self._admission = Admission(self.fleet, self.queues, settings, self.timing)
         self._preemption = Preemption(self.timing)
         self._serial = 0
+        self._stuck: dict[Lane, Stuck] = {}
         self._targets_due_ms = ready_ms + FIRST_TARGETS_MS
 
     @property
@@ -147,7 +159,7 @@
         effects: list[Effect] = []
         if permit is not None:
             effects += self._note_health(permit, message, now_ms)
-            self.roster.drop(permit)
+            self.roster.drop(permit, now_ms)
         return effects + self._grant(now_ms)
 
     def hold(self, node: str, message: PermitsHeld, now_ms: Millis) -> list[Effect]:
@@ -163,7 +175,7 @@
             if permit_id not in self.permits and permit_id.epoch <= self.fence:
                 self._adopt(node, held, now_ms)
         for permit in self.roster.unlisted(node, listed, now_ms):
-            self.roster.drop(permit)
+            self.roster.drop(permit, now_ms)
         return self._grant(now_ms)
 
     def note_nodes(self, nodes: frozenset[str], now_ms: Millis) -> None:
@@ -181,6 +193,8 @@
     def _grant(self, now_ms: Millis) -> list[Effect]:
         if not self.recovery.is_over(now_ms):
             return []
+        if self._is_huge_first(now_ms):
+            self._reserve_huge(now_ms)
         effects = self._start_reserved(now_ms)
         for lane in SINGLE_LANES:
             urgent = self.queues[lane].urgent(now_ms)
@@ -192,20 +206,36 @@
             effects += self._start_reserved(now_ms)
         return effects
 
+    def _is_huge_first(self, now_ms: Millis) -> bool:
+        """Return whether huge work has waited its turn; smaller work could else hold it up."""
+        heads = self.queues[Lane.HUGE].candidates(now_ms, 1)
+        return any(now_ms >= head.since_ms + self.settings.huge_patience_ms for head in heads)
+
     def _grant_lane(self, lane: Lane, now_ms: Millis) -> list[Effect]:
         effects: list[Effect] = []
         queue = self.queues[lane]
-        while len(queue):
+        if self._is_stuck(lane, now_ms):
+            return []
+        while len(queue) and self._placement.has_room(lane, now_ms):
             granted: list[Effect] = []
             for waiting in queue.candidates(now_ms, CANDIDATE_LIMIT):
                 granted = self._try(waiting, now_ms)
                 if granted:
                     break
             if not granted:
+                stuck = Stuck(self.fleet.freed, queue.changes, now_ms + STUCK_RETRY_MS)
+                self._stuck[lane] = stuck
                 break
             effects += granted
         return effects
 
+    def _is_stuck(self, lane: Lane, now_ms: Millis) -> bool:
+        """Return whether nothing has changed since the lane's next items could not be placed."""
+        stuck = self._stuck.get(lane)
+        if stuck is None or now_ms >= stuck.until_ms:
+            return False
+        return (stuck.freed, stuck.changes) == (self.fleet.freed, self.queues[lane].changes)
+
     def _try(self, waiting: Waiting, now_ms: Millis) -> list[Effect]:
         """Grant an item, or reserve for it; return no effects if nothing could be done."""
         item = waiting.item
@@ -228,7 +258,8 @@
             return [Record("queued_as_huge", {"request": waiting.item.request_id})]
         is_urgent = waiting.urgent_ms <= now_ms
         plan = None
-        if self.reservations.find(waiting.key) is None and self.reservations.has_room(1):
+        may_reserve = is_urgent or not self._is_huge_first(now_ms)
+        if may_reserve and self.reservations.has_room(1):
             plan = self._placement.plan(waiting.item, 1, now_ms)
         if plan is None or (waiting.lane is Lane.SHORT and not is_urgent):
             return []
@@ -255,7 +286,7 @@
 
     def _start_reserved(self, now_ms: Millis) -> list[Effect]:
         effects: list[Effect] = []
-        for reservation in self.reservations:
+        for reservation in self.reservations.next_ones():
             waiting = reservation.waiting
             if self.reservations.is_broken(reservation):
                 self.reservations.end(reservation)
@@ -377,7 +408,7 @@
             while (waiting := queue.late(now_ms)) is not None:
                 queue.remove(waiting, is_served=False)
                 late.append(waiting)
-        for reservation in self.reservations:
+        for reservation in self.reservations.next_ones():
             if reservation.waiting.latest_start_ms < now_ms:
                 late.append(reservation.waiting)
         for waiting in late:
--- a/packages/marigoldarch/marigoldarch/settings.py
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -76,11 +76,13 @@
     short_prompt_tokens: int = 4096
     medium_prompt_tokens: int = 16_384
     long_prompt_tokens: int = 102_400
-    gang_memory_share: float = 0.6
+    gang_memory_share: float = 0.8
+    reserved_share: float = 0.35
+    huge_patience_ms: Millis = 30_000.0
     short_room_share: float = 0.05
     short_backlog_ms: Millis = 250.0
-    long_backlog_ms: Millis = 1000.0
-    medium_overflow_ms: Millis = 500.0
+    long_backlog_ms: Millis = 500.0
+    medium_overflow_ms: Millis = 1000.0
     short_overflow_ms: Millis = 150.0
     rank_step_ms: Millis = 5000.0
     urgent_guard_ms: Millis = 2000.0
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/pools/orders_tests.py
@@ -0,0 +1,133 @@
+"""Tests of orders: fencing for both sorts of targets, and the limits of the weight store."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import unittest
+
+from marigoldarch.effects import OrderTarget
+from marigoldarch.settings import PoolSettings
+from marigoldarch.tests.pools.support import SchedulerDriver, make_item, orders
+
+TRAVEL_MS = PoolSettings().order_travel_ms
+
+
+class FakeTarget:
+    """A target that carries out what arrives, and perhaps checks the fencing number."""
+
+    def __init__(self, *, checks_fence: bool) -> None:
+        self.checks_fence = checks_fence
+        self.highest_fence = 0
+        self.done: list[OrderTarget] = []
+
+    def receive(self, order: OrderTarget) -> None:
+        """Carry out an order, unless its fencing number is old."""
+        if self.checks_fence and order.fence < self.highest_fence:
+            return
+        self.highest_fence = max(self.highest_fence, order.fence)
+        self.done.append(order)
+
+
+class FencingTests(unittest.TestCase):
+    """An old holder's order never takes effect after a newer one's."""
+
+    def run_takeover(self, seed: int, *, checks_fence: bool) -> list[int]:
+        """Hand a pool over while orders travel for up to the travel time; return their fences."""
+        chooser = random.Random(seed)
+        target = FakeTarget(checks_fence=checks_fence)
+        flying: list[tuple[float, int, OrderTarget]] = []
+        serial = itertools.count()
+        now_ms = 0.0
+        for fence, version in ((5, "v1"), (6, "v2"), (7, "v3")):
+            driver = SchedulerDriver(fence=fence, start_ms=now_ms)
+            driver.announce("e1", checks_fence=checks_fence)
+            driver.scheduler.roster.orders.want((), (version,))
+            end_ms = now_ms + chooser.uniform(500.0, 3 * TRAVEL_MS)
+            while driver.now_ms < end_ms:
+                for order in orders(driver.advance(50.0)):
+                    arrival_ms = driver.now_ms + chooser.uniform(0.0, TRAVEL_MS - 60.0)
+                    flying.append((arrival_ms, next(serial), order))
+                for entry in sorted(entry for entry in flying if entry[0] <= driver.now_ms):
+                    target.receive(entry[2])
+                    flying.remove(entry)
+            now_ms = driver.now_ms
+        for entry in sorted(flying):
+            target.receive(entry[2])
+        return [order.fence for order in target.done]
+
+    def test_order_of_fences_holds_for_targets_that_check_them(self) -> None:
+        for seed in range(40):
+            fences = self.run_takeover(seed, checks_fence=True)
+            self.assertEqual(fences, sorted(fences), seed)
+            self.assertIn(7, fences)
+
+    def test_order_of_fences_holds_for_targets_that_ignore_them(self) -> None:
+        taken = 0
+        for seed in range(40):
+            fences = self.run_takeover(seed, checks_fence=False)
+            self.assertEqual(fences, sorted(fences), seed)
+            taken += 7 in fences
+        self.assertGreater(taken, 0)
+
+    def test_new_holder_waits_only_for_targets_that_ignore_fences(self) -> None:
+        for checks_fence, first_ms in ((True, 50.0), (False, TRAVEL_MS)):
+            driver = SchedulerDriver()
+            driver.announce("e1", checks_fence=checks_fence)
+            driver.scheduler.roster.orders.want((), ("v1",))
+            while not orders(driver.advance(50.0)):
+                self.assertLess(driver.now_ms, TRAVEL_MS + 1_000.0)
+            self.assertGreaterEqual(driver.now_ms, first_ms)
+            self.assertLess(driver.now_ms, first_ms + 1_000.0)
+
+
+class LoadTests(unittest.TestCase):
+    """A change of version over the fleet."""
+
+    def test_change_of_version_loads_a_few_targets_at_a_time(self) -> None:
+        driver = SchedulerDriver()
+        names = [f"e{number}" for number in range(8)]
+        loaded: dict[str, tuple[str, ...]] = dict.fromkeys(names, ("v1",))
+        loading: dict[str, float] = {}
+        driver.scheduler.roster.orders.want((), ("v1", "v2"))
+        most = 0
+        for step in range(600):
+            for name in names:
+                driver.announce(name, versions=loaded[name], checks_fence=True)
+            for order in orders(driver.advance(100.0)):
+                name = order.target.target
+                loading[name] = driver.now_ms + 3_000.0
+                driver.scheduler.command_ended(
+                    name, order.order_id, is_confirmed=True, now_ms=driver.now_ms
+                )
+            most = max(most, sum(not target.is_open for target in driver.scheduler.fleet))
+            for name in [name for name, at_ms in loading.items() if at_ms <= driver.now_ms]:
+                del loading[name]
+                loaded[name] = ("v1", "v2")
+            driver.ask(make_item(f"r{step}", version="v1", time_left_ms=5_000.0))
+            if f"r{step}" in driver.grants():
+                driver.release(driver.grants()[f"r{step}"])
+        self.assertEqual(set(loaded.values()), {("v1", "v2")})
+        self.assertLessEqual(most, 2)
+        self.assertEqual(len(driver.grants()), 600)
+
+    def test_order_with_unknown_outcome_is_not_followed_by_another_while_it_may_arrive(
+        self,
+    ) -> None:
+        driver = SchedulerDriver()
+        driver.announce("e1", checks_fence=True)
+        driver.scheduler.roster.orders.want((), ("v1",))
+        first = orders(driver.advance(1_000.0))
+        self.assertEqual(len(first), 1)
+        driver.scheduler.command_ended(
+            "e1", first[0].order_id, is_confirmed=False, now_ms=driver.now_ms
+        )
+        self.assertEqual(orders(driver.advance(TRAVEL_MS - 1_000.0)), [])
+        self.assertEqual(len(orders(driver.advance(3_000.0))), 1)
+
+    def test_target_that_takes_roles_is_told_what_it_is_kept_for(self) -> None:
+        driver = SchedulerDriver()
+        for number in range(4):
+            driver.announce(f"e{number}", role="long", checks_fence=True)
+        sent = orders(driver.advance(1_000.0))
+        self.assertEqual([order.order["name"] for order in sent], ["short"])
