--- a/packages/marigoldarch/marigoldarch/declarations/loader.py
+++ b/packages/marigoldarch/marigoldarch/declarations/loader.py
@@ -31,6 +31,15 @@
     return from_plain(plain)
 
 
+def parse_plain(text: str) -> Result[dict[str, Any], DeclarationError]:
+    """Parse and validate the TOML text of a team or of the operators; return plain types."""
+    try:
+        plain = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Error(DeclarationError(f"not valid TOML: {error}"))
+    return subtree_of(plain).map(lambda _: plain)
+
+
 def from_plain(plain: Any) -> Result[TeamDeclaration, DeclarationError]:
     """Validate plain types as one team's declaration."""
     try:
@@ -82,6 +91,9 @@
         unknown = set(customer.kinds) - set(declaration.kinds)
         if unknown:
             return f"customers.{name}.kinds names undeclared kinds: {sorted(unknown)}"
+    digests = [key for item in declaration.customers.values() for key in item.key_sha256]
+    if len(set(digests)) < len(digests):
+        return "customers: a key_sha256 may stand only once"
     for name, kind in declaration.kinds.items():
         if kind.deadline_ms <= 0 or kind.max_prompt_tokens <= 0:
             return f"kinds.{name}: deadline_ms and max_prompt_tokens must be positive"
--- a/packages/marigoldarch/marigoldarch/tests/control/sessions_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/control/sessions_tests.py
@@ -4,7 +4,10 @@
 
 import unittest
 
+from marigoldarch.control.sessions import OwedGrant
+from marigoldarch.events import MessageArrived
 from marigoldarch.identifiers import PoolId
+from marigoldarch.messages import ViewAck
 from marigoldarch.tests.cluster import MemoryCluster
 from marigoldarch.tests.control.support import declare, other_nodes, replies
 
@@ -53,6 +56,19 @@
         member = self.cluster.nodes[leader].state.control.member
         self.assertFalse(member.has_lease(self.cluster.now_ms))
 
+    def test_leader_without_its_lease_grants_none_for_a_late_acknowledgement(self) -> None:
+        leader = self.cluster.leader()
+        self.cluster.isolate(leader)
+        self.cluster.run(800)
+        control = self.cluster.nodes[leader].state.control
+        session = control.leadership.sessions.by_node["n5"]
+        session.owed = OwedGrant(self.cluster.now_ms - 10.0, session.revision)
+        expires_ms = session.expires_ms
+        event = MessageArrived(self.cluster.now_ms, "n5", ViewAck(session.revision))
+        self.cluster.submit(leader, event)
+        self.assertTrue(control.leads)
+        self.assertEqual(session.expires_ms, expires_ms)
+
     def test_resent_change_after_the_loss_of_the_leader_is_made_once(self) -> None:
         declare(self.cluster, "n4", "guild", 0, "c1")
         self.cluster.run(10)
