Learn rates and answer lengths, and describe the scheduling

Cause: max_tokens is a bound, not a length: as an estimate it refused or gave up work that had time; a fixed prefill rate throttles fast engines. Change: answer lengths per kind, decode time and prefill rate are learned from whole answers; an unknown length counts as nothing in a deadline decision; unknown renewed permits are asked for in full. A test of late work waits 2 s longer, within its deadline, as the unknown answer no longer counts.

--- a/packages/marigoldarch-fakes/marigoldarch_fakes/bench/pooled.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/bench/pooled.py
@@ -45,6 +45,7 @@
         self._jobs: dict[str, Job] = {}
         self._attempts: dict[str, int] = {}
         self._permits: dict[str, PermitGranted] = {}
+        self._started_ms: dict[str, Millis] = {}
         self._hold_due_ms: Millis = 0.0
         self._sequences: dict[str, int] = {}
         self.wrong_releases = 0
@@ -61,7 +62,19 @@
         granted = self._permits.pop(job.request_id, None)
         permit = granted.permit if granted else None
         attempt = self._attempts[job.request_id]
-        released = PermitReleased(scheduler.pool, job.request_id, attempt, permit)
+        outcome = self._simulation.outcomes[job.request_id]
+        first_ms, output_tokens = 0.0, 0
+        if outcome.end_ms is not None and permit is not None:
+            first_ms = outcome.first_ms - self._started_ms[job.request_id]
+            output_tokens = job.output_tokens
+        released = PermitReleased(
+            scheduler.pool,
+            job.request_id,
+            attempt,
+            permit,
+            first_token_ms=first_ms,
+            output_tokens=output_tokens,
+        )
         self._carry_out(scheduler.release(released, now_ms), now_ms)
 
     def report(self, report: LoadReport, now_ms: Millis) -> None:
@@ -154,6 +167,7 @@
         if granted.request_id in self._permits:
             return
         self._permits[granted.request_id] = granted
+        self._started_ms[granted.request_id] = now_ms
         job = self._jobs[granted.request_id]
         engines = [target.target for target in granted.targets]
         priority = getattr(granted, "priority", None)
--- a/packages/marigoldarch/marigoldarch/pools/admission.py
+++ b/packages/marigoldarch/marigoldarch/pools/admission.py
@@ -61,7 +61,7 @@
         ahead += sum(
             self._queues[other].cost_tokens for other in Lane if TIERS[other] < TIERS[lane]
         )
-        rate_per_ms = self._settings.prefill_tokens_per_s / 1000.0 * LANE_EFFICIENCY
+        rate_per_ms = self._timing.tokens_per_s / 1000.0 * LANE_EFFICIENCY
         wait_ms = ahead / (self._engine_count(lane) * rate_per_ms)
         return Estimate(wait_ms + self._running_ms(lane, now_ms), service)
 
--- a/packages/marigoldarch/marigoldarch/pools/estimates.py
+++ b/packages/marigoldarch/marigoldarch/pools/estimates.py
@@ -64,11 +64,6 @@
     return min(priority, URGENT_PRIORITY) if is_urgent else priority
 
 
-def prefill_ms(tokens: int, settings: PoolSettings) -> Millis:
-    """Return how long an otherwise idle engine prefills `tokens`."""
-    return tokens * 1000.0 / settings.prefill_tokens_per_s
-
-
 class DecodeTime:
     """The time a token of an answer takes, learned from permits that ended.
 
@@ -83,10 +78,15 @@
     def __init__(self, initial_ms: Millis) -> None:
         self._token_ms = dict.fromkeys((True, False), initial_ms)
         self._learned_at_ms = dict.fromkeys((True, False), float("-inf"))
+        self._length_shares: dict[str, float] = {}
 
     def answer_ms(self, item: WorkItem, lane: Lane) -> Millis:
-        """Return how long the answer takes after its first token."""
-        return item.output_tokens * self._token_ms[lane is Lane.SHORT] if item.model else 0.0
+        """Return how long the answer takes after its first token.
+
+        Answers are expected to use the share of their bound that others of their kind did.
+        """
+        tokens = item.output_tokens * self._length_shares.get(item.kind, 1.0)
+        return tokens * self._token_ms[lane is Lane.SHORT] if item.model else 0.0
 
     def known_answer_ms(self, item: WorkItem, lane: Lane, now_ms: Millis) -> Millis:
         """Return how long the answer takes as far as recent answers tell, otherwise 0.
@@ -95,7 +95,15 @@
         answer could ever correct it.
         """
         is_recent = now_ms < self._learned_at_ms[lane is Lane.SHORT] + self.BELIEVED_MS
-        return self.answer_ms(item, lane) if is_recent else 0.0
+        is_known = is_recent and item.kind in self._length_shares
+        return self.answer_ms(item, lane) if is_known else 0.0
+
+    def learn_length(self, item: WorkItem, output_tokens: int) -> None:
+        """Take the length of a whole answer."""
+        share = min(1.0, output_tokens / max(1, item.output_tokens))
+        known = self._length_shares.setdefault(item.kind, share)
+        step = self.RISE if share > known else self.FALL
+        self._length_shares[item.kind] = known + step * (share - known)
 
     def learn(self, lane: Lane, token_ms: Millis, now_ms: Millis) -> None:
         """Take the time a token took in an answer."""
@@ -107,15 +115,34 @@
 
 
 class Timing:
-    """Durations of work on the targets of a pool."""
+    """Durations of work on the targets of a pool, learned from permits that ended."""
+
+    LEARNING_SHARE = 0.05
+    LEAST_TOKENS = 512
+    """Prompts below this tell the fixed cost of a step rather than the rate."""
+
+    RATE_RANGE = (1_000.0, 1_000_000.0)
 
     def __init__(self, settings: PoolSettings) -> None:
-        self._settings = settings
+        self._tokens_per_s = settings.prefill_tokens_per_s
         self.decode = DecodeTime(settings.decode_token_ms)
 
+    @property
+    def tokens_per_s(self) -> float:
+        """Return the prefill rate of one engine."""
+        return self._tokens_per_s
+
     def prefill_ms(self, tokens: int) -> Millis:
         """Return how long an otherwise idle engine prefills `tokens`."""
-        return prefill_ms(tokens, self._settings)
+        return tokens * 1000.0 / self._tokens_per_s
+
+    def learn_prefill(self, tokens: int, first_token_ms: Millis) -> None:
+        """Take the time to the first token of work that was granted on an idle engine."""
+        if tokens < self.LEAST_TOKENS or first_token_ms <= 0:
+            return
+        lowest, highest = self.RATE_RANGE
+        rate = min(highest, max(lowest, tokens * 1000.0 / first_token_ms))
+        self._tokens_per_s += self.LEARNING_SHARE * (rate - self._tokens_per_s)
 
     def service_ms(self, item: WorkItem, lane: Lane, engines: int = 1) -> Millis:
         """Return how long an item takes once it runs on `engines` engines."""
--- a/packages/marigoldarch/marigoldarch/pools/roster.py
+++ b/packages/marigoldarch/marigoldarch/pools/roster.py
@@ -8,7 +8,6 @@
 
 from marigoldarch.effects import Effect, Record, ReleaseMemory, Send
 from marigoldarch.messages import PermitWithdrawn
-from marigoldarch.pools.estimates import prefill_ms
 from marigoldarch.pools.fleet import REPORT_LAG_MS, Fleet, Target
 from marigoldarch.pools.health import Health
 from marigoldarch.pools.orders import OrderBook
@@ -20,6 +19,7 @@
     from marigoldarch.clock import Millis
     from marigoldarch.identifiers import PermitId, PoolId
     from marigoldarch.pools.affinity import CacheIndex
+    from marigoldarch.pools.estimates import Timing
     from marigoldarch.pools.lane_share import LaneShare
     from marigoldarch.pools.permits import Permit, PermitTable
     from marigoldarch.settings import PoolSettings
@@ -44,6 +44,7 @@
         pool: PoolId,
         fence: int,
         settings: PoolSettings,
+        timing: Timing,
         fleet: Fleet,
         permits: PermitTable,
         cache: CacheIndex,
@@ -55,6 +56,7 @@
         self._pool = pool
         self._fence = fence
         self._settings = settings
+        self._timing = timing
         self._fleet = fleet
         self._permits = permits
         self._cache = cache
@@ -95,7 +97,7 @@
         """Account for a live permit that prefills `prefill_tokens` on each of its targets."""
         self._permits.add(permit)
         heapq.heappush(self._deadlines, (permit.deadline_ms + DEADLINE_SLACK_MS, permit.permit))
-        work_ms = prefill_ms(prefill_tokens, self._settings)
+        work_ms = self._timing.prefill_ms(prefill_tokens)
         for address in permit.targets:
             target = self._fleet.find(address.target)
             if target is None or target.announcement.incarnation != address.incarnation:
@@ -225,8 +227,8 @@
         while recent and recent[0][0] < now_ms - REPORT_LAG_MS:
             recent.popleft()
         unseen = sum(tokens for _, tokens in recent)
-        lowest_ms = now_ms + prefill_ms(pending, self._settings)
-        highest_ms = lowest_ms + prefill_ms(unseen, self._settings)
+        lowest_ms = now_ms + self._timing.prefill_ms(pending)
+        highest_ms = lowest_ms + self._timing.prefill_ms(unseen)
         target.limit_work(lowest_ms, highest_ms)
         self._fleet.refresh(target)
 
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -16,6 +16,7 @@
     PermitReleased,
     PermitRequest,
     PermitsHeld,
+    PresentPermits,
     WorkItem,
 )
 from marigoldarch.outcomes import RefusalReason
@@ -78,6 +79,7 @@
         self.fence = fence
         self.settings = settings
         self.recovery = Recovery(fence, ready_ms, since_ms + settings.permit_silence_ms)
+        self.timing = Timing(settings)
         self.fleet = Fleet()
         self.permits = PermitTable()
         self.cache = CacheIndex()
@@ -86,9 +88,16 @@
         self.reservations = Reservations(self.fleet, settings)
         self.shares = LaneShare(settings, since_ms)
         self.roster = Roster(
-            pool, fence, settings, self.fleet, self.permits, self.cache, self.shares, since_ms
+            pool,
+            fence,
+            settings,
+            self.timing,
+            self.fleet,
+            self.permits,
+            self.cache,
+            self.shares,
+            since_ms,
         )
-        self.timing = Timing(settings)
         self._placement = Placement(self.fleet, self.cache, settings, self.timing)
         self._admission = Admission(self.fleet, self.queues, settings, self.timing)
         self._preemption = Preemption(self.timing)
@@ -169,6 +178,7 @@
         listed = set(renewed)
         unknown = [permit for permit in renewed if permit not in self.permits]
         self.roster.note_unknown(unknown, now_ms)
+        effects: list[Effect] = [Send(node, PresentPermits(self.pool))] if unknown else []
         for held in message.held:
             permit_id = PermitId(*held.permit)
             listed.add(permit_id)
@@ -176,7 +186,7 @@
                 self._adopt(node, held, now_ms)
         for permit in self.roster.unlisted(node, listed, now_ms):
             self.roster.drop(permit, now_ms)
-        return self._grant(now_ms)
+        return effects + self._grant(now_ms)
 
     def note_nodes(self, nodes: frozenset[str], now_ms: Millis) -> None:
         """Note which entry nodes are alive, as the control part tells."""
@@ -322,6 +332,7 @@
             begin_ms + work_ms + self.timing.decode.answer_ms(item, waiting.lane),
             waiting.deadline_ms,
             is_urgent=waiting.urgent_ms <= now_ms,
+            is_alone=cached_tokens == 0 and all(not target.permits for target in targets),
         )
         self.roster.add(permit, share, now_ms)
         if len(targets) == 1:
@@ -364,7 +375,7 @@
         size = size_of(item)
         engines = self._admission.engines(item, lane)
         deadline_ms = now_ms + item.time_left_ms
-        service_ms = self.timing.service_ms(item, lane, engines)
+        service_ms = self.timing.known_service_ms(item, lane, engines, now_ms)
         latest_ms = deadline_ms - service_ms
         urgent_ms = latest_ms - max(self.settings.urgent_guard_ms, service_ms)
         work_ms = self.timing.prefill_ms(size.prefill_tokens)
@@ -430,14 +441,23 @@
 
     def _note_health(self, permit: Permit, message: PermitReleased, now_ms: Millis) -> list[Effect]:
         if not message.is_target_failure:
-            elapsed_ms = now_ms - permit.prefilled_ms
-            if permit.item.model and elapsed_ms > 0 and permit.withdrawn_ms is None:
-                token_ms = elapsed_ms / max(1, permit.item.output_tokens)
-                self.timing.decode.learn(permit.lane, token_ms, now_ms)
+            self._learn(permit, message, now_ms)
             return self.roster.note_success(permit)
         name = message.failed_target or permit.targets[0].target
         return self.roster.note_failure(permit, name, now_ms)
 
+    def _learn(self, permit: Permit, message: PermitReleased, now_ms: Millis) -> None:
+        """Learn the engines' rates and the length of answers from a whole answer."""
+        if not permit.item.model or message.output_tokens <= 0 or message.first_token_ms <= 0:
+            return
+        if permit.is_alone and len(permit.targets) == 1:
+            self.timing.learn_prefill(permit.item.prompt_tokens, message.first_token_ms)
+        answer_ms = now_ms - permit.granted_ms - message.first_token_ms
+        if answer_ms > 0:
+            token_ms = answer_ms / message.output_tokens
+            self.timing.decode.learn(permit.lane, token_ms, now_ms)
+        self.timing.decode.learn_length(permit.item, message.output_tokens)
+
     def _granted(self, permit: Permit, item: WorkItem) -> Send:
         granted = PermitGranted(
             self.pool,
