--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from marigoldarch.effects import Effect, Record, Send
 from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
@@ -16,6 +16,7 @@
     PermitReleased,
     PermitRequest,
     PermitsHeld,
+    PresentPermits,
     WorkItem,
 )
 from marigoldarch.outcomes import RefusalReason
@@ -42,7 +43,7 @@
     from marigoldarch.settings import PoolSettings
     from marigoldarch.targets import Announcement
 
-CANDIDATE_LIMIT = 4
+CANDIDATE_LIMIT = 2
 """How many customers' next items are tried before a lane counts as blocked."""
 
 SINGLE_LANES = (Lane.SHORT, Lane.MEDIUM, Lane.LONG)
@@ -50,6 +51,17 @@
 FIRST_TARGETS_MS: Millis = 3_500.0
 """How long a new scheduler waits for targets to announce before it refuses for want of them."""
 
+STUCK_RETRY_MS: Millis = 20.0
+"""How long placement is not tried again while neither targets nor queue have changed."""
+
+
+class Stuck(NamedTuple):
+    """The state in which no next item of a lane could be placed, and until when that counts."""
+
+    freed: int
+    changes: int
+    until_ms: Millis
+
 
 class PoolScheduler:
     """The one authority over a pool, for one fencing number."""
@@ -67,21 +79,30 @@
         self.fence = fence
         self.settings = settings
         self.recovery = Recovery(fence, ready_ms, since_ms + settings.permit_silence_ms)
+        self.timing = Timing(settings)
         self.fleet = Fleet()
         self.permits = PermitTable()
         self.cache = CacheIndex()
         self.queues = {lane: FairQueue() for lane in Lane}
         self.waiting: OrderedDict[tuple[str, int], Waiting] = OrderedDict()
-        self.reservations = Reservations(self.fleet)
+        self.reservations = Reservations(self.fleet, settings)
         self.shares = LaneShare(settings, since_ms)
         self.roster = Roster(
-            pool, fence, settings, self.fleet, self.permits, self.cache, self.shares, since_ms
+            pool,
+            fence,
+            settings,
+            self.timing,
+            self.fleet,
+            self.permits,
+            self.cache,
+            self.shares,
+            since_ms,
         )
-        self.timing = Timing(settings)
         self._placement = Placement(self.fleet, self.cache, settings, self.timing)
         self._admission = Admission(self.fleet, self.queues, settings, self.timing)
         self._preemption = Preemption(self.timing)
         self._serial = 0
+        self._stuck: dict[Lane, Stuck] = {}
         self._targets_due_ms = ready_ms + FIRST_TARGETS_MS
 
     @property
@@ -147,7 +168,7 @@
         effects: list[Effect] = []
         if permit is not None:
             effects += self._note_health(permit, message, now_ms)
-            self.roster.drop(permit)
+            self.roster.drop(permit, now_ms)
         return effects + self._grant(now_ms)
 
     def hold(self, node: str, message: PermitsHeld, now_ms: Millis) -> list[Effect]:
@@ -157,14 +178,15 @@
         listed = set(renewed)
         unknown = [permit for permit in renewed if permit not in self.permits]
         self.roster.note_unknown(unknown, now_ms)
+        effects: list[Effect] = [Send(node, PresentPermits(self.pool))] if unknown else []
         for held in message.held:
             permit_id = PermitId(*held.permit)
             listed.add(permit_id)
             if permit_id not in self.permits and permit_id.epoch <= self.fence:
                 self._adopt(node, held, now_ms)
         for permit in self.roster.unlisted(node, listed, now_ms):
-            self.roster.drop(permit)
-        return self._grant(now_ms)
+            self.roster.drop(permit, now_ms)
+        return effects + self._grant(now_ms)
 
     def note_nodes(self, nodes: frozenset[str], now_ms: Millis) -> None:
         """Note which entry nodes are alive, as the control part tells."""
@@ -181,6 +203,8 @@
     def _grant(self, now_ms: Millis) -> list[Effect]:
         if not self.recovery.is_over(now_ms):
             return []
+        if self._is_huge_first(now_ms):
+            self._reserve_huge(now_ms)
         effects = self._start_reserved(now_ms)
         for lane in SINGLE_LANES:
             urgent = self.queues[lane].urgent(now_ms)
@@ -192,20 +216,36 @@
             effects += self._start_reserved(now_ms)
         return effects
 
+    def _is_huge_first(self, now_ms: Millis) -> bool:
+        """Return whether huge work has waited its turn; smaller work could else hold it up."""
+        heads = self.queues[Lane.HUGE].candidates(now_ms, 1)
+        return any(now_ms >= head.since_ms + self.settings.huge_patience_ms for head in heads)
+
     def _grant_lane(self, lane: Lane, now_ms: Millis) -> list[Effect]:
         effects: list[Effect] = []
         queue = self.queues[lane]
-        while len(queue):
+        if self._is_stuck(lane, now_ms):
+            return []
+        while len(queue) and self._placement.has_room(lane, now_ms):
             granted: list[Effect] = []
             for waiting in queue.candidates(now_ms, CANDIDATE_LIMIT):
                 granted = self._try(waiting, now_ms)
                 if granted:
                     break
             if not granted:
+                stuck = Stuck(self.fleet.freed, queue.changes, now_ms + STUCK_RETRY_MS)
+                self._stuck[lane] = stuck
                 break
             effects += granted
         return effects
 
+    def _is_stuck(self, lane: Lane, now_ms: Millis) -> bool:
+        """Return whether nothing has changed since the lane's next items could not be placed."""
+        stuck = self._stuck.get(lane)
+        if stuck is None or now_ms >= stuck.until_ms:
+            return False
+        return (stuck.freed, stuck.changes) == (self.fleet.freed, self.queues[lane].changes)
+
     def _try(self, waiting: Waiting, now_ms: Millis) -> list[Effect]:
         """Grant an item, or reserve for it; return no effects if nothing could be done."""
         item = waiting.item
@@ -228,7 +268,8 @@
             return [Record("queued_as_huge", {"request": waiting.item.request_id})]
         is_urgent = waiting.urgent_ms <= now_ms
         plan = None
-        if self.reservations.find(waiting.key) is None and self.reservations.has_room(1):
+        may_reserve = is_urgent or not self._is_huge_first(now_ms)
+        if may_reserve and self.reservations.has_room(1):
             plan = self._placement.plan(waiting.item, 1, now_ms)
         if plan is None or (waiting.lane is Lane.SHORT and not is_urgent):
             return []
@@ -255,7 +296,7 @@
 
     def _start_reserved(self, now_ms: Millis) -> list[Effect]:
         effects: list[Effect] = []
-        for reservation in self.reservations:
+        for reservation in self.reservations.next_ones():
             waiting = reservation.waiting
             if self.reservations.is_broken(reservation):
                 self.reservations.end(reservation)
@@ -291,6 +332,7 @@
             begin_ms + work_ms + self.timing.decode.answer_ms(item, waiting.lane),
             waiting.deadline_ms,
             is_urgent=waiting.urgent_ms <= now_ms,
+            is_alone=cached_tokens == 0 and all(not target.permits for target in targets),
         )
         self.roster.add(permit, share, now_ms)
         if len(targets) == 1:
@@ -333,7 +375,7 @@
         size = size_of(item)
         engines = self._admission.engines(item, lane)
         deadline_ms = now_ms + item.time_left_ms
-        service_ms = self.timing.service_ms(item, lane, engines)
+        service_ms = self.timing.known_service_ms(item, lane, engines, now_ms)
         latest_ms = deadline_ms - service_ms
         urgent_ms = latest_ms - max(self.settings.urgent_guard_ms, service_ms)
         work_ms = self.timing.prefill_ms(size.prefill_tokens)
@@ -377,7 +419,7 @@
             while (waiting := queue.late(now_ms)) is not None:
                 queue.remove(waiting, is_served=False)
                 late.append(waiting)
-        for reservation in self.reservations:
+        for reservation in self.reservations.next_ones():
             if reservation.waiting.latest_start_ms < now_ms:
                 late.append(reservation.waiting)
         for waiting in late:
@@ -399,14 +441,23 @@
 
     def _note_health(self, permit: Permit, message: PermitReleased, now_ms: Millis) -> list[Effect]:
         if not message.is_target_failure:
-            elapsed_ms = now_ms - permit.prefilled_ms
-            if permit.item.model and elapsed_ms > 0 and permit.withdrawn_ms is None:
-                token_ms = elapsed_ms / max(1, permit.item.output_tokens)
-                self.timing.decode.learn(permit.lane, token_ms, now_ms)
+            self._learn(permit, message, now_ms)
             return self.roster.note_success(permit)
         name = message.failed_target or permit.targets[0].target
         return self.roster.note_failure(permit, name, now_ms)
 
+    def _learn(self, permit: Permit, message: PermitReleased, now_ms: Millis) -> None:
+        """Learn the engines' rates and the length of answers from a whole answer."""
+        if not permit.item.model or message.output_tokens <= 0 or message.first_token_ms <= 0:
+            return
+        if permit.is_alone and len(permit.targets) == 1:
+            self.timing.learn_prefill(permit.item.prompt_tokens, message.first_token_ms)
+        answer_ms = now_ms - permit.granted_ms - message.first_token_ms
+        if answer_ms > 0:
+            token_ms = answer_ms / message.output_tokens
+            self.timing.decode.learn(permit.lane, token_ms, now_ms)
+        self.timing.decode.learn_length(permit.item, message.output_tokens)
+
     def _granted(self, permit: Permit, item: WorkItem) -> Send:
         granted = PermitGranted(
             self.pool,
