--- a/packages/marigoldarch/marigoldarch/tests/control/replica_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/control/replica_tests.py
@@ -198,7 +198,7 @@
     def test_refused_probe_raises_no_term_and_tells_a_later_one(self) -> None:
         replica = Replica("n1", ("n1", "n2"), ControlSettings(), DurableState("a", term=5), 0)
         replica.start(0.0)
-        replica._log.append(Entry(1, 5, ["Noop", {}]))
+        replica.log.append(Entry(1, 5, ["Noop", {}]))
         probe = VoteRequest(4, 0, 0, True, "b", "a")
         (reply,) = replica.on_vote_request("n2", probe, 1000.0)
         self.assertEqual((reply.message.is_granted, reply.message.term), (False, 5))
--- a/packages/marigoldarch/marigoldarch/tests/control/rounds.py
+++ b/packages/marigoldarch/marigoldarch/tests/control/rounds.py
@@ -45,6 +45,7 @@
         self.revisions: dict[tuple[str, str], int] = {}
         self.faults: Counter[str] = Counter()
         self.repairing = ""
+        self.repair_ids: set[str] = set()
         self.serial = 0
 
     def run(self) -> None:
@@ -127,6 +128,7 @@
     def _empty(self, name: str) -> None:
         """Empty one disk, and no other before its repair is done."""
         self.repairing = name
+        self.repair_ids.clear()
         self._kill(name, 300.0)
         self.cluster.empty_disk(name)
 
@@ -135,7 +137,9 @@
         if not self.repairing or not helpers:
             return
         now_ms = self.cluster.now_ms
-        event = RepairRequested(now_ms, f"rep{now_ms}", self.repairing, self.repairing, 4000.0)
+        request_id = f"rep{now_ms}"
+        self.repair_ids.add(request_id)
+        event = RepairRequested(now_ms, request_id, self.repairing, self.repairing, 4000.0)
         self.cluster.submit(self.random.choice(helpers), event)
 
     def _check(self) -> None:
@@ -176,7 +180,7 @@
             self.acknowledged[team] = effect.body["revision"]
         if status == "in_force":
             self.in_force = max(self.in_force, effect.body["revision"])
-        if status == "done" and effect.body["lost"] == self.repairing:
+        if status == "done" and effect.request_id in self.repair_ids:
             self.faults["repaired"] += 1
             self.repairing = ""
 
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/broken_control_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/broken_control_tests.py
@@ -20,6 +20,7 @@
 from marigoldarch.entry import reducer as entry_reducer
 from marigoldarch.entry.request import Request
 from marigoldarch.tests import disk
+from marigoldarch.tests.control.support import replica_of
 from marigoldarch.tests.fuzz.broken import find_breach, run_script
 from marigoldarch.tests.fuzz.declarations_tests import DeclarationMachine
 from marigoldarch.tests.fuzz.ledger_tests import LedgerMachine
@@ -50,6 +51,40 @@
     machine.advance(600.0)
 
 
+def restart_voter_between_two_candidates(machine: LogMachine) -> None:
+    """Let a voter restart after its vote, and another candidate of that term ask it."""
+    cluster = machine.cluster
+    machine.advance(2000.0)
+    voter = cluster.leader()
+    first, second = [name for name in cluster.names if name != voter]
+    cluster.cut(first, second)
+    restart_without_elections(machine, voter)
+    set_election_due(machine, first, 0.0)
+    while not replica_of(cluster, voter)._voted_for.startswith(first):
+        machine.step()
+    cluster.cut_one_way(first, voter)
+    while not replica_of(cluster, first).is_leader:
+        machine.step()
+    restart_without_elections(machine, voter)
+    set_election_due(machine, second, 0.0)
+    machine.advance(300.0)
+
+
+def restart_without_elections(machine: LogMachine, name: str) -> None:
+    """Restart a node, and let its patience with the last leader pass without an election."""
+    cluster = machine.cluster
+    cluster.kill(name)
+    cluster.start(name)
+    for other in cluster.names:
+        set_election_due(machine, other, float("inf"))
+    machine.advance(640.0)
+
+
+def set_election_due(machine: LogMachine, name: str, due_ms: float) -> None:
+    """Set when a replica stands for election unless it hears from a leader."""
+    replica_of(machine.cluster, name)._election_due_ms = due_ms
+
+
 def cut_off_leader_that_drains(machine: LogMachine) -> None:
     """Let the leader's last message be the transfer."""
     cluster = machine.cluster
@@ -106,6 +141,7 @@
     def test_scripts_hold_without_a_fault(self) -> None:
         scripts = {
             crash_before_sync: LogMachine,
+            restart_voter_between_two_candidates: LogMachine,
             partial(restart_voter_in_election, wait_ms=700.0): LogMachine,
             cut_off_leader_that_drains: LogMachine,
             declare_after_election: DeclarationMachine,
@@ -137,8 +173,9 @@
             kept = [record for record in records if not isinstance(record, VoteRecord)]
             return original(kept, replica_id)
 
-        breach = find_breach(LogMachine, patch.object(disk, "replay", replay_without_votes))
-        self.assertRegex(breach, "lead term|applied another entry|several leaders")
+        fault = patch.object(disk, "replay", replay_without_votes)
+        breach = run_script(LogMachine, fault, restart_voter_between_two_candidates)
+        self.assertRegex(breach, "lead term")
 
     def test_voting_right_after_a_restart_is_caught(self) -> None:
         original = Replica.start
