--- a/packages/marigoldarch/marigoldarch/control/replica.py
+++ b/packages/marigoldarch/marigoldarch/control/replica.py
@@ -258,7 +258,7 @@
         entry = Entry(self._log.last_index + 1, self._term, plain, self.log_ms(now_ms))
         self._log.append(entry)
         if self._note_entry(entry):
-            self._replication.sync(self.configuration, entry.index, now_ms)
+            self._replication.sync(self.configuration, entry.index, NEVER_MS)
         effects: list[Effect] = [self._persist((entry,))]
         effects += self._append_to_all(now_ms)
         return entry.index, effects
@@ -327,7 +327,9 @@
         )
         if request.is_probe:
             is_granted = is_up_to_date and request.term >= self._term
-            return [self._vote(sender, request.term, request, now_ms, is_granted=is_granted)]
+            # A refusal names the own term, so that a candidate behind it can catch up with it.
+            term = request.term if is_granted else self._term
+            return [self._vote(sender, term, request, now_ms, is_granted=is_granted)]
         effects: list[Effect] = []
         if request.term > self._term:
             effects += self._step_down(request.term, now_ms)
@@ -394,7 +396,9 @@
             return []
         progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
         if not reply.is_success:
-            progress.next_index = max(1, min(progress.next_index - 1, reply.match_index + 1))
+            # A late refusal never moves back behind what the replica has acknowledged.
+            hinted = min(progress.next_index - 1, reply.match_index + 1)
+            progress.next_index = max(progress.match_index + 1, hinted)
             return [self._append_to(replica, now_ms)]
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
@@ -443,6 +447,8 @@
         progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
         if progress.outgoing is None or progress.outgoing.snapshot.index != reply.index:
             return []
+        if reply.offset == progress.offset:
+            return []
         progress.offset = reply.offset
         return [self._append_to(replica, now_ms)]
 
@@ -618,7 +624,12 @@
         ]
 
     def _append_to_all(self, now_ms: Millis) -> list[Effect]:
-        return [self._append_to(replica, now_ms) for replica in self._replication.replicas]
+        """Send what is new at once, but to a replica in a snapshot's transfer only when it asks."""
+        return [
+            self._append_to(replica, now_ms)
+            for replica in self._replication.replicas
+            if self._replication.find(replica).outgoing is None
+        ]
 
     def _append_to(self, replica: ReplicaName, now_ms: Millis) -> Send:
         progress = self._replication.find(replica)
--- a/packages/marigoldarch/marigoldarch/tests/control/replica_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/control/replica_tests.py
@@ -5,6 +5,11 @@
 import unittest
 
 from marigoldarch.codec import encode_json
+from marigoldarch.control.commands import Entry
+from marigoldarch.control.durable import DurableState
+from marigoldarch.control.replica import Replica
+from marigoldarch.messages import VoteRequest
+from marigoldarch.settings import ControlSettings
 from marigoldarch.tests.cluster import MemoryCluster
 from marigoldarch.tests.control.support import (
     SMALL,
@@ -137,6 +142,19 @@
         self.assertIn(cluster.leader(), (other, "n4"))
         self.assertEqual(cluster.nodes["n4"].state.control.member.view.voters[-1], "n4")
 
+    def test_repair_asked_at_once_is_not_done_by_what_the_lost_disk_acknowledged(self) -> None:
+        lost, other = other_nodes(self.cluster, self.cluster.leader())
+        self.cluster.kill(lost)
+        self.cluster.empty_disk(lost)
+        repair(self.cluster, other, lost, lost)
+        self.cluster.run(200)
+        self.assertEqual(replies(self.cluster, other), [])
+        self.cluster.start(lost)
+        self.cluster.run(5000)
+        self.assertEqual(replies(self.cluster, other)[-1]["status"], "done")
+        voters = replica_of(self.cluster, other).configuration.voters
+        self.assertIn(replica_of(self.cluster, lost).name, voters)
+
     def test_repair_of_an_unknown_replica_is_refused(self) -> None:
         cluster = MemoryCluster(nodes=5, voters=3, data_folders=("n4",))
         cluster.run(3000)
@@ -177,6 +195,30 @@
             has_lease = replica_of(cluster, leader).has_leader_lease(cluster.now_ms)
             self.assertFalse(is_leader and has_lease)
 
+    def test_refused_probe_raises_no_term_and_tells_a_later_one(self) -> None:
+        replica = Replica("n1", ("n1", "n2"), ControlSettings(), DurableState("a", term=5), 0)
+        replica.start(0.0)
+        replica._log.append(Entry(1, 5, ["Noop", {}]))
+        probe = VoteRequest(4, 0, 0, True, "b", "a")
+        (reply,) = replica.on_vote_request("n2", probe, 1000.0)
+        self.assertEqual((reply.message.is_granted, reply.message.term), (False, 5))
+
+    def test_voter_with_the_only_whole_log_wins_against_higher_terms(self) -> None:
+        cluster = MemoryCluster()
+        cluster.run(3000)
+        leader = cluster.leader()
+        behind, lost = other_nodes(cluster, leader)
+        cluster.kill(behind)
+        declare_many(cluster, leader, 3)
+        cluster.kill(lost)
+        cluster.empty_disk(lost)
+        cluster.kill(leader)
+        cluster.start(behind)
+        cluster.run(8000)
+        cluster.start(leader)
+        cluster.run(4000)
+        self.assertEqual(cluster.leader(), leader)
+
     def test_cut_off_leader_steps_down_and_an_uncommitted_change_is_not_lost_twice(self) -> None:
         cluster = MemoryCluster()
         cluster.run(3000)
