--- a/packages/marigoldarch-node/marigoldarch_node/config/node.py
+++ b/packages/marigoldarch-node/marigoldarch_node/config/node.py
@@ -177,6 +177,7 @@
     peers = {peer.node for peer in values["peers"]}
     if values["node"] not in peers:
         raise NodeOptions.peers.fail(f"add this node, {values['node']}")
+    _check_unique(values)
     missing = sorted(set(values["voters"]) - peers)
     if missing:
         raise NodeOptions.voters.fail(f"add {missing[0]} to --peers or remove it here")
@@ -187,6 +188,19 @@
         raise NodeOptions.data_folder.fail("required on a voter; name a folder on a disk")
 
 
+def _check_unique(values: dict[str, Any]) -> None:
+    """Check that names and addresses occur once; a repeated voter would count twice."""
+    if len(set(values["voters"])) < len(values["voters"]):
+        raise NodeOptions.voters.fail("name each node once")
+    names = [peer.node for peer in values["peers"]]
+    addresses = [a for peer in values["peers"] for a in (peer.caller_address, peer.peer_address)]
+    if len(set(names)) < len(names) or len(set(addresses)) < len(addresses):
+        raise NodeOptions.peers.fail("name each node and each address once")
+    own = next(peer for peer in values["peers"] if peer.node == values["node"])
+    if (own.caller_address, own.peer_address) != (values["caller_address"], values["peer_address"]):
+        raise NodeOptions.peers.fail("give this node the addresses of its own flags")
+
+
 def _check_tls(values: dict[str, Any]) -> None:
     for names in (
         ("tls_certificate", "tls_key"),
--- a/packages/marigoldarch-node/marigoldarch_node/tests/config/check_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/config/check_tests.py
@@ -60,6 +60,9 @@
         for changes, *parts in (
             ({"node": "N 1"}, "--node", "MARIGOLDARCH_NODE", "use 1 to 64"),
             ({"voters": "n1,n2"}, "--voters", "MARIGOLDARCH_VOTERS", "add n2"),
+            ({"voters": "n1,n1,n1"}, "--voters", "name each node once"),
+            ({"caller_address": "127.0.0.1:7009"}, "--peers", "addresses of its own flags"),
+            ({"peers": VALID["peers"] + "," + VALID["peers"]}, "--peers", "once"),
             ({"tls_certificate": "x.pem"}, "--tls-key", "MARIGOLDARCH_TLS_KEY", "required with"),
             ({"operator_key_sha256": "plain"}, "--operator-key-sha256", "SHA-256"),
         ):
--- a/packages/marigoldarch-node/marigoldarch_node/tests/edge/fuzz_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/edge/fuzz_tests.py
@@ -63,7 +63,9 @@
         "wait_ms": 10,
     },
 }
+VALID["/v1/operator/repair"] = {"lost": "n8", "replacement": "n9", "wait_ms": 10}
 GETS = (
+    "/v1/operator/history?team=guild",
     "/v1/models",
     "/v1/directory",
     "/v1/operator/view",
--- a/packages/marigoldarch-node/marigoldarch_node/tests/edge/ways_in_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/edge/ways_in_tests.py
@@ -19,6 +19,8 @@
     ("GET", "/v1/operator/view"),
     ("GET", "/v1/operator/status"),
     ("GET", "/v1/operator/timeline"),
+    ("GET", "/v1/operator/history"),
+    ("POST", "/v1/operator/repair"),
     ("POST", "/v1/operator/drain"),
 )
 TARGET_ROUTES = (("POST", "/v1/targets/announce"), ("POST", "/v1/targets/cache-events"))
