--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/serving.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/serving.py
@@ -20,6 +20,7 @@
     TargetReport,
     WorkItem,
 )
+from marigoldarch.settings import ControlSettings
 from marigoldarch.targets import Announcement, TargetLoad
 from marigoldarch_fakes.capacity import sizes
 from marigoldarch_fakes.capacity.control import declare, make_declaration
@@ -40,6 +41,9 @@
 NODE_COUNTS = (40, 80, 160, 320)
 TIMED_RUNS = 40
 POOL = PoolId("dc00", "model0")
+KNOWN_NODES = ControlSettings().directory_nodes
+"""The nodes that a node knows at any size of the installation."""
+
 RECOVERY_LIMIT_MS = 3000.0
 TARGET_STREAMS = sizes.REQUESTS_PER_S * sizes.REQUEST_SECONDS / sizes.TARGETS
 
@@ -299,7 +303,7 @@
         "nodes",
         "bytes",
         NODE_COUNTS,
-        sizes.NODES,
+        KNOWN_NODES,
         lambda count: memory_bytes(lambda: _loads(count)),
     ),
     Measurement(
@@ -310,9 +314,9 @@
         TARGET_STREAMS,
         _announcement_bytes,
     ),
-    Measurement("directory: one answer", "nodes", "us", NODE_COUNTS, sizes.NODES, _directory_time),
+    Measurement("directory: one answer", "nodes", "us", NODE_COUNTS, KNOWN_NODES, _directory_time),
     Measurement(
-        "directory: one answer", "nodes", "bytes", NODE_COUNTS, sizes.NODES, _directory_bytes
+        "directory: one answer", "nodes", "bytes", NODE_COUNTS, KNOWN_NODES, _directory_bytes
     ),
 )
 """Every slope of this part."""
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/tests/capacity/measurements_tests.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/tests/capacity/measurements_tests.py
@@ -6,9 +6,11 @@
 
 from marigoldarch_fakes.capacity.control import CONTROL
 from marigoldarch_fakes.capacity.limits import LIMITS
+from marigoldarch_fakes.capacity.processes import Members
 from marigoldarch_fakes.capacity.roles import work_out
 from marigoldarch_fakes.capacity.serving import SERVING
 from marigoldarch_fakes.capacity.slopes import Point, Slope
+from marigoldarch_node.config.node import NodeOptions
 
 PROCESS_COSTS = (
     ("leader process: processor time", "ms/s"),
@@ -34,3 +36,7 @@
         names = [(item.name, item.unit) for item in (*CONTROL, *SERVING, *LIMITS)]
         slopes = [Slope(name, "n", unit, points, 3) for name, unit in (*names, *PROCESS_COSTS)]
         self.assertTrue(all(role.to_row() for role in work_out(slopes)))
+
+    def test_stand_in_members_are_peers_that_a_node_accepts(self) -> None:
+        peers = NodeOptions.peers.parse(Members("127.0.0.1", 2).peers)
+        self.assertEqual([peer.node for peer in peers], ["leader", "m0", "m1"])
