--- a/packages/marigoldarch/marigoldarch/entry/permit_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/permit_calls.py
@@ -28,6 +28,9 @@
     from marigoldarch.events import TargetAnswered, TargetFailed
 
 PRESENT_INTERVAL_MS: Millis = 1000.0
+EMPTY_LISTINGS = 10
+"""How many empty listings follow the last one with permits; a permit unlisted for longer ends."""
+
 NO_SCHEDULER_RETRY_MS: Millis = 1000.0
 
 _OTHER_POOL_MAY_HELP = frozenset(
@@ -292,7 +295,7 @@
     effects: list[Effect] = []
     for pool, assignment in view.assignments.items():
         is_new = state.presented.get(pool) != assignment.fence
-        if is_new or (is_due and pool in held):
+        if is_new or (is_due and _lists_pool(state, pool, is_held=pool in held)):
             state.presented[pool] = assignment.fence
             attempts = held.get(pool, [])
             message = _held_message(pool, assignment.fence, attempts, is_new, now_ms)
@@ -300,6 +303,17 @@
     return effects
 
 
+def _lists_pool(state: EntryState, pool: PoolId, *, is_held: bool) -> bool:
+    """Return whether a listing is due: an empty one is repeated, as it ends lost permits."""
+    if is_held:
+        state.empty_listings[pool] = EMPTY_LISTINGS
+        return True
+    left = state.empty_listings.pop(pool, 0)
+    if left > 1:
+        state.empty_listings[pool] = left - 1
+    return left > 0
+
+
 def _held_message(
     pool: PoolId,
     fence: int,
