--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/limits.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/limits.py
@@ -16,7 +16,7 @@
     memory_bytes,
 )
 from marigoldarch_fakes.capacity.roles import SUBJECTS_PER_REQUEST
-from marigoldarch_fakes.capacity.serving import announce_pool, make_call
+from marigoldarch_fakes.capacity.serving import PREFILL_MS, announce_pool, make_call
 from marigoldarch_fakes.capacity.slopes import Measurement
 
 TIMED_RUNS = 20
@@ -38,6 +38,7 @@
     for number, customer in enumerate(customers):
         call = make_call(number)._replace(customer_key_sha256=customer["key_sha256"][0])
         driver.submit(CallArrived(driver.now_ms, call))
+        driver.advance(PREFILL_MS)
     return driver
 
 
