--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/control.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/control.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 from marigoldarch.control.commands import COMMANDS, Declare, Entry, LedgerFinish, LedgerStart
-from marigoldarch.control.ledger import Ledger
+from marigoldarch.control.ledger import RECORD_BYTES, Ledger
 from marigoldarch.control.view import ClusterView
 from marigoldarch.effects import Effect, Record
 from marigoldarch.events import DeclareRequested
 from marigoldarch.messages import AppendRequest, Propose, ViewAck, ViewDelta, ViewSnapshot
+from marigoldarch.settings import ControlSettings
 from marigoldarch_fakes.capacity import sizes
 from marigoldarch_fakes.capacity.core import (
     CoreDriver,
@@ -30,8 +31,8 @@
 EVENT_COUNTS = (1000, 2000, 4000, 8000)
 TIMED_RUNS = 40
 CUSTOMERS_PER_TEAM = sizes.CUSTOMERS // sizes.TEAMS
-KEPT_LEDGER_CALLS = 100_000
-"""Ledger records that the memory of a voter is worked out for."""
+KEPT_LEDGER_CALLS = ControlSettings().ledger_max_bytes // RECORD_BYTES
+"""Ledger records that a voter keeps at most."""
 
 
 def make_declaration(team: str, customers: int, *, is_limited: bool = False) -> dict[str, Any]:
