--- a/packages/marigoldarch-fakes/marigoldarch_fakes/tests/user_guide_tests.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/tests/user_guide_tests.py
@@ -15,7 +15,7 @@
 from marigoldarch_fakes.cluster import random_loopback
 
 GUIDE = Path(__file__).resolve().parents[4] / "docs/user-guide"
-PAGES = ("first-steps.md", "declarations.md", "running.md")
+PAGES = ("first-steps.md", "declarations.md", "repair.md", "running.md")
 TIMEOUT_S = 120.0
 PAGE_ADDRESS = "127.0.0.1"
 
--- a/packages/marigoldarch-node/marigoldarch_node/config/page.py
+++ b/packages/marigoldarch-node/marigoldarch_node/config/page.py
@@ -40,7 +40,7 @@
 def _default(option: Option[Any]) -> str:
     if option.is_required:
         return "required"
-    if option.default in (None, ""):
+    if option.default in (None, "", ()):
         return "none"
     default = option.default
     return f"`{default:g}`" if isinstance(default, float | int) else f"`{default}`"
