--- a/packages/marigoldarch/marigoldarch/control/ledger.py
+++ b/packages/marigoldarch/marigoldarch/control/ledger.py
@@ -24,7 +24,7 @@
     LedgerUnknown,
 )
 
-RECORD_BYTES = 400
+RECORD_BYTES = 650
 """What a record needs in memory besides its answer, in bytes."""
 
 
--- a/packages/marigoldarch/marigoldarch/control/sessions.py
+++ b/packages/marigoldarch/marigoldarch/control/sessions.py
@@ -44,6 +44,13 @@
     owed: OwedGrant | None = None
 
 
+class KeptLoads(NamedTuple):
+    """The bounded list of nodes for one data centre, used until `until_ms`."""
+
+    until_ms: Millis
+    loads: list[NodeLoad]
+
+
 @dataclass
 class Sessions:
     """All sessions of one leader's term.
@@ -68,6 +75,7 @@
     leaving: set[str] = field(default_factory=set)
     gone_since_ms: dict[str, Millis] = field(default_factory=dict)
     changing_nodes: set[str] = field(default_factory=set)
+    kept_loads: dict[str, KeptLoads] = field(default_factory=dict)
 
     def on_heartbeat(
         self, sender: str, heartbeat: Heartbeat, machine: StateMachine, now_ms: Millis
@@ -222,6 +230,18 @@
         nodes that hold a replica of the log come first, since they keep limits for all, then those
         of the receiver's data centre.
         """
+        if len(self.by_node) <= self.settings.directory_nodes:
+            return self._responsive_loads(now_ms)
+        data_centre = receiver.address.data_centre
+        kept = self.kept_loads.get(data_centre)
+        if kept is None or now_ms >= kept.until_ms:
+            # Sorting for each heartbeat would cost a leader of many nodes most of its time.
+            until_ms = now_ms + self.settings.heartbeat_interval_ms
+            kept = KeptLoads(until_ms, self._bounded_loads(data_centre, machine, now_ms))
+            self.kept_loads[data_centre] = kept
+        return kept.loads
+
+    def _responsive_loads(self, now_ms: Millis) -> list[NodeLoad]:
         silence_ms = MISSED_HEARTBEATS * self.settings.heartbeat_interval_ms
         oldest_ms = now_ms - silence_ms
         heard = {
@@ -229,20 +249,19 @@
         }
         if now_ms < self.since_ms + silence_ms:
             heard = self.assumed | heard
-        loads = list(heard.values())
-        limit = self.settings.directory_nodes
-        if len(loads) <= limit:
-            return loads
-        own = receiver.address
+        return list(heard.values())
 
-        voters = machine.view.voters
+    def _bounded_loads(
+        self, data_centre: str, machine: StateMachine, now_ms: Millis
+    ) -> list[NodeLoad]:
+        voters = set(machine.view.voters)
 
-        def order(load: NodeLoad) -> tuple[bool, bool, bool, str]:
+        def order(load: NodeLoad) -> tuple[bool, bool, str]:
             address = load.address
-            is_remote = address.data_centre != own.data_centre
-            return address.node not in voters, is_remote, address.node < own.node, address.node
+            return address.node not in voters, address.data_centre != data_centre, address.node
 
-        return sorted(loads, key=order)[:limit]
+        loads = sorted(self._responsive_loads(now_ms), key=order)
+        return loads[: self.settings.directory_nodes]
 
     def _bring_up_to_date(self, node: str, revision: int, machine: StateMachine) -> list[Effect]:
         if revision >= machine.view.revision:
--- a/packages/marigoldarch/marigoldarch/control/view.py
+++ b/packages/marigoldarch/marigoldarch/control/view.py
@@ -43,7 +43,6 @@
     change_id: str
     operator: str
     declaration: TeamDeclaration
-    plain: dict[str, Any]
 
 
 class CustomerRecord(NamedTuple):
@@ -174,11 +173,11 @@
                 pass
 
     def to_plain(self) -> dict[str, Any]:
-        """Return the whole view as plain JSON types."""
+        """Return the whole view as values that JSON can encode; declarations are shared."""
         return {
             "revision": self._revision,
             "teams": [
-                [state.revision, state.change_id, state.operator, state.plain]
+                [state.revision, state.change_id, state.operator, state.declaration]
                 for state in self._teams.values()
             ],
             "assignments": [[*pool, *value] for pool, value in self._assignments.items()],
@@ -221,7 +220,7 @@
     def _set_team(self, change: Change, plain: dict[str, Any]) -> None:
         match loader.from_plain(plain):
             case Result(tag="ok", ok=declaration):
-                state = TeamState(*change, declaration, plain)
+                state = TeamState(*change, declaration)
                 self._index_customers(self._teams.get(declaration.team), state)
                 self._teams[declaration.team] = state
             case _:
--- a/packages/marigoldarch/marigoldarch/tests/control/rounds.py
+++ b/packages/marigoldarch/marigoldarch/tests/control/rounds.py
@@ -182,6 +182,7 @@
             self.in_force = max(self.in_force, effect.body["revision"])
         if status == "done" and effect.request_id in self.repair_ids:
             self.faults["repaired"] += 1
+            self.repair_ids.clear()
             self.repairing = ""
 
     def _settle(self) -> None:
