--- a/packages/marigoldarch-node/marigoldarch_node/edge/declarations.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/declarations.py
@@ -13,6 +13,7 @@
 from marigoldarch.events import DeclareRequested, RepairRequested
 from marigoldarch_node.edge.http import HttpError, HttpRequest, Route
 from marigoldarch_node.edge.operator_keys import Operator, identify, require_all_rights
+from marigoldarch_node.security.keys import Role
 
 if TYPE_CHECKING:
     from marigoldarch.events import Event
@@ -78,6 +79,10 @@
                 raise HttpError(400, "invalid_declaration", str(problem))
             case Result(tag="ok", ok=subtree):
                 pass
+        if subtree == loader.OPERATORS_SUBTREE and self._runtime.keys.is_open(Role.OPERATOR):
+            # Without a root key nobody could change the operators afterwards.
+            remedy = "set --operator-key before operators are declared"
+            raise HttpError(409, "no_root_key", remedy)
         request_id = f"op-{uuid.uuid4().hex}"
         event = self._declare_event(request_id, body, operator, subtree)
         answer = await self._ask(request_id, event, body.wait_ms)
