Keep connections to targets without looking at all of them, and check what is measured

Cause: the client's pool walks over every connection for each request; the measurement counted chunks that it had asked for and not those that arrived, so a refused flood looked infinitely fast.

--- a/packages/marigoldarch-fakes/marigoldarch_fakes/measure_data_path.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/measure_data_path.py
@@ -27,6 +27,7 @@
 import trio
 
 from marigoldarch.codec import encode_json
+from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch_fakes.cluster import LocalCluster
 from marigoldarch_fakes.serving import serve_routes
 from marigoldarch_node.edge.http import HttpRequest, Route
@@ -39,15 +40,22 @@
 PACED_INTERVAL_S = 0.02
 FLOOD_STREAMS = 8
 FLOOD_CHUNKS = 4000
+SHORT_CHUNKS = 4
+WORD = b"word"
+"""What each chunk's text begins with, by which the arrived chunks are counted."""
 
 DECLARATION = {
     "team": "measure",
     "models": {"coach": {}},
-    "kinds": {"quiz": {"rank": 0, "deadline_ms": 60_000}},
+    "kinds": {"quiz": {"rank": 0, "deadline_ms": 3_600_000}},
     "customers": {"one": {"key_sha256": [hashlib.sha256(KEY.encode()).hexdigest()]}},
 }
 
 
+class MeasurementError(MarigoldarchError):
+    """A way did not deliver what it was to be measured with."""
+
+
 class Way(NamedTuple):
     """A way to the target; `pid` is the process in the middle, 0 for none."""
 
@@ -78,7 +86,7 @@
                 "permit": order.get("permit", ""),
                 "attempt": order.get("attempt", 1),
                 "offset": offset,
-                "text": f"word{offset} ",
+                "text": f"{WORD.decode()}{offset} ",
                 "tokens": 1,
                 "end": offset + 1 == count,
             }
@@ -127,9 +135,12 @@
         """Return the time to the first chunk of a short answer."""
         began = time.perf_counter()
         first = 0.0
-        async with self._stream(way, 4, 0) as response:
-            async for _ in response.aiter_stream():
+        parts: list[bytes] = []
+        async with self._stream(way, SHORT_CHUNKS, 0) as response:
+            async for part in response.aiter_stream():
                 first = first or time.perf_counter() - began
+                parts.append(part)
+        self._check(way, response.status, b"".join(parts), SHORT_CHUNKS)
         return first * 1000.0
 
     async def chunks_per_cpu_s(
@@ -150,12 +161,17 @@
         return cpu_s(way.pid) - before
 
     async def _read(self, way: Way, chunks: int, pause_ms: int) -> None:
-        seen = b""
+        parts: list[bytes] = []
         async with self._stream(way, chunks, pause_ms) as response:
             async for part in response.aiter_stream():
-                seen = part
-        if not seen:
-            raise RuntimeError(f"{way.name}: no answer")
+                parts.append(part)
+        self._check(way, response.status, b"".join(parts), chunks)
+
+    def _check(self, way: Way, status: int, content: bytes, chunks: int) -> None:
+        """Raise `MeasurementError` unless every chunk has arrived."""
+        arrived = content.count(WORD)
+        if status != 200 or arrived != chunks:
+            raise MeasurementError(f"{way.name}: status {status}, {arrived} of {chunks} chunks")
 
     def _stream(self, way: Way, chunks: int, pause_ms: int) -> Any:
         body = {
--- a/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
@@ -12,7 +12,7 @@
 from marigoldarch.codec import decode_json, encode_json
 from marigoldarch.entry.stream import Frame
 from marigoldarch.exceptions import CodecError, MarigoldarchError
-from marigoldarch_node.edge.listener import connection_options
+from marigoldarch_node.edge.connections import Connections
 
 if TYPE_CHECKING:
     from marigoldarch.effects import OrderTarget
@@ -21,15 +21,14 @@
 
 CONNECT_TIMEOUT_S = 1.0
 COMMAND_TIMEOUT_S = 2.0
-MAX_CONNECTIONS = 10_000
-KEEP_ALIVE_S = 30.0
-UNACKNOWLEDGED_MS = 10_000
 MAX_LINE_BYTES = 1024 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_REFUSAL_BYTES = 16 * 1024
 MAX_FRAME_TOKENS = 1_000_000
 REFUSED_AS_NOT_RUN = "not_run"
 
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.ConnectionNotAvailable)
+
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
@@ -63,12 +62,11 @@
     """Call targets over HTTP."""
 
     def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_CONNECTIONS,
-            keepalive_expiry=KEEP_ALIVE_S,
-            socket_options=connection_options(UNACKNOWLEDGED_MS),
-        )
+        self._connections = Connections()
+
+    async def run(self) -> None:
+        """Look after idle connections until cancelled."""
+        await self._connections.sweep()
 
     async def generate(
         self,
@@ -95,8 +93,7 @@
             "offset": offset,
             "gang": {"rank": rank, "size": size},
         }
-        url = f"http://{target.address}/v1/generate"
-        async with self._open("POST", url, body, None) as response:
+        async with self._open("POST", target, "/v1/generate", body, None) as response:
             async for line in _lines(response):
                 yield _parse_frame(line)
 
@@ -105,8 +102,8 @@
     ) -> str:
         """Call a method of a plain service and return the whole answer."""
         body = {"call": str(permit), "attempt": attempt, "body": payload.body}
-        url = f"http://{target.address}/v1/call/{payload.method}"
-        async with self._open("POST", url, body, None) as response:
+        path = f"/v1/call/{payload.method}"
+        async with self._open("POST", target, path, body, None) as response:
             content = await _read_whole(response, MAX_ANSWER_BYTES)
         try:
             answer = decode_json(content)
@@ -118,16 +115,18 @@
 
     async def release(self, target: TargetAddress, permit: PermitId) -> bool:
         """Cancel a permit's stream and delete its KV; return whether the target confirmed."""
-        return await self._command("DELETE", f"http://{target.address}/v1/streams/{permit}", {})
+        return await self._command("DELETE", target, f"/v1/streams/{permit}", {})
 
     async def order(self, effect: OrderTarget) -> bool:
         """Send an order with its fencing number; return whether the target took it."""
         body = {"order_id": effect.order_id, "fence": effect.fence, **effect.order}
-        return await self._command("POST", f"http://{effect.target.address}/v1/orders", body)
+        return await self._command("POST", effect.target, "/v1/orders", body)
 
-    async def _command(self, method: str, url: str, body: dict[str, Any]) -> bool:
+    async def _command(
+        self, method: str, target: TargetAddress, path: str, body: dict[str, Any]
+    ) -> bool:
         try:
-            async with self._open(method, url, body, COMMAND_TIMEOUT_S) as response:
+            async with self._open(method, target, path, body, COMMAND_TIMEOUT_S) as response:
                 await _read_whole(response, MAX_REFUSAL_BYTES)
                 return True
         except TargetError:
@@ -135,18 +134,27 @@
 
     @asynccontextmanager
     async def _open(
-        self, method: str, url: str, body: dict[str, Any], read_s: float | None
+        self,
+        method: str,
+        target: TargetAddress,
+        path: str,
+        body: dict[str, Any],
+        read_s: float | None,
     ) -> AsyncIterator[httpcore.Response]:
         """Open a response of status 200; raise `TargetError` for anything else."""
         timeouts = {"connect": CONNECT_TIMEOUT_S, "read": read_s, "write": read_s}
+        url = f"http://{target.address}{path}"
         try:
-            async with self._pool.stream(
-                method, url, content=encode_json(body), extensions={"timeout": timeouts}
-            ) as response:
+            async with (
+                self._connections.use(target.address) as connection,
+                connection.stream(
+                    method, url, content=encode_json(body), extensions={"timeout": timeouts}
+                ) as response,
+            ):
                 if response.status != 200:
                     raise await _refusal(response)
                 yield response
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        except _NOT_SENT as error:
             raise TargetError("cannot connect", is_unsent=True) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
             raise TargetError("the connection broke", is_unsent=False) from error
--- a/packages/marigoldarch-node/marigoldarch_node/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/metrics.py
@@ -68,7 +68,8 @@
         )
         self._outcomes = self._counter("requests_total", "Requests by final outcome.")
         self._refusals = self._counter("refusals_total", "Requests not run, by reason.")
-        self._failures = self._counter("attempts_failed_total", "Failed attempts.")
+        self._attempts = self._counter("attempts_failed_total", "Failed attempts.")
+        self._failures = self._counter("failures_total", "Requests without an answer, by reason.")
         self._orphans = self._counter("orphans_total", "Releases sent for memory nobody uses.")
         self._cpu = self._counter("reducer_seconds_total", "Processor time by kind of event.")
         self._active = self._gauge("requests_active", "Requests in progress.")
@@ -110,7 +111,7 @@
             case FirstToken(at_ms=at_ms, request_id=request_id):
                 self._on_first_token(request_id, at_ms)
             case TargetFailed(is_unsent=is_unsent):
-                self._failures.inc({"unsent": str(is_unsent).lower()})
+                self._attempts.inc({"unsent": str(is_unsent).lower()})
             case MessageArrived(message=HeartbeatAck(revision=revision)):
                 self._newest_revision = max(self._newest_revision, revision)
 
--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -116,6 +116,7 @@
             nursery.start_soon(self.links.run)
             nursery.start_soon(self._write_log)
             nursery.start_soon(self.security.watch)
+            nursery.start_soon(self.client.run)
             self.submit(Started(self.clock.monotonic_ms()))
             nursery.start_soon(self._tick)
             await self.stopped.wait()
