--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/roles.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/roles.py
@@ -246,7 +246,7 @@
     return RoleCost(
         f"ledger ({LEDGER_CALLS_PER_S:g} calls a second)",
         "voters",
-        "100,000 kept calls",
+        "kept calls up to their bound",
         2 * commands,
         VOTERS * commands * costs.at("leader: append to a voter", "bytes", 1.0),
         commands * command_ms,
