--- a/packages/marigoldarch/marigoldarch/pools/lane_share.py
+++ b/packages/marigoldarch/marigoldarch/pools/lane_share.py
@@ -15,7 +15,7 @@
 DEMAND_TIME_CONSTANT_MS: Millis = 60_000.0
 CHANGE_INTERVAL_MS: Millis = 2_000.0
 RISE_BAND = 0.3
-FALL_BAND = 1.3
+FALL_BAND = 0.9
 """By how many engines the wanted share must differ before one more or one fewer is kept."""
 
 LONG_UTILISATION = 0.95
--- a/packages/marigoldarch/marigoldarch/pools/placement.py
+++ b/packages/marigoldarch/marigoldarch/pools/placement.py
@@ -15,6 +15,9 @@
 PROBE_LIMIT = 8
 """How many targets of an index are looked at for one that fits."""
 
+MEDIUM_OVERFLOW_WEIGHT = 0.5
+"""Below this weight of short work, medium work may use the targets kept for short work."""
+
 BACKFILL_LIMIT = 6
 """How many reserved targets are looked at for work beside their reservation."""
 
@@ -150,7 +153,7 @@
             return [(Lane.SHORT, 0.0), (Lane.LONG, settings.short_overflow_ms)]
         if not group.by_free[Lane.LONG]:
             return [(Lane.SHORT, 0.0)]
-        if lane is Lane.MEDIUM and settings.short_weight < 1.0:
+        if lane is Lane.MEDIUM and settings.short_weight < MEDIUM_OVERFLOW_WEIGHT:
             return [(Lane.LONG, 0.0), (Lane.SHORT, settings.medium_overflow_ms)]
         return [(Lane.LONG, 0.0)]
 
