--- a/packages/marigoldarch/marigoldarch/pools/permits.py
+++ b/packages/marigoldarch/marigoldarch/pools/permits.py
@@ -30,7 +30,9 @@
     ends_ms: Millis
     deadline_ms: Millis
     withdrawn_ms: Millis | None = None
+    work_ms: Millis = 0.0
     is_urgent: bool = False
+    is_alone: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
--- a/packages/marigoldarch/marigoldarch/pools/roster.py
+++ b/packages/marigoldarch/marigoldarch/pools/roster.py
@@ -8,7 +8,6 @@
 
 from marigoldarch.effects import Effect, Record, ReleaseMemory, Send
 from marigoldarch.messages import PermitWithdrawn
-from marigoldarch.pools.estimates import prefill_ms
 from marigoldarch.pools.fleet import REPORT_LAG_MS, Fleet, Target
 from marigoldarch.pools.health import Health
 from marigoldarch.pools.orders import OrderBook
@@ -20,6 +19,7 @@
     from marigoldarch.clock import Millis
     from marigoldarch.identifiers import PermitId, PoolId
     from marigoldarch.pools.affinity import CacheIndex
+    from marigoldarch.pools.estimates import Timing
     from marigoldarch.pools.lane_share import LaneShare
     from marigoldarch.pools.permits import Permit, PermitTable
     from marigoldarch.settings import PoolSettings
@@ -44,6 +44,7 @@
         pool: PoolId,
         fence: int,
         settings: PoolSettings,
+        timing: Timing,
         fleet: Fleet,
         permits: PermitTable,
         cache: CacheIndex,
@@ -55,6 +56,7 @@
         self._pool = pool
         self._fence = fence
         self._settings = settings
+        self._timing = timing
         self._fleet = fleet
         self._permits = permits
         self._cache = cache
@@ -95,23 +97,26 @@
         """Account for a live permit that prefills `prefill_tokens` on each of its targets."""
         self._permits.add(permit)
         heapq.heappush(self._deadlines, (permit.deadline_ms + DEADLINE_SLACK_MS, permit.permit))
-        work_ms = prefill_ms(prefill_tokens, self._settings)
+        work_ms = self._timing.prefill_ms(prefill_tokens)
         for address in permit.targets:
             target = self._fleet.find(address.target)
             if target is None or target.announcement.incarnation != address.incarnation:
                 continue
+            permit.work_ms = work_ms
             target.add_work(permit.lane, work_ms, now_ms)
             if prefill_tokens:
                 target.recent_grants.append((now_ms, prefill_tokens))
             self._fleet.charge(target, permit)
 
-    def drop(self, permit: Permit) -> None:
-        """End a permit and give its memory back."""
+    def drop(self, permit: Permit, now_ms: Millis) -> None:
+        """End a permit and give its memory back, and the prefill that it did not come to."""
+        unused_ms = min(permit.work_ms, max(0.0, permit.prefilled_ms - now_ms))
         self._permits.remove(permit.permit)
         self._withdrawn.pop(permit.permit, None)
         for address in permit.targets:
             target = self._fleet.find(address.target)
-            if target is not None:
+            if target is not None and permit.permit in target.permits:
+                target.add_work(permit.lane, -unused_ms, now_ms)
                 self._fleet.credit(target, permit.permit)
 
     def unlisted(self, node: str, listed: set[PermitId], now_ms: Millis) -> list[Permit]:
@@ -222,8 +227,8 @@
         while recent and recent[0][0] < now_ms - REPORT_LAG_MS:
             recent.popleft()
         unseen = sum(tokens for _, tokens in recent)
-        lowest_ms = now_ms + prefill_ms(pending, self._settings)
-        highest_ms = lowest_ms + prefill_ms(unseen, self._settings)
+        lowest_ms = now_ms + self._timing.prefill_ms(pending)
+        highest_ms = lowest_ms + self._timing.prefill_ms(unseen)
         target.limit_work(lowest_ms, highest_ms)
         self._fleet.refresh(target)
 
@@ -282,7 +287,7 @@
                 del self._missing_since[node]
                 lost += self._permits.of_node(node)
         for permit in lost:
-            self.drop(permit)
+            self.drop(permit, now_ms)
         return [Record("permit_expired", {"permit": str(permit.permit)}) for permit in lost]
 
     def _repeat_withdrawals(self, now_ms: Millis) -> list[Effect]:
