--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/refusals.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/refusals.py
@@ -1,4 +1,4 @@
-"""What callers see when the leader is killed: `python -m marigoldarch_fakes.capacity.refusals`.
+"""What callers see when the leader is lost: `python -m marigoldarch_fakes.capacity.refusals`.
 
 Callers look up a status on every remaining node at a fixed rate. The refusal window of a node is
 the time from its first to its last refusal after the kill.
@@ -24,7 +24,7 @@
 KEY = "harbor-demo-key"
 CALL_INTERVAL_S = 0.05
 BEFORE_S = 1.0
-AFTER_S = 6.0
+AFTER_S = 8.0
 READY_TIMEOUT_S = 20.0
 DECLARATION = f"""
 team = "guild"
@@ -89,15 +89,15 @@
             self.outcomes.append(Outcome(name, sent_s, result, took_s))
 
 
-def measure_once(nodes: int) -> list[Outcome]:
-    """Kill the leader of a running cluster and return the outcomes at the other nodes."""
+def measure_once(nodes: int, *, is_graceful: bool) -> list[Outcome]:
+    """Kill or gracefully stop the leader of a running cluster and return the outcomes at the other nodes."""
     with tempfile.TemporaryDirectory(prefix="marigoldarch-refusals-") as name:
         cluster = LocalCluster(Path(name), nodes, 3)
         try:
             cluster.start_nodes()
             for data_centre in ("dc1", "dc2", "dc3"):
                 cluster.start_service(f"gradebook-{data_centre}", "gradebook", data_centre)
-            return trio.run(_measure, cluster, Path(name))
+            return trio.run(_measure, cluster, Path(name), is_graceful)
         finally:
             for process in [node.process for node in cluster.nodes.values()]:
                 cluster.kill(process)
@@ -105,7 +105,7 @@
                 cluster.kill(process)
 
 
-async def _measure(cluster: LocalCluster, folder: Path) -> list[Outcome]:
+async def _measure(cluster: LocalCluster, folder: Path, is_graceful: bool) -> list[Outcome]:
     await _wait_until_serving(cluster, folder)
     probe = Probe(cluster)
     leader = await _find_leader(cluster)
@@ -114,7 +114,11 @@
         nursery.start_soon(probe.run, remaining)
         await trio.sleep(BEFORE_S)
         killed_s = trio.current_time()
-        cluster.kill(cluster.nodes[leader].process)
+        process = cluster.nodes[leader].process
+        if is_graceful:
+            process.terminate()
+        else:
+            cluster.kill(process)
         await trio.sleep(AFTER_S)
         nursery.cancel_scope.cancel()
     return [item._replace(at_s=item.at_s - killed_s) for item in probe.outcomes]
@@ -158,10 +162,15 @@
     raise RuntimeError("no node leads")
 
 
-def main(runs: int = 5, nodes: int = 5) -> None:
-    """Kill the leader of several clusters; print outcomes and each node's refusal window."""
+def main(runs: int = 5, nodes: int = 5, graceful: bool = False) -> None:
+    """Kill the leader of several clusters; print outcomes and each node's refusal window.
+
+    With --graceful the leader is stopped by SIGTERM.
+    """
     for run in range(1, runs + 1):
-        after = [outcome for outcome in measure_once(nodes) if outcome.at_s >= 0]
+        after = [
+            outcome for outcome in measure_once(nodes, is_graceful=graceful) if outcome.at_s >= 0
+        ]
         counts = Counter(outcome.result for outcome in after)
         print(f"run {run}: {dict(counts)}, {_describe_waits(after)}; {_describe_refusals(after)}")
         sys.stdout.flush()
