Give targets the priority that the scheduler chose

Cause: the scheduler ranks work on an engine by kind and length, but the entry still sent the rank of the kind alone, so that the measured policy was not the one that ran. Change: an attempt keeps the grant's priority, and the target call uses it; a grant without one falls back to the rank.

--- a/packages/marigoldarch/marigoldarch/entry/permit_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/permit_calls.py
@@ -98,6 +98,7 @@
         return []
     attempt.permit = permit
     attempt.targets = tuple(TargetAddress(*target) for target in message.targets)
+    attempt.priority = message.priority
     if request.is_idempotent:
         return _call_target(state, request, attempt, now_ms)
     return ledger_calls.start(state, request, attempt, now_ms)
@@ -125,7 +126,7 @@
         attempt.permit,
         attempt.targets,
         request.deadline_ms,
-        request.rank,
+        request.rank if attempt.priority is None else attempt.priority,
         request.relayed_tokens,
     )
     fields = {
--- a/packages/marigoldarch/marigoldarch/entry/request.py
+++ b/packages/marigoldarch/marigoldarch/entry/request.py
@@ -32,6 +32,7 @@
     is_queued: bool = False
     permit: PermitId | None = None
     targets: tuple[TargetAddress, ...] = ()
+    priority: int | None = None
     called_ms: Millis = 0.0
     first_token_ms: Millis = 0.0
 
--- a/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
@@ -257,6 +257,20 @@
         self.cluster.submit(node, MessageArrived(self.cluster.now_ms, assignment.node, granted))
         self.assertEqual(self.target_calls("r1"), [])
 
+    def test_priority_of_the_grant_reaches_the_target(self) -> None:
+        pool = PoolId("dc1", "coach")
+        assignment = self.cluster.nodes["n1"].state.control.member.view.assignments[pool]
+        node = next(name for name in self.cluster.nodes if name != assignment.node)
+        target = TargetAddress("e1", "i1", "e1:1")
+        for request_id, priority, expected in (("r1", 7, 7), ("r2", None, 0)):
+            call = CallInfo(request_id, KEY, "quiz", model="coach", prompt_tokens=100)
+            self.cluster.submit(node, CallArrived(self.cluster.now_ms, call))
+            permit = PermitId(assignment.fence, 99)
+            granted = PermitGranted(pool, request_id, 1, permit, [target], priority=priority)
+            event = MessageArrived(self.cluster.now_ms, assignment.node, granted)
+            self.cluster.submit(node, event)
+            self.assertEqual(self.target_calls(request_id)[0].priority, expected)
+
     def entry_apart_from_scheduler(self) -> tuple[str, str]:
         """Return an entry that does not schedule the model's pool, and the node that does."""
         view = self.cluster.nodes["n1"].state.control.member.view
