--- a/packages/marigoldarch-node/marigoldarch_node/config/node.py
+++ b/packages/marigoldarch-node/marigoldarch_node/config/node.py
@@ -9,7 +9,7 @@
 
 from marigoldarch.exceptions import ConfigurationError
 from marigoldarch.identifiers import NodeAddress
-from marigoldarch.settings import CoreSettings, EntrySettings
+from marigoldarch.settings import ControlSettings, CoreSettings, EntrySettings
 from marigoldarch_node.config.options import (
     Address,
     Choice,
@@ -30,6 +30,8 @@
     from pathlib import Path
 
 _RUN_ID_BYTES = 8
+_MS_PER_HOUR = 3_600_000.0
+_BYTES_PER_MB = 1_000_000
 
 
 class NodeOptions:
@@ -49,6 +51,15 @@
     log_level = Choice("Least level to log.", "info", ("debug", "info", "warning", "error"))
     timeline_file = Folder("File that time line events are appended to.", None)
     directory_ttl_ms = Number("Time-to-live of directory answers, ms.", 2000, 100, 60_000)
+    ledger_retention_h = Number(
+        "How long calls that run at most once are remembered, h; a key resent later runs again.",
+        72,
+        37,
+        8_760,
+    )
+    ledger_max_mb = Number(
+        "Most memory for those calls, MB; then new ones are refused.", 16, 1, 1024
+    )
     operator_key_sha256 = Sha256List("Digests of the keys that operators may present.", ())
     target_key_sha256 = Sha256List("Digests of the keys that targets may present.", ())
     peer_key_sha256 = Sha256List("Digests of the keys that nodes may present here.", ())
@@ -223,6 +234,10 @@
         values["peers"],
         secrets.token_hex(_RUN_ID_BYTES),
         secrets.randbits(32),
+        control=ControlSettings(
+            ledger_retention_ms=values["ledger_retention_h"] * _MS_PER_HOUR,
+            ledger_max_bytes=int(values["ledger_max_mb"] * _BYTES_PER_MB),
+        ),
         entry=EntrySettings(directory_ttl_ms=values["directory_ttl_ms"]),
         has_data_folder=values["data_folder"] is not None,
     )
