--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import replace
 from typing import TYPE_CHECKING, NamedTuple
 
 from marigoldarch.effects import Effect, Record, Send
@@ -198,6 +199,9 @@
         effects = self.roster.tick(now_ms)
         effects += self._refuse_late(now_ms)
         self._drop_silent(now_ms)
+        effects += [
+            Send(node, PresentPermits(self.pool)) for node in self.recovery.take_missing(now_ms)
+        ]
         return effects + self._grant(now_ms)
 
     def _grant(self, now_ms: Millis) -> list[Effect]:
@@ -263,8 +267,10 @@
         if lane is Lane.HUGE:
             # The targets were not known yet when the item was queued.
             self.queues[waiting.lane].remove(waiting, is_served=False)
-            waiting.lane = lane
-            self.queues[lane].push(waiting)
+            # A new object, as the heaps of the other queue still hold the old one until later.
+            moved = replace(waiting, lane=lane, is_queued=False)
+            self.waiting[waiting.key] = moved
+            self.queues[lane].push(moved)
             return [Record("queued_as_huge", {"request": waiting.item.request_id})]
         is_urgent = waiting.urgent_ms <= now_ms
         plan = None
