--- a/packages/marigoldarch/marigoldarch/entry/limit_calls.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_calls.py
@@ -33,7 +33,7 @@
     needs = state.shares.needs(now_ms)
     if state.shares.generation != state.keepers.generation:
         state.shares.generation = state.keepers.generation
-        for moved in state.shares.moved(state.keepers.find):
+        for moved in state.shares.move(state.keepers.find):
             needs.setdefault(moved.subject, moved)
     by_keeper: dict[str, list[LimitNeed]] = {}
     for subject, need in needs.items():
@@ -42,8 +42,7 @@
             by_keeper.setdefault(keeper, []).append(need)
     effects: list[Effect] = []
     for keeper, items in by_keeper.items():
-        subjects = frozenset(item.subject for item in items)
-        number = state.shares.ask(keeper, subjects, now_ms)
+        number = state.shares.ask(keeper, items, now_ms)
         if number is not None:
             effects.append(Send(keeper, LimitAsk(number, items)))
     return effects
@@ -54,6 +53,8 @@
     if not state.member.has_lease(now_ms):
         return []
     _watch_nodes(state, now_ms)
+    if not state.keeper.is_next_round(sender, message.round, now_ms):
+        return []
     view = state.member.view
     shares = [
         state.keeper.lend(sender, need, find_limit(view, need.subject), now_ms)
--- a/packages/marigoldarch/marigoldarch/entry/limit_keeper.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_keeper.py
@@ -49,6 +49,13 @@
     ended_ms: Millis
 
 
+class LastRound(NamedTuple):
+    """The newest ask of a node."""
+
+    number: int
+    heard_ms: Millis
+
+
 class LimitKeeper:
     """The accounts of the subjects that this node keeps.
 
@@ -64,6 +71,7 @@
         self._nodes: tuple[str, ...] = ()
         self._earlier: list[EarlierNodes] = []
         self._check_due_ms: Millis = 0.0
+        self._rounds: dict[str, LastRound] = {}
 
     @property
     def account_count(self) -> int:
@@ -82,6 +90,19 @@
             if place(subject, nodes) != self._node:
                 del self._accounts[subject]
 
+    def is_next_round(self, node: str, number: int, now_ms: Millis) -> bool:
+        """Return whether an ask is newer than the last one of its node.
+
+        An older ask that arrives late would set back what its node holds. A node that was silent
+        for a slot's lease may have begun to count anew.
+        """
+        last = self._rounds.get(node)
+        is_old = last is not None and number <= last.number
+        if is_old and now_ms < last.heard_ms + self._settings.slot_lease_ms:
+            return False
+        self._rounds[node] = LastRound(number, now_ms)
+        return True
+
     def lend(self, node: str, need: LimitNeed, limit: Limit, now_ms: Millis) -> LimitShare:
         """Lend what the limits allow of a node's need."""
         account = self._refill(need.subject, limit, now_ms)
--- a/packages/marigoldarch/marigoldarch/entry/limit_shares.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_shares.py
@@ -43,7 +43,6 @@
 
     round: int
     sent_ms: Millis
-    subjects: frozenset[str]
 
 
 class LimitShares:
@@ -119,13 +118,19 @@
                 )
         return {subject: self._less_held(need, now_ms) for subject, need in found.items()}
 
-    def moved(self, keeper_of: Callable[[str], str | None]) -> list[LimitNeed]:
-        """Return the slots in use of subjects that have another keeper than the one asked last."""
-        return [
-            _renewal(subject, share)
-            for subject, share in self._shares.items()
-            if share.used and share.keeper != keeper_of(subject)
-        ]
+    def move(self, keeper_of: Callable[[str], str | None]) -> list[LimitNeed]:
+        """Return the slots in use of subjects that have another keeper than the one asked last.
+
+        Unused slots that an earlier keeper lent are given up, for the new one knows nothing of them.
+        """
+        moved: list[LimitNeed] = []
+        for subject, share in self._shares.items():
+            if share.keeper == keeper_of(subject):
+                continue
+            share.slots = min(share.slots, share.used)
+            if share.used:
+                moved.append(_renewal(subject, share))
+        return moved
 
     def has_arrivals_since_ask(self, keeper: str) -> bool:
         """Return whether a claim waits that the last ask to the keeper did not count."""
@@ -134,16 +139,21 @@
             claim.since_ms > pending.sent_ms for claim in self._waiting.values()
         )
 
-    def ask(self, keeper: str, subjects: frozenset[str], now_ms: Millis) -> int | None:
-        """Open an ask to a keeper and return its round, or None while one is open."""
+    def ask(self, keeper: str, needs: list[LimitNeed], now_ms: Millis) -> int | None:
+        """Open an ask to a keeper and return its round, or None while one is open.
+
+        Slots beyond those asked for are given up at once: the keeper may lend them to others as
+        soon as it reads the ask, whether or not its answer arrives.
+        """
         pending = self._asks.get(keeper)
         if pending and now_ms < pending.sent_ms + self._settings.permit_retry_ms:
             return None
         self._round += 1
-        self._asks[keeper] = OpenAsk(self._round, now_ms, subjects)
-        for subject in subjects:
-            share = self._shares.setdefault(subject, Share())
+        self._asks[keeper] = OpenAsk(self._round, now_ms)
+        for need in needs:
+            share = self._shares.setdefault(need.subject, Share())
             share.keeper, share.asked_ms = keeper, now_ms
+            share.slots = min(share.slots, need.slots)
         return self._round
 
     def take_answer(
--- a/packages/marigoldarch/marigoldarch/tests/entry/limit_shares_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limit_shares_tests.py
@@ -36,7 +36,7 @@
     def borrow(self, keeper: LimitKeeper, now_ms: float) -> None:
         """Ask the keeper and take its answer."""
         needs = self.shares.needs(now_ms)
-        number = self.shares.ask("k", frozenset(needs), now_ms)
+        number = self.shares.ask("k", list(needs.values()), now_ms)
         lent = [keeper.lend("n1", item, self.limits[SUBJECT], now_ms) for item in needs.values()]
         self.shares.take_answer("k", number, lent, now_ms)
 
@@ -56,7 +56,7 @@
     def test_repeated_answer_adds_nothing(self) -> None:
         keeper = LimitKeeper("k", SETTINGS)
         self.shares.wait(self.claim)
-        number = self.shares.ask("k", frozenset({SUBJECT}), 0.0)
+        number = self.shares.ask("k", [need(1.0, slots=1)], 0.0)
         lent = [keeper.lend("n1", need(1.0, slots=1), self.limits[SUBJECT], 0.0)]
         self.shares.take_answer("k", number, lent, 0.0)
         self.shares.take_answer("k", number, lent, 0.0)
