Test the hand-over of slots to a new keeper

Cause: of the three orders found with the limits' oracle, the loss of a keeper had no test of its own. Change: two tests of what an entry does when its keeper changes. Conclusion: all three are covered.

--- a/packages/marigoldarch/marigoldarch/tests/entry/limit_shares_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limit_shares_tests.py
@@ -79,3 +79,19 @@
         self.borrow(LimitKeeper("k", SETTINGS), 0.0)
         self.shares.try_take(self.claim, self.limits, 0.0)
         self.assertFalse(self.shares.withdraw("r1"))
+
+    def test_unused_slots_are_given_up_when_the_keeper_changes(self) -> None:
+        self.shares.wait(self.claim)
+        self.borrow(LimitKeeper("k", SETTINGS), 0.0)
+        self.shares.try_take(self.claim, self.limits, 0.0)
+        self.shares.give_back((SUBJECT,))
+        self.assertEqual(self.shares.move(lambda _: "other"), [])
+        unlimited_rate = {SUBJECT: Limit(0.0, 0.0, 2)}
+        self.assertFalse(self.shares.try_take(self.claim, unlimited_rate, 0.0))
+
+    def test_slots_in_use_are_shown_to_a_new_keeper(self) -> None:
+        self.shares.wait(self.claim)
+        self.borrow(LimitKeeper("k", SETTINGS), 0.0)
+        self.shares.try_take(self.claim, self.limits, 0.0)
+        (moved,) = self.shares.move(lambda _: "other")
+        self.assertEqual((moved.slots, moved.used_slots), (1, 1))
