--- a/packages/marigoldarch/marigoldarch/pools/admission.py
+++ b/packages/marigoldarch/marigoldarch/pools/admission.py
@@ -6,12 +6,12 @@
 
 from marigoldarch.outcomes import RefusalReason
 from marigoldarch.pools.estimates import TIERS, Lane, Timing, lane_of, size_of
+from marigoldarch.pools.fair_queue import FairQueue, Waiting
 from marigoldarch.pools.placement import capability_of
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
     from marigoldarch.messages import WorkItem
-    from marigoldarch.pools.fair_queue import FairQueue
     from marigoldarch.pools.fleet import Fleet
     from marigoldarch.settings import PoolSettings
 
@@ -91,6 +91,30 @@
             return Refusal(RefusalReason.DEADLINE, max(RETRY_FLOOR_MS, overdue_ms))
         return None
 
+    def new_waiting(self, node: str, item: WorkItem, now_ms: Millis) -> Waiting:
+        """Return an item as it enters its queue."""
+        lane = self.lane(item)
+        size = size_of(item)
+        engines = self.engines(item, lane)
+        deadline_ms = now_ms + item.time_left_ms
+        service_ms = self._timing.known_service_ms(item, lane, engines, now_ms)
+        latest_ms = deadline_ms - service_ms
+        urgent_ms = latest_ms - max(self._settings.urgent_guard_ms, service_ms)
+        work_ms = self._timing.prefill_ms(size.prefill_tokens)
+        order = min(now_ms + item.rank * self._settings.rank_step_ms + work_ms, latest_ms)
+        return Waiting(
+            node,
+            item,
+            lane,
+            size.cost_tokens,
+            now_ms,
+            now_ms,
+            deadline_ms,
+            latest_ms,
+            urgent_ms,
+            order,
+        )
+
     def lane(self, item: WorkItem) -> Lane:
         """Return the lane of an item."""
         group = self._fleet.group(capability_of(item))
--- a/packages/marigoldarch/marigoldarch/pools/estimates.py
+++ b/packages/marigoldarch/marigoldarch/pools/estimates.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from marigoldarch.clock import Millis
-from marigoldarch.messages import WorkItem
+from marigoldarch.messages import PermitReleased, WorkItem
 from marigoldarch.settings import PoolSettings
 
+if TYPE_CHECKING:
+    from marigoldarch.pools.permits import Permit
+
 URGENT_PRIORITY = 1
 """The engine priority of work that would otherwise miss its deadline; short work still goes first.
 """
@@ -144,6 +147,18 @@
         rate = min(highest, max(lowest, tokens * 1000.0 / first_token_ms))
         self._tokens_per_s += self.LEARNING_SHARE * (rate - self._tokens_per_s)
 
+    def learn(self, permit: Permit, message: PermitReleased, now_ms: Millis) -> None:
+        """Learn the engines' rates and the length of answers from a whole answer."""
+        if not permit.item.model or message.output_tokens <= 0 or message.first_token_ms <= 0:
+            return
+        if permit.is_alone and len(permit.targets) == 1:
+            self.learn_prefill(permit.item.prompt_tokens, message.first_token_ms)
+        answer_ms = now_ms - permit.granted_ms - message.first_token_ms
+        if answer_ms > 0:
+            token_ms = answer_ms / message.output_tokens
+            self.decode.learn(permit.lane, token_ms, now_ms)
+        self.decode.learn_length(permit.item, message.output_tokens)
+
     def service_ms(self, item: WorkItem, lane: Lane, engines: int = 1) -> Millis:
         """Return how long an item takes once it runs on `engines` engines."""
         prefill = self.prefill_ms(size_of(item).prefill_tokens) / engines
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -11,22 +11,18 @@
 from marigoldarch.messages import (
     CacheReport,
     HeldPermit,
-    PermitGranted,
-    PermitQueued,
-    PermitRefused,
     PermitReleased,
     PermitRequest,
     PermitsHeld,
     PresentPermits,
-    WorkItem,
 )
 from marigoldarch.outcomes import RefusalReason
 from marigoldarch.pools.admission import Admission, Refusal
 from marigoldarch.pools.affinity import CacheIndex
+from marigoldarch.pools.answers import granted, queued, refused
 from marigoldarch.pools.estimates import (
     Lane,
     Timing,
-    engine_priority,
     size_of,
 )
 from marigoldarch.pools.fair_queue import FairQueue, Waiting
@@ -52,6 +48,9 @@
 FIRST_TARGETS_MS: Millis = 3_500.0
 """How long a new scheduler waits for targets to announce before it refuses for want of them."""
 
+LATE_RETRY_MS: Millis = 1000.0
+"""The least time to come back for a request that waited until it was too late."""
+
 STUCK_RETRY_MS: Millis = 20.0
 """How long placement is not tried again while neither targets nor queue have changed."""
 
@@ -136,25 +135,25 @@
         key = (item.request_id, item.attempt)
         held = self.permits.find_request(key)
         if held is not None:
-            return [] if held.withdrawn_ms is not None else [self._granted(held, item)]
+            return [] if held.withdrawn_ms is not None else [granted(self.pool, held, item)]
         waiting = self.waiting.get(key)
         if waiting is not None:
             waiting.item = item
             waiting.heard_ms = now_ms
             self.waiting.move_to_end(key)
-            return [self._queued(waiting, now_ms)]
-        waiting = self._new_waiting(node, item, now_ms)
+            return [queued(self.pool, waiting, self._wait_ms(waiting, now_ms))]
+        waiting = self._admission.new_waiting(node, item, now_ms)
         engines = self._admission.engines(item, waiting.lane)
         has_all_targets = now_ms >= self._targets_due_ms
         refusal = self._admission.check(
             item, waiting.lane, engines, now_ms, has_all_targets=has_all_targets
         )
         if refusal is not None:
-            return [self._refused(waiting, refusal)]
+            return [refused(self.pool, waiting, refusal)]
         self._enqueue(waiting, now_ms)
         effects = self._grant(now_ms)
         if key in self.waiting:
-            effects.append(self._queued(waiting, now_ms))
+            effects.append(queued(self.pool, waiting, self._wait_ms(waiting, now_ms)))
         return effects
 
     def release(self, message: PermitReleased, now_ms: Millis) -> list[Effect]:
@@ -350,7 +349,7 @@
             "targets": [target.name for target in targets],
             "pool": str(self.pool),
         }
-        return [Record("permit_granted", fields), self._granted(permit, item)]
+        return [Record("permit_granted", fields), granted(self.pool, permit, item)]
 
     def _adopt(self, node: str, held: HeldPermit, now_ms: Millis) -> None:
         """Account for a permit of an earlier scheduler, or one that was given up too early."""
@@ -376,29 +375,6 @@
             self._forget(waiting)
         self.roster.add(permit, 0, now_ms)
 
-    def _new_waiting(self, node: str, item: WorkItem, now_ms: Millis) -> Waiting:
-        lane = self._admission.lane(item)
-        size = size_of(item)
-        engines = self._admission.engines(item, lane)
-        deadline_ms = now_ms + item.time_left_ms
-        service_ms = self.timing.known_service_ms(item, lane, engines, now_ms)
-        latest_ms = deadline_ms - service_ms
-        urgent_ms = latest_ms - max(self.settings.urgent_guard_ms, service_ms)
-        work_ms = self.timing.prefill_ms(size.prefill_tokens)
-        order = min(now_ms + item.rank * self.settings.rank_step_ms + work_ms, latest_ms)
-        return Waiting(
-            node,
-            item,
-            lane,
-            size.cost_tokens,
-            now_ms,
-            now_ms,
-            deadline_ms,
-            latest_ms,
-            urgent_ms,
-            order,
-        )
-
     def _enqueue(self, waiting: Waiting, now_ms: Millis) -> None:
         self.waiting[waiting.key] = waiting
         self.queues[waiting.lane].push(waiting)
@@ -430,12 +406,15 @@
                 late.append(reservation.waiting)
         for waiting in late:
             self._forget(waiting)
-            engines = self._admission.engines(waiting.item, waiting.lane)
-            estimate = self._admission.estimate(waiting.item, waiting.lane, engines, now_ms)
-            refusal = Refusal(RefusalReason.DEADLINE, max(1000.0, estimate.wait_ms))
-            effects.append(self._refused(waiting, refusal))
+            retry_ms = max(LATE_RETRY_MS, self._wait_ms(waiting, now_ms))
+            refusal = Refusal(RefusalReason.DEADLINE, retry_ms)
+            effects.append(refused(self.pool, waiting, refusal))
         return effects
 
+    def _wait_ms(self, waiting: Waiting, now_ms: Millis) -> Millis:
+        engines = self._admission.engines(waiting.item, waiting.lane)
+        return self._admission.estimate(waiting.item, waiting.lane, engines, now_ms).wait_ms
+
     def _drop_silent(self, now_ms: Millis) -> None:
         """Drop requests whose entries have stopped asking for them."""
         oldest_ms = now_ms - self.settings.queued_silence_ms
@@ -447,45 +426,7 @@
 
     def _note_health(self, permit: Permit, message: PermitReleased, now_ms: Millis) -> list[Effect]:
         if not message.is_target_failure:
-            self._learn(permit, message, now_ms)
+            self.timing.learn(permit, message, now_ms)
             return self.roster.note_success(permit)
         name = message.failed_target or permit.targets[0].target
         return self.roster.note_failure(permit, name, now_ms)
-
-    def _learn(self, permit: Permit, message: PermitReleased, now_ms: Millis) -> None:
-        """Learn the engines' rates and the length of answers from a whole answer."""
-        if not permit.item.model or message.output_tokens <= 0 or message.first_token_ms <= 0:
-            return
-        if permit.is_alone and len(permit.targets) == 1:
-            self.timing.learn_prefill(permit.item.prompt_tokens, message.first_token_ms)
-        answer_ms = now_ms - permit.granted_ms - message.first_token_ms
-        if answer_ms > 0:
-            token_ms = answer_ms / message.output_tokens
-            self.timing.decode.learn(permit.lane, token_ms, now_ms)
-        self.timing.decode.learn_length(permit.item, message.output_tokens)
-
-    def _granted(self, permit: Permit, item: WorkItem) -> Send:
-        granted = PermitGranted(
-            self.pool,
-            item.request_id,
-            item.attempt,
-            permit.permit,
-            permit.targets,
-            item.asked_ms,
-            engine_priority(item, permit.lane, is_urgent=permit.is_urgent),
-        )
-        return Send(permit.node, granted)
-
-    def _queued(self, waiting: Waiting, now_ms: Millis) -> Send:
-        item = waiting.item
-        engines = self._admission.engines(item, waiting.lane)
-        estimate = self._admission.estimate(item, waiting.lane, engines, now_ms)
-        queued = PermitQueued(self.pool, item.request_id, item.attempt, estimate.wait_ms)
-        return Send(waiting.node, queued)
-
-    def _refused(self, waiting: Waiting, refusal: Refusal) -> Send:
-        item = waiting.item
-        refused = PermitRefused(
-            self.pool, item.request_id, item.attempt, refusal.reason, refusal.retry_after_ms
-        )
-        return Send(waiting.node, refused)
--- a/packages/marigoldarch/marigoldarch/tests/entry/limit_keeper_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limit_keeper_tests.py
@@ -7,27 +7,15 @@
 from marigoldarch.entry.keepers import place
 from marigoldarch.entry.limit_keeper import LimitKeeper
 from marigoldarch.entry.limits import Limit
-from marigoldarch.messages import LimitNeed
 from marigoldarch.settings import EntrySettings
+from marigoldarch.tests.entry.support import SUBJECT, need
 
-SUBJECT = "customer/guild/harbor"
 SETTINGS = EntrySettings()
 NODES = [f"n{number}" for number in range(200)]
 BEST = place(SUBJECT, NODES)
 OWN = place(SUBJECT, [node for node in NODES if node != BEST])
 
 
-def need(
-    requests: float = 0.0,
-    tokens: float = 0.0,
-    first: float = 0.0,
-    slots: int = 0,
-    used: int = 0,
-) -> LimitNeed:
-    """Return a need under the one subject."""
-    return LimitNeed(SUBJECT, requests, tokens, first, slots, used)
-
-
 class LimitKeeperTests(unittest.TestCase):
     """What a keeper lends."""
 
--- a/packages/marigoldarch/marigoldarch/tests/entry/limit_shares_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limit_shares_tests.py
@@ -7,24 +7,12 @@
 from marigoldarch.entry.limit_keeper import LimitKeeper
 from marigoldarch.entry.limit_shares import Claim, LimitShares
 from marigoldarch.entry.limits import Limit
-from marigoldarch.messages import LimitNeed
 from marigoldarch.settings import EntrySettings
+from marigoldarch.tests.entry.support import SUBJECT, need
 
-SUBJECT = "customer/guild/harbor"
 SETTINGS = EntrySettings()
 
 
-def need(
-    requests: float = 0.0,
-    tokens: float = 0.0,
-    first: float = 0.0,
-    slots: int = 0,
-    used: int = 0,
-) -> LimitNeed:
-    """Return a need under the one subject."""
-    return LimitNeed(SUBJECT, requests, tokens, first, slots, used)
-
-
 class LimitSharesTests(unittest.TestCase):
     """What an entry does with what it was lent."""
 
