Give the oracles of requests one base, and drop what nothing calls

Cause: the last reading of the change found the oracles of the ledger and of permits to keep and check the same facts in two copies, and four names that nothing uses. Change: OutcomeOracle holds what was asked, the one outcome and its deadline; both oracles add only what is their own. Removed: loader.parse_toml, the metrics' tuple of request events, the bench baseline's recovery time. Every assertion and its text is as before. Conclusion: behaviour is unchanged.

--- a/packages/marigoldarch-fakes/marigoldarch_fakes/bench/greedy.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/bench/greedy.py
@@ -20,9 +20,6 @@
 from marigoldarch.settings import PoolSettings
 from marigoldarch.targets import Announcement
 
-RECOVERY_MS: Millis = 700.0
-"""How long a new scheduler waits for the live permits of entries before it grants."""
-
 PERMIT_RENEWAL_LIMIT_MS: Millis = 10_000.0
 """A permit whose entry was silent for so long is given up, and its memory is reclaimed."""
 
--- a/packages/marigoldarch-node/marigoldarch_node/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/metrics.py
@@ -13,13 +13,11 @@
 from marigoldarch.effects import Effect, ReleaseMemory, Reply
 from marigoldarch.events import (
     CallArrived,
-    CallerGone,
     Event,
     FirstToken,
     MessageArrived,
     Persisted,
     Started,
-    TargetAnswered,
     TargetFailed,
     Tick,
 )
@@ -40,7 +38,6 @@
 _TTFT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.49, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 600.0, inf)
 _SLOWDOWN_BUCKETS = (1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 100.0, inf)
 _SYNC_BUCKETS_S = (0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.5, inf)
-_REQUEST_EVENTS = (CallArrived, CallerGone, FirstToken, TargetAnswered, TargetFailed)
 _CONTROL_EVENTS = (Tick, MessageArrived, Persisted, Started)
 
 
--- a/packages/marigoldarch/marigoldarch/declarations/loader.py
+++ b/packages/marigoldarch/marigoldarch/declarations/loader.py
@@ -22,15 +22,6 @@
 _SHA256 = re.compile(r"^[0-9a-f]{64}$")
 
 
-def parse_toml(text: str) -> Result[TeamDeclaration, DeclarationError]:
-    """Parse the TOML text of one team's declaration."""
-    try:
-        plain = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        return Error(DeclarationError(f"not valid TOML: {error}"))
-    return from_plain(plain)
-
-
 def parse_plain(text: str) -> Result[dict[str, Any], DeclarationError]:
     """Parse and validate the TOML text of a team or of the operators; return plain types."""
     try:
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/ledger_oracle.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/ledger_oracle.py
@@ -2,31 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
-from marigoldarch.clock import Millis
-from marigoldarch.events import CallInfo
-from marigoldarch.outcomes import Answered, NotRun, Outcome
+from marigoldarch.outcomes import Answered, NotRun
 from marigoldarch.tests.fuzz.fake_service import Execution, answer_of
+from marigoldarch.tests.fuzz.outcome_oracle import OutcomeOracle
 
 
-@dataclass
-class LedgerOracle:
-    """Facts of non-idempotent calls; every check is against these lists alone."""
-
-    calls: dict[str, CallInfo] = field(default_factory=dict)
-    deadlines: dict[str, Millis] = field(default_factory=dict)
-    outcomes: dict[str, Outcome] = field(default_factory=dict)
-
-    def ask(self, call: CallInfo, deadline_ms: Millis) -> None:
-        """Add a call that is to have its outcome by `deadline_ms` of its node's clock."""
-        self.calls[call.request_id] = call
-        self.deadlines[call.request_id] = deadline_ms
-
-    def finish(self, request_id: str, outcome: Outcome) -> None:
-        """Add a final outcome; it is the only one."""
-        assert request_id not in self.outcomes, f"{request_id} has a second outcome {outcome}"
-        self.outcomes[request_id] = outcome
+class LedgerOracle(OutcomeOracle):
+    """Facts of non-idempotent calls."""
 
     def check(self, executions: list[Execution]) -> None:
         """Check at-most-once, that not run means not run, and that answers are the right ones."""
@@ -45,12 +27,3 @@
                 assert outcome.body == expected, f"{request_id}: {outcome}, not {expected}"
                 is_same_body = execution.body_sha256 == call.body_sha256
                 assert is_same_body, f"{request_id} has the answer of another body"
-
-    def check_deadlines(self, node_requests: list[str], now_ms: Millis) -> None:
-        """Check that requests at one running node have their outcome by their deadline."""
-        late = [
-            request_id
-            for request_id in node_requests
-            if request_id not in self.outcomes and now_ms > self.deadlines[request_id]
-        ]
-        assert not late, f"no outcome by their deadline: {late}"
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/outcome_oracle.py
@@ -0,0 +1,37 @@
+"""What every oracle of requests keeps: what was asked, and the one outcome of each by its deadline."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from marigoldarch.clock import Millis
+from marigoldarch.events import CallInfo
+from marigoldarch.outcomes import Outcome
+
+
+@dataclass
+class OutcomeOracle:
+    """Facts of requests; every check is against these lists alone."""
+
+    calls: dict[str, CallInfo] = field(default_factory=dict)
+    deadlines: dict[str, Millis] = field(default_factory=dict)
+    outcomes: dict[str, Outcome] = field(default_factory=dict)
+
+    def ask(self, call: CallInfo, deadline_ms: Millis) -> None:
+        """Add a request that is to have its outcome by `deadline_ms` of its node's clock."""
+        self.calls[call.request_id] = call
+        self.deadlines[call.request_id] = deadline_ms
+
+    def finish(self, request_id: str, outcome: Outcome) -> None:
+        """Add a final outcome; it is the only one."""
+        assert request_id not in self.outcomes, f"{request_id} has a second outcome {outcome}"
+        self.outcomes[request_id] = outcome
+
+    def check_deadlines(self, node_requests: list[str], now_ms: Millis) -> None:
+        """Check that requests at one running node have their outcome by their deadline."""
+        late = [
+            request_id
+            for request_id in node_requests
+            if request_id not in self.outcomes and now_ms > self.deadlines[request_id]
+        ]
+        assert not late, f"no outcome by their deadline: {late}"
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/permit_oracle.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/permit_oracle.py
@@ -2,36 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from marigoldarch.clock import Millis
-from marigoldarch.events import CallInfo
 from marigoldarch.identifiers import PermitId, PoolId
 from marigoldarch.outcomes import Answered, NotRun, Outcome
 from marigoldarch.tests.cluster import MemoryCluster
 from marigoldarch.tests.fuzz.fake_engines import EngineWorld
+from marigoldarch.tests.fuzz.outcome_oracle import OutcomeOracle
 
 LEAVING_LIMIT_MS: Millis = 6000.0
 """After how long a leaving engine gets no new call, whatever the faults."""
 
 
-@dataclass
-class PermitOracle:
-    """Facts of prompts; every check is against these lists and what the engines saw."""
-
-    calls: dict[str, CallInfo] = field(default_factory=dict)
-    deadlines: dict[str, Millis] = field(default_factory=dict)
-    outcomes: dict[str, Outcome] = field(default_factory=dict)
+class PermitOracle(OutcomeOracle):
+    """Facts of prompts; checks are also against what the engines saw."""
 
-    def ask(self, call: CallInfo, deadline_ms: Millis) -> None:
-        """Add a prompt that is to have its outcome by `deadline_ms` of its node's clock."""
-        self.calls[call.request_id] = call
-        self.deadlines[call.request_id] = deadline_ms
-
-    def finish(self, request_id: str, outcome: Outcome, received: list[int]) -> None:
+    def end(self, request_id: str, outcome: Outcome, received: list[int]) -> None:
         """Add a final outcome: the only one, and an answer only if it was received whole."""
-        assert request_id not in self.outcomes, f"{request_id} has a second outcome {outcome}"
-        self.outcomes[request_id] = outcome
+        self.finish(request_id, outcome)
         if isinstance(outcome, Answered):
             expected = list(range(self.calls[request_id].output_tokens))
             assert received == expected, f"the caller of {request_id} received {received}"
@@ -47,15 +34,6 @@
                 is_late = start.called_ms > left_ms + LEAVING_LIMIT_MS
                 assert not is_late, f"{start.engine} got new work long after it began to leave"
 
-    def check_deadlines(self, requests: list[str], now_ms: Millis) -> None:
-        """Check that requests of one running node have their outcome by their deadline."""
-        late = [
-            request_id
-            for request_id in requests
-            if request_id not in self.outcomes and now_ms > self.deadlines[request_id]
-        ]
-        assert not late, f"no outcome by their deadline: {late}"
-
 
 def check_release(world: EngineWorld, engine: str, permit: PermitId) -> None:
     """Check that a scheduler takes no memory from a call in progress."""
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/permits_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/permits_tests.py
@@ -193,7 +193,7 @@
             STATISTICS[f"outcome {type(effect.outcome).__name__}"] += 1
             received = self.world.received.get(effect.request_id, [])
             outcome = effect.outcome
-            self.guarded(lambda: self.oracle.finish(effect.request_id, outcome, received))
+            self.guarded(lambda: self.oracle.end(effect.request_id, outcome, received))
 
 
 class PermitFuzzTests(unittest.TestCase):
