--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -0,0 +1,287 @@
+"""One attempt: send a request to a target, and pass its answer on as it comes."""
+
+from __future__ import annotations
+
+from contextlib import aclosing
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.exceptions import StreamError
+from marigoldarch.serving.attempts import (
+    FailureReason,
+    NotSent,
+    OutcomeUnknown,
+    RefusedByTarget,
+    StreamBroken,
+    TargetFailed,
+)
+from marigoldarch.serving.candidates import target_number
+from marigoldarch.serving.event_stream import EventSplitter
+from marigoldarch.serving.pool_view import RunningWork
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.http_server import CallerGoneError
+from marigoldarch_node.serving.target_connections import (
+    AnswerError,
+    AnswerHead,
+    TargetConnection,
+    TargetRequest,
+    UnreachableError,
+)
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.serving.attempts import AttemptOutcome
+    from marigoldarch.serving.placement import Placement
+    from marigoldarch_node.serving.dialect import AnswerMarks, Dialect, Forwarding
+    from marigoldarch_node.serving.entry_state import EntryState
+    from marigoldarch_node.serving.proxy import Call
+    from marigoldarch_node.serving.target_connections import TargetConnections
+
+FIRST_EVENT_FACTOR = 3.0
+FIRST_EVENT_EXTRA_MS: Millis = 600.0
+"""A stream that has not begun after three times its expected wait and this much more is given to
+another target; this much covers a lost packet and the pass under way."""
+
+PAUSE_FACTOR = 4.0
+LEAST_PAUSE_LIMIT_MS: Millis = 900.0
+MOST_PAUSE_LIMIT_MS: Millis = 4000.0
+"""A stream that pauses for longer than four pause goals, within these bounds, counts as stalled:
+callers give it up after eight, and after 2 s at the earliest."""
+
+log = EventLog("attempts")
+
+
+@dataclass
+class AttemptPlan:
+    """What to send where; `last_event` moves on with the events that reach the caller."""
+
+    call: Call
+    placement: Placement
+    forwarding: Forwarding
+    last_event: int | None
+
+
+@dataclass(frozen=True)
+class Delivered:
+    """The caller has the whole answer."""
+
+
+class Attempt:
+    """One attempt of a call."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        dialect: Dialect,
+        connections: TargetConnections,
+        plan: AttemptPlan,
+    ) -> None:
+        self._state = state
+        self._dialect = dialect
+        self._connections = connections
+        self._plan = plan
+        self._call = plan.call
+        self._target_id = plan.forwarding.target_id
+        self._number = 0
+        self._held: tuple[AnswerHead, bytes] | None = None
+        self._sent_ms: Millis = 0.0
+        self._events = 0
+        self._is_caller_gone = False
+
+    async def run(self) -> Delivered | AttemptOutcome:
+        """Send the request and pass the answer on; return how it ended.
+
+        The caller's departure cancels the attempt, which closes the target's connection at once.
+        """
+        call, target = self._call, self._plan.placement.targets[0]
+        try:
+            connection = await self._connections.take(
+                target.address, must_be_new=not call.route.may_repeat
+            )
+        except UnreachableError:
+            self._state.note_failure(self._target_id, is_unreachable=True)
+            return NotSent(FailureReason.UNREACHABLE)
+        self._number = self._state.board.start(self._work())
+        self._sent_ms = self._state.clock.monotonic_ms()
+        head: AnswerHead | None = None
+        ended: Delivered | AttemptOutcome | None = None
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.send, self._request())
+                with trio.move_on_after(self._time_left_ms() / 1000.0):
+                    head, ended = await self._relay(connection)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._state.board.end(self._number)
+            self._connections.give_back(connection, head)
+        if self._is_caller_gone:
+            raise CallerGoneError
+        return self._judge(ended)
+
+    async def deliver_held(self) -> None:
+        """Pass on the target's failure that was held back for another attempt."""
+        head, body = self._held
+        await self._call.exchange.answer(head.status, self._dialect.caller_headers(head), body)
+
+    def _judge(self, ended: Delivered | AttemptOutcome | None) -> Delivered | AttemptOutcome:
+        """Take note of what the attempt shows of its target."""
+        now_ms = self._state.clock.monotonic_ms()
+        match ended:
+            case None:
+                return self._broken(FailureReason.TIMEOUT)
+            case Delivered():
+                self._state.health.note_success(self._target_id, now_ms)
+            case OutcomeUnknown() | StreamBroken() | TargetFailed():
+                self._state.note_failure(self._target_id, is_unreachable=False)
+        return ended
+
+    def _work(self) -> RunningWork:
+        call, placement = self._call, self._plan.placement
+        prompt = call.facts.prompt
+        return RunningWork(
+            0,
+            target_number(call.service.name),
+            tuple(target_number(target.target_id) for target in placement.targets),
+            placement.reading_ms,
+            prompt.tokens + prompt.answer_tokens if prompt else 0,
+            call.route.pause_goal_ms if call.route.is_stream else 0.0,
+            call.history.is_repeat,
+        )
+
+    def _request(self) -> TargetRequest:
+        request = self._call.exchange.request
+        headers = self._dialect.target_headers(request, self._plan.forwarding)
+        return TargetRequest(request.method, request.target, headers, request.body)
+
+    def _time_left_ms(self) -> Millis:
+        return max(0.0, self._call.ends_ms - self._state.clock.monotonic_ms())
+
+    async def _relay(
+        self, connection: TargetConnection
+    ) -> tuple[AnswerHead | None, Delivered | AttemptOutcome]:
+        """Read the answer; return its head if it was read to its end, and how it ended."""
+        try:
+            with trio.move_on_after(self._first_limit_ms() / 1000.0) as scope:
+                head = await connection.read_head()
+            if scope.cancelled_caught:
+                return None, self._broken(FailureReason.STALLED)
+            marks = self._dialect.read_answer(head)
+            if marks.is_event_stream and 200 <= head.status < 300:
+                return await self._relay_stream(connection, head, marks)
+            return await self._relay_whole(connection, head, marks)
+        except AnswerError as error:
+            return None, self._broken(error.reason)
+        except StreamError:
+            return None, self._broken(FailureReason.GARBLED)
+        except CallerGoneError:
+            # Raised again outside the nursery, which would wrap it in a group.
+            self._is_caller_gone = True
+            return None, self._broken(FailureReason.CUT)
+
+    async def _relay_whole(
+        self, connection: TargetConnection, head: AnswerHead, marks: AnswerMarks
+    ) -> tuple[AnswerHead | None, Delivered | AttemptOutcome]:
+        body = b"".join([chunk async for chunk in connection.chunks()])
+        if marks.request_id not in ("", self._call.request_id):
+            return None, OutcomeUnknown(FailureReason.GARBLED)
+        if marks.is_proof_of_not_run:
+            self._note_refusal(marks)
+            return head, RefusedByTarget(head.status, marks.retry_after_ms)
+        if head.status >= 500:
+            self._held = (head, body)
+            return head, TargetFailed(head.status)
+        if head.status < 300 and not marks.is_signed:
+            return None, OutcomeUnknown(FailureReason.GARBLED)
+        if self._call.exchange.is_head_sent:
+            return None, self._broken(FailureReason.GARBLED)
+        self._observe_first()
+        await self._call.exchange.answer(head.status, self._dialect.caller_headers(head), body)
+        return head, Delivered()
+
+    async def _relay_stream(
+        self, connection: TargetConnection, head: AnswerHead, marks: AnswerMarks
+    ) -> tuple[AnswerHead | None, Delivered | AttemptOutcome]:
+        """Pass whole events on as they come; the head goes out with the first."""
+        if marks.request_id != self._call.request_id or not marks.is_signed:
+            return None, self._broken(FailureReason.GARBLED)
+        splitter = EventSplitter()
+        async with aclosing(connection.chunks()) as chunks:
+            while True:
+                limit_ms = self._pause_limit_ms() if self._events else self._first_limit_ms()
+                with trio.move_on_after(limit_ms / 1000.0) as scope:
+                    data = await anext(chunks, None)
+                if scope.cancelled_caught:
+                    return None, self._broken(FailureReason.STALLED)
+                if data is None:
+                    break
+                await self._pass_on(head, splitter, data)
+        if splitter.has_rest:
+            return None, self._broken(FailureReason.CUT)
+        if not self._call.exchange.is_head_sent:
+            await self._call.exchange.send_head(head.status, self._dialect.caller_headers(head))
+        await self._call.exchange.end()
+        return head, Delivered()
+
+    async def _pass_on(self, head: AnswerHead, splitter: EventSplitter, data: bytes) -> None:
+        exchange = self._call.exchange
+        parts: list[bytes] = []
+        for event in splitter.feed(data):
+            last = self._plan.last_event
+            if event.number is not None:
+                if last is not None and event.number != last + 1:
+                    raise StreamError(f"event {event.number} follows {last}")
+                self._plan.last_event = event.number
+            parts.append(event.data)
+        if not parts:
+            return
+        if not self._events:
+            self._state.board.finish_reading(self._number)
+            if not exchange.is_head_sent:
+                self._observe_first()
+                await exchange.send_head(head.status, self._dialect.caller_headers(head))
+        self._events += len(parts)
+        await exchange.send_data(b"".join(parts))
+
+    def _broken(self, reason: FailureReason) -> AttemptOutcome:
+        if self._call.exchange.is_head_sent:
+            return StreamBroken(reason, self._plan.last_event or 0)
+        return OutcomeUnknown(reason)
+
+    def _first_limit_ms(self) -> Millis:
+        """Return how long to wait for the answer to begin; without a second attempt, to the end."""
+        call = self._call
+        has_more = call.history.sent + 1 < call.route.attempt_limit
+        if not call.route.is_stream or not call.route.may_repeat or not has_more:
+            return self._time_left_ms()
+        expected_ms = self._plan.placement.first_token_ms
+        return max(FIRST_EVENT_FACTOR * expected_ms + FIRST_EVENT_EXTRA_MS, call.route.goal_ms)
+
+    def _pause_limit_ms(self) -> Millis:
+        route = self._call.route
+        has_more = self._call.history.sent + 1 < route.attempt_limit
+        if not route.may_repeat or not has_more:
+            return self._time_left_ms()
+        limit_ms = PAUSE_FACTOR * route.pause_goal_ms
+        return min(max(limit_ms, LEAST_PAUSE_LIMIT_MS), MOST_PAUSE_LIMIT_MS)
+
+    def _note_refusal(self, marks: AnswerMarks) -> None:
+        """A target that sheds is full, or another than it was: leave it alone for a moment."""
+        self._state.note_failure(self._target_id, is_unreachable=False)
+
+    def _observe_first(self) -> None:
+        now_ms = self._state.clock.monotonic_ms()
+        first_ms = now_ms - self._call.exchange.request.received_ms
+        self._state.metrics.first_answer.observe({"route": self._call.route.name}, first_ms / 1e3)
+        placement = self._plan.placement
+        log.info(
+            "answer begins",
+            request=self._call.request_id,
+            target=self._target_id,
+            helpers=len(placement.targets) - 1,
+            expected_ms=round(placement.first_token_ms),
+            attempt_ms=round(now_ms - self._sent_ms),
+            first_ms=round(first_ms),
+            view_age_ms=round(self._state.board.oldest_report_ms),
+        )
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -0,0 +1,421 @@
+"""A control host: the declaration's store, the registry of targets, and the directory."""
+
+from __future__ import annotations
+
+import base64
+import random
+import zlib
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+from expression import Result
+
+from marigoldarch.exceptions import DamagedLogError
+from marigoldarch.serving.declaration import check, describe
+from marigoldarch.serving.presence import HELLO_INTERVAL_MS, Hello, HostsKnown, NodeRole, Presence
+from marigoldarch.serving.targets import TARGET_SILENCE_MS, Target, TargetRegistry
+from marigoldarch.serving.watch import WATCH_MESSAGES, HostStatus, TargetSilent, TargetTold
+from marigoldarch.settings import ControlSettings
+from marigoldarch.store.messages import STORE_MESSAGES, TargetsHeard, TargetsNoted
+from marigoldarch.store.reducer import Document, Store, StoreSettings
+from marigoldarch_node.clock import SystemClock
+from marigoldarch_node.serving.dialect import (
+    Announce,
+    FindEntries,
+    GetDeclaration,
+    Leave,
+    PutDeclaration,
+)
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
+from marigoldarch_node.serving.metrics import ServingMetrics
+from marigoldarch_node.serving.peer_stream import (
+    DOCUMENT_PATH,
+    MESSAGES_PATH,
+    Subscribers,
+    Subscription,
+    role_of,
+)
+from marigoldarch_node.serving.sockets import open_datagrams, split_address
+from marigoldarch_node.serving.store_runtime import StoreRuntime
+from marigoldarch_node.storage.folder import DataFolder
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from marigoldarch.control.durable import DurableState
+    from marigoldarch_node.serving.dialect import Dialect
+    from marigoldarch_node.serving.http_server import Exchange
+    from marigoldarch_node.serving.settings import ServingSettings
+
+ANSWER_MS = 900.0
+"""Callers of a control host go on to another after a second, see PROTOCOL.md."""
+
+CONFIRM_MS = 500.0
+"""How long to wait until another control host has noted that a target leaves."""
+
+ENTRY_KEEP_MS = 1000.0
+"""How long callers may use an answer of the directory: a third of the time for which a stopping
+entry takes requests, as some keep it for three times as long."""
+
+RELAY_S = 0.15
+"""How often announcements that change nothing are told to the other control hosts."""
+
+INSTALLATION = "serving"
+MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
+JSON = [(b"content-type", b"application/json")]
+
+STORE_TIMING = ControlSettings(
+    append_interval_ms=150.0,
+    election_timeout_min_ms=500.0,
+    election_timeout_max_ms=900.0,
+    snapshot_entries=12,
+    log_tail_entries=6,
+)
+"""The log holds whole documents, so it is compacted after few entries."""
+
+log = EventLog("control")
+
+
+class ControlHost:
+    """One control host."""
+
+    def __init__(
+        self, settings: ServingSettings, dialect: Dialect, data_folder: Path, start_id: int
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._start_id = start_id
+        self._clock = SystemClock()
+        self._chooser = random.Random(start_id)
+        self._started_ms = self._clock.monotonic_ms()
+        self._metrics = ServingMetrics()
+        self._presence = Presence(self._started_ms)
+        self._registry = TargetRegistry()
+        self._watchers = Subscribers(WATCH_MESSAGES)
+        self._peers = Subscribers(STORE_MESSAGES)
+        self._folder = DataFolder(data_folder, settings.node, INSTALLATION)
+        store_settings = StoreSettings(
+            settings.peer_address,
+            settings.control_peers if settings.is_first_start else (),
+            settings.tolerated_losses,
+            STORE_TIMING,
+            start_id,
+        )
+        store = Store(store_settings, _open(self._folder))
+        self._store = StoreRuntime(
+            store, self._folder, self._clock, self._metrics, self._peers.send
+        )
+        self._store.on_document = self._on_document
+        self._unrelayed: dict[str, Target] = {}
+        self._batch = 0
+        self._confirmations: dict[int, trio.Event] = {}
+        self._named_hosts: set[str] = set(settings.control_peers)
+        self._subscribed: set[str] = set()
+        self._serial = 0
+        self._is_leaving = False
+        self._nursery: trio.Nursery | None = None
+        self._datagrams: trio.socket.SocketType | None = None
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        settings = self._settings
+        self._datagrams = await open_datagrams(settings.peer_address)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            limits = ServerLimits(body_bytes=MAX_DOCUMENT_BYTES)
+            for address, handler in (
+                (settings.peer_address, self._serve_peer),
+                (settings.control_address, self._serve_control),
+                (settings.directory_address, self._serve_control),
+            ):
+                if address:
+                    state = ServerState(handler, lambda: limits, self._clock)
+                    await nursery.start(HttpServer(state).serve, address)
+            nursery.start_soon(self._store.run, lambda: self._presence.control_hosts)
+            nursery.start_soon(self._receive_datagrams)
+            nursery.start_soon(self._say_hello)
+            nursery.start_soon(self._relay_announcements)
+
+    async def stop(self) -> None:
+        """Hand leadership over and tell the others before the process ends."""
+        self._is_leaving = True
+        self._store.hand_over()
+        await self._send_hello()
+
+    def take_settings(self, settings: ServingSettings) -> None:
+        """Take named control hosts of a changed settings file."""
+        self._settings = settings
+        self._named_hosts.update(settings.control_peers)
+
+    # Nodes
+
+    async def _say_hello(self) -> None:
+        while True:
+            await self._send_hello()
+            self._tell_status()
+            now_ms = self._clock.monotonic_ms()
+            for target in self._registry.expire(now_ms):
+                log.warning("target is silent", target=target.target_id, address=target.address)
+                self._watchers.send_to_all(TargetSilent(target.target_id))
+            self._presence.expire(now_ms)
+            await trio.sleep(HELLO_INTERVAL_MS / 1000.0)
+
+    async def _send_hello(self) -> None:
+        self._serial += 1
+        settings = self._settings
+        hello = Hello(
+            settings.peer_address,
+            NodeRole.CONTROL,
+            self._start_id,
+            self._serial,
+            settings.data_centre,
+            "",
+            self._store.store.replica.name.replica_id,
+            is_ready=True,
+            is_leaving=self._is_leaving,
+        )
+        self._presence.hear(hello, self._clock.monotonic_ms())
+        data = msgspec.msgpack.encode(hello)
+        for host in self._known_hosts():
+            if host != settings.peer_address:
+                self._subscribe(host)
+                await self._send_datagram(data, host)
+
+    def _known_hosts(self) -> list[str]:
+        voters = {name.node for name in self._store.store.replica.configuration.members}
+        return sorted({*self._presence.control_hosts, *self._named_hosts, *voters})
+
+    async def _send_datagram(self, data: bytes, address: str) -> None:
+        try:
+            await self._datagrams.sendto(data, split_address(address))
+        except OSError as error:
+            log.warning("datagram not sent", peer=address, reason=error.strerror)
+
+    async def _receive_datagrams(self) -> None:
+        decoder = msgspec.msgpack.Decoder(Hello | HostsKnown)
+        while True:
+            data, _ = await self._datagrams.recvfrom(65_536)
+            try:
+                message = decoder.decode(data)
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                log.warning("undecodable datagram dropped", reason=str(error))
+                continue
+            match message:
+                case Hello():
+                    await self._on_hello(message)
+                case HostsKnown(hosts=hosts):
+                    self._named_hosts.update(hosts)
+
+    async def _on_hello(self, hello: Hello) -> None:
+        now_ms = self._clock.monotonic_ms()
+        is_new = self._presence.hear(hello, now_ms)
+        if is_new:
+            log.info("node is new", peer=hello.node, role=str(hello.role))
+            self._tell_status()
+        if hello.serial % 4 == 1:
+            known = HostsKnown(self._presence.live_host_names(now_ms))
+            await self._send_datagram(msgspec.msgpack.encode(known), hello.node)
+
+    def _subscribe(self, host: str) -> None:
+        if host in self._subscribed:
+            return
+        self._subscribed.add(host)
+        subscription = Subscription(
+            self._settings.peer_address,
+            NodeRole.CONTROL,
+            host,
+            STORE_MESSAGES,
+            self._on_peer_message,
+            lambda peer, is_connected: None,
+        )
+        self._nursery.start_soon(subscription.run)
+
+    # Messages between control hosts
+
+    async def _serve_peer(self, exchange: Exchange) -> None:
+        path = exchange.request.target.partition("?")[0]
+        if path == MESSAGES_PATH and role_of(exchange) == NodeRole.ENTRY:
+            await self._watchers.serve(exchange, self._whole_watch())
+        elif path == MESSAGES_PATH:
+            heard = TargetsHeard(0, tuple(self._registry.targets))
+            await self._peers.serve(exchange, [heard])
+        elif path == DOCUMENT_PATH:
+            document = self._store.store.document
+            await exchange.answer(200, JSON, msgspec.json.encode(document))
+        else:
+            await exchange.answer(404, [])
+
+    def _on_peer_message(self, peer: str, message: object) -> None:
+        match message:
+            case TargetsHeard(batch=batch, targets=targets):
+                for target in targets:
+                    self._take_target(target)
+                if batch:
+                    self._peers.send(peer, TargetsNoted(batch))
+            case TargetsNoted(batch=batch):
+                event = self._confirmations.get(batch)
+                if event is not None:
+                    event.set()
+            case _:
+                self._store.receive(peer, message)
+
+    # Entries that watch
+
+    def _whole_watch(self) -> list[object]:
+        told = [TargetTold(target) for target in self._registry.targets]
+        return [*told, self._status()]
+
+    def _status(self) -> HostStatus:
+        now_ms = self._clock.monotonic_ms()
+        return HostStatus(
+            self._store.store.document.version,
+            now_ms >= self._started_ms + TARGET_SILENCE_MS,
+            self._settings.data_centre,
+            tuple(self._presence.live_host_names(now_ms)),
+            tuple(self._presence.entry_nodes(now_ms)),
+        )
+
+    def _tell_status(self) -> None:
+        self._watchers.send_to_all(self._status())
+        self._peers.send_to_all(TargetsHeard(0, ()))
+
+    def _on_document(self, document: Document) -> None:
+        self._tell_status()
+
+    # Targets
+
+    def _take_target(self, target: Target) -> bool:
+        """Take an announcement, own or another host's; tell the entries what is new."""
+        is_new = self._registry.announce(target, self._clock.monotonic_ms())
+        if is_new:
+            log.info(
+                "target announced",
+                target=target.target_id,
+                service=target.service,
+                address=target.address,
+                is_leaving=target.is_leaving,
+                is_gone=target.is_gone,
+                serial=target.serial,
+            )
+            self._watchers.send_to_all(TargetTold(target))
+        return is_new
+
+    async def _relay_announcements(self) -> None:
+        while True:
+            await trio.sleep(RELAY_S)
+            if self._unrelayed:
+                heard = TargetsHeard(0, tuple(self._unrelayed.values()))
+                self._unrelayed.clear()
+                self._peers.send_to_all(heard)
+
+    async def _confirm_elsewhere(self, target: Target) -> bool:
+        """Tell the other control hosts that a target leaves; return whether one has noted it."""
+        if not self._peers.names:
+            return len(self._store.store.replica.configuration.voters) <= 1
+        self._batch += 1
+        batch = self._batch
+        self._confirmations[batch] = trio.Event()
+        self._peers.send_to_all(TargetsHeard(batch, (target,)))
+        try:
+            with trio.move_on_after(CONFIRM_MS / 1000.0):
+                await self._confirmations[batch].wait()
+                return True
+            return False
+        finally:
+            del self._confirmations[batch]
+
+    # Calls from outside
+
+    async def _serve_control(self, exchange: Exchange) -> None:
+        match self._dialect.read_control_call(exchange.request):
+            case Announce(target_id=target_id):
+                await self._announce(exchange, target_id)
+            case Leave(target_id=target_id):
+                await self._leave(exchange, target_id)
+            case PutDeclaration():
+                await self._put(exchange)
+            case GetDeclaration():
+                await self._get(exchange)
+            case FindEntries(data_centre=data_centre):
+                await self._find_entries(exchange, data_centre)
+            case _:
+                await exchange.answer(404, [])
+
+    async def _announce(self, exchange: Exchange, target_id: str) -> None:
+        match self._dialect.read_announcement(target_id, exchange.request.body):
+            case Result(tag="ok", ok=target):
+                pass
+            case Result(error=fault):
+                log.warning("announcement unreadable", target=target_id, reason=fault.reason)
+                self._metrics.announcements.inc({"outcome": "unreadable"})
+                await exchange.answer(400, JSON, msgspec.json.encode({"error": fault.reason}))
+                return
+        is_new = self._take_target(target)
+        self._metrics.announcements.inc({"outcome": "taken"})
+        if is_new and target.is_leaving and not await self._confirm_elsewhere(target):
+            await exchange.answer(503, JSON, b"{}")
+            return
+        if not is_new:
+            self._unrelayed[target_id] = target
+        elif not target.is_leaving:
+            self._peers.send_to_all(TargetsHeard(0, (target,)))
+        await exchange.answer(200, JSON, b"{}")
+
+    async def _leave(self, exchange: Exchange, target_id: str) -> None:
+        gone = self._registry.leave(target_id, self._clock.monotonic_ms())
+        if gone is not None:
+            log.info("target has left", target=target_id, serial=gone.serial)
+            self._watchers.send_to_all(TargetTold(gone))
+            if not await self._confirm_elsewhere(gone):
+                await exchange.answer(503, JSON, b"{}")
+                return
+        await exchange.answer(200, JSON, b"{}")
+
+    async def _put(self, exchange: Exchange) -> None:
+        body = exchange.request.body
+        match self._dialect.read_declaration(body).bind(check):
+            case Result(tag="ok", ok=declaration):
+                version = declaration.version
+            case Result(error=fault):
+                log.warning("declaration refused", reason=describe(fault))
+                self._metrics.declarations.inc({"outcome": "invalid"})
+                await exchange.answer(400, JSON, msgspec.json.encode({"error": describe(fault)}))
+                return
+        text = base64.b85encode(zlib.compress(body)).decode()
+        is_stored = await self._store.put(Document(version, text), ANSWER_MS)
+        log.info("declaration put", version=version, is_stored=is_stored)
+        self._metrics.declarations.inc({"outcome": "stored" if is_stored else "unsure"})
+        await exchange.answer(200 if is_stored else 503, JSON, b"{}")
+
+    async def _get(self, exchange: Exchange) -> None:
+        document = await self._store.read(ANSWER_MS)
+        if document is None or not document.version:
+            log.warning("read refused", reason="no majority" if document is None else "empty")
+            await exchange.answer(503, JSON, b"{}")
+            return
+        await exchange.answer(200, JSON, unpack_document(document))
+
+    async def _find_entries(self, exchange: Exchange, data_centre: str) -> None:
+        now_ms = self._clock.monotonic_ms()
+        addresses = self._presence.addresses(data_centre, now_ms, self._chooser)
+        if not addresses or not self._presence.is_warm(now_ms):
+            await exchange.answer(503, JSON, b"{}")
+            return
+        await exchange.answer(200, JSON, self._dialect.write_entries(addresses, ENTRY_KEEP_MS))
+
+
+def _open(folder: DataFolder) -> DurableState:
+    """Read the data folder; a damaged log is set aside, and the host joins as a new replica."""
+    try:
+        return folder.open()
+    except DamagedLogError as error:
+        log.error("damaged log set aside", reason=str(error))
+        folder.set_aside()
+        return folder.open()
+
+
+def unpack_document(document: Document) -> bytes:
+    """Return the declaration as its operator sent it."""
+    return zlib.decompress(base64.b85decode(document.text))
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -0,0 +1,242 @@
+"""An entry: callers' requests, and what it needs to know from control hosts and other entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+from expression import Result
+
+from marigoldarch.serving.presence import HELLO_INTERVAL_MS, Hello, HostsKnown, NodeRole
+from marigoldarch.serving.routing import RoutingTable
+from marigoldarch.serving.watch import WATCH_MESSAGES, HostStatus, TargetSilent, TargetTold
+from marigoldarch.serving.work_reports import WorkReport
+from marigoldarch.store.reducer import Document
+from marigoldarch_node.serving.control_host import unpack_document
+from marigoldarch_node.serving.dialect import AskReady
+from marigoldarch_node.serving.entry_state import EntryState, sweep
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.http_server import HttpServer, ServerState
+from marigoldarch_node.serving.peer_stream import DOCUMENT_PATH, Subscription, fetch_body
+from marigoldarch_node.serving.proxy import STOP_ACCEPTING_MS, Proxy
+from marigoldarch_node.serving.sockets import open_datagrams, split_address
+from marigoldarch_node.serving.target_connections import AnswerError, TargetConnections
+
+if TYPE_CHECKING:
+    from marigoldarch_node.serving.dialect import Dialect
+    from marigoldarch_node.serving.http_server import Exchange
+    from marigoldarch_node.serving.settings import ServingSettings
+
+FETCH_TIMEOUT_S = 0.6
+FETCH_RETRY_S = 0.1
+SWEEP_S = 1.0
+STOP_MARGIN_MS = 400.0
+"""How long before the end of its grace a stopping entry ends, with what is still open."""
+
+log = EventLog("entry")
+
+
+class EntryHost:
+    """One entry."""
+
+    def __init__(self, settings: ServingSettings, dialect: Dialect, start_id: int) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._start_id = start_id
+        self._state = EntryState(settings, start_id)
+        self._connections = TargetConnections(self._state.clock)
+        proxy = Proxy(self._state, dialect, self._connections)
+        self._callers = HttpServer(ServerState(proxy.handle, self._state.limits, self._state.clock))
+        self._hosts: set[str] = set(settings.control_peers)
+        self._subscribed: dict[str, trio.CancelScope] = {}
+        self._versions: dict[str, int] = {}
+        self._near: set[str] = set()
+        self._entries: set[str] = set()
+        self._newer_version = trio.Event()
+        self._serial = 0
+        self._nursery: trio.Nursery | None = None
+        self._datagrams: trio.socket.SocketType | None = None
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        settings, state = self._settings, self._state
+        self._datagrams = await open_datagrams(settings.peer_address)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            health = ServerState(self._serve_health, state.limits, state.clock)
+            await nursery.start(HttpServer(health).serve, settings.health_address)
+            await nursery.start(self._callers.serve, settings.caller_address)
+            nursery.start_soon(self._receive_datagrams)
+            nursery.start_soon(self._say_hello)
+            nursery.start_soon(self._report_work)
+            nursery.start_soon(self._fetch_declarations)
+            nursery.start_soon(self._sweep_connections)
+            nursery.start_soon(sweep, state)
+
+    async def stop(self) -> None:
+        """Leave the directory, serve what still comes, and finish what runs."""
+        state = self._state
+        began_ms = state.clock.monotonic_ms()
+        state.stop_began_ms = began_ms
+        self._callers.begin_closing()
+        await self._send_hello()
+        await trio.sleep(STOP_ACCEPTING_MS / 1000.0)
+        self._callers.close_idle()
+        end_ms = began_ms + self._settings.bounds.stop_grace_ms - STOP_MARGIN_MS
+        while self._callers.open_connections and state.clock.monotonic_ms() < end_ms:
+            self._callers.close_idle()
+            await trio.sleep(0.05)
+        log.info("stopped serving", open_connections=self._callers.open_connections)
+
+    def take_settings(self, settings: ServingSettings) -> None:
+        """Take named control hosts of a changed settings file."""
+        self._settings = settings
+        self._hosts.update(settings.control_peers)
+
+    async def _serve_health(self, exchange: Exchange) -> None:
+        if not isinstance(self._dialect.read_control_call(exchange.request), AskReady):
+            await exchange.answer(404, [])
+            return
+        await exchange.answer(200 if self._state.is_ready else 503, [])
+
+    # Control hosts
+
+    async def _say_hello(self) -> None:
+        was_ready = False
+        while True:
+            is_ready = self._state.is_ready
+            if is_ready != was_ready:
+                log.info("readiness", is_ready=is_ready, targets=len(self._state.roster.usable))
+                was_ready = is_ready
+            await self._send_hello()
+            await trio.sleep(HELLO_INTERVAL_MS / 1000.0)
+
+    async def _send_hello(self) -> None:
+        self._serial += 1
+        settings, state = self._settings, self._state
+        hello = Hello(
+            settings.peer_address,
+            NodeRole.ENTRY,
+            self._start_id,
+            self._serial,
+            settings.data_centre,
+            settings.caller_address,
+            "",
+            state.is_ready,
+            state.stop_began_ms is not None,
+        )
+        data = msgspec.msgpack.encode(hello)
+        for host in sorted(self._hosts):
+            self._watch(host)
+            await self._send_datagram(data, host)
+
+    async def _send_datagram(self, data: bytes, address: str) -> None:
+        try:
+            await self._datagrams.sendto(data, split_address(address))
+        except OSError as error:
+            log.warning("datagram not sent", peer=address, reason=error.strerror)
+
+    async def _receive_datagrams(self) -> None:
+        decoder = msgspec.msgpack.Decoder(WorkReport | HostsKnown)
+        while True:
+            data, _ = await self._datagrams.recvfrom(65_536)
+            try:
+                message = decoder.decode(data)
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                log.warning("undecodable datagram dropped", reason=str(error))
+                continue
+            match message:
+                case WorkReport():
+                    self._state.board.receive(message)
+                case HostsKnown(hosts=hosts):
+                    self._hosts.update(hosts)
+
+    async def _report_work(self) -> None:
+        """Tell the other entries what this one starts and ends."""
+        while True:
+            data = await self._state.board.next_report()
+            for entry in self._entries:
+                await self._send_datagram(data, entry)
+
+    def _watch(self, host: str) -> None:
+        if host in self._subscribed:
+            return
+        self._subscribed[host] = trio.CancelScope()
+        subscription = Subscription(
+            self._settings.peer_address,
+            NodeRole.ENTRY,
+            host,
+            WATCH_MESSAGES,
+            self._on_watch_message,
+            self._on_watch_connection,
+        )
+        self._nursery.start_soon(subscription.run)
+
+    def _on_watch_connection(self, host: str, is_connected: bool) -> None:
+        if is_connected:
+            self._state.roster.connect(host)
+        else:
+            self._state.roster.disconnect(host)
+            self._versions.pop(host, None)
+
+    def _on_watch_message(self, host: str, message: object) -> None:
+        self._state.hear_host()
+        match message:
+            case HostStatus():
+                self._on_status(host, message)
+            case TargetTold(target=target):
+                self._state.roster.tell(host, target)
+            case TargetSilent(target_id=target_id):
+                self._state.roster.fall_silent(host, target_id)
+
+    def _on_status(self, host: str, status: HostStatus) -> None:
+        if status.has_all_targets:
+            self._state.roster.complete(host)
+        if status.data_centre == self._settings.data_centre:
+            self._near.add(host)
+        self._versions[host] = status.version
+        self._hosts.update(status.hosts)
+        self._entries = {name for name in status.entries if name != self._settings.peer_address}
+        table = self._state.table
+        if status.version > (table.version if table else 0):
+            self._newer_version.set()
+
+    # Declarations
+
+    async def _fetch_declarations(self) -> None:
+        """Fetch a newer declaration from the nearest control host that has one."""
+        while True:
+            await self._newer_version.wait()
+            self._newer_version = trio.Event()
+            while (host := self._host_with_newer()) is not None:
+                if not await self._fetch_from(host):
+                    await trio.sleep(FETCH_RETRY_S)
+
+    def _host_with_newer(self) -> str | None:
+        held = self._state.table.version if self._state.table else 0
+        newer = [host for host, version in self._versions.items() if version > held]
+        return min(newer, key=lambda host: (host not in self._near, host), default=None)
+
+    async def _fetch_from(self, host: str) -> bool:
+        """Fetch and take the declaration of a host; return whether it was newer."""
+        try:
+            body = await fetch_body(host, DOCUMENT_PATH, FETCH_TIMEOUT_S)
+            document = msgspec.json.decode(body, type=Document)
+        except (OSError, trio.TooSlowError, AnswerError, msgspec.MsgspecError) as error:
+            log.warning("declaration not fetched", peer=host, reason=type(error).__name__)
+            self._versions.pop(host, None)
+            return False
+        match self._dialect.read_declaration(unpack_document(document)):
+            case Result(tag="ok", ok=declaration):
+                self._state.take_table(RoutingTable(declaration))
+                return True
+            case Result(error=fault):
+                log.error("stored declaration unreadable", peer=host, reason=str(fault))
+                self._versions.pop(host, None)
+                return False
+
+    async def _sweep_connections(self) -> None:
+        while True:
+            await trio.sleep(SWEEP_S)
+            self._connections.sweep()
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -0,0 +1,110 @@
+"""What an entry knows: the declaration in force, the targets, their work and their health."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.serving.candidates import CandidateSource, target_number
+from marigoldarch.serving.retry_budget import RetryBudgetSettings
+from marigoldarch.serving.target_health import HealthSettings, TargetHealth
+from marigoldarch.serving.targets import TargetRoster
+from marigoldarch_node.clock import SystemClock
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.http_server import ServerLimits
+from marigoldarch_node.serving.metrics import ServingMetrics
+from marigoldarch_node.serving.work_board import WorkBoard
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.serving.routing import RoutingTable
+    from marigoldarch_node.serving.settings import ServingSettings
+
+log = EventLog("entry")
+
+
+class EntryState:
+    """The state of one entry; it begins without a declaration and without targets."""
+
+    def __init__(self, settings: ServingSettings, start_id: int) -> None:
+        bounds = settings.bounds
+        self.clock = SystemClock()
+        self.chooser = random.Random(start_id)
+        self.roster = TargetRoster()
+        self.health = TargetHealth(HealthSettings())
+        self.metrics = ServingMetrics()
+        budget = RetryBudgetSettings(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms)
+        self.board = WorkBoard(settings.peer_address, start_id, self.clock, budget)
+        self.board.on_suspended = self._hear_of_suspension
+        self.candidates = CandidateSource(
+            settings.data_centre, self.roster, self.board.view, self.health
+        )
+        self.stop_began_ms: Millis | None = None
+        self._table: RoutingTable | None = None
+        self._heard_ms: Millis = 0.0
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """Return the declaration in force here, None before the first."""
+        return self._table
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers should come here."""
+        return self._table is not None and self.stop_began_ms is None and bool(self.roster.usable)
+
+    @property
+    def host_silence_ms(self) -> Millis:
+        """Return for how long no control host has been heard of."""
+        return self.clock.monotonic_ms() - self._heard_ms
+
+    def hear_host(self) -> None:
+        """Note a sign of life of a control host."""
+        self._heard_ms = self.clock.monotonic_ms()
+
+    def take_table(self, table: RoutingTable) -> None:
+        """Put a newer declaration in force; an older one changes nothing."""
+        before = self._table.version if self._table else 0
+        if table.version <= before:
+            return
+        self._table = table
+        log.info(
+            "declaration in force",
+            version=table.version,
+            before=before,
+            routes=len(table.declaration.routes),
+        )
+
+    def limits(self) -> ServerLimits:
+        """Return what callers may send under the declaration in force."""
+        if self._table is None:
+            return ServerLimits()
+        limits = self._table.declaration.limits
+        return ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+
+    def note_failure(self, target_id: str, *, is_unreachable: bool) -> None:
+        """Take a failed attempt, and tell the peers of a target that is set aside for it."""
+        now_ms = self.clock.monotonic_ms()
+        if self.health.note_failure(target_id, now_ms, is_unreachable=is_unreachable):
+            log.warning("target set aside", target=target_id, is_unreachable=is_unreachable)
+            self.board.tell_suspended(target_number(target_id))
+
+    def _hear_of_suspension(self, number: int) -> None:
+        """Set a target aside that a peer has found failing."""
+        for target_id in self.roster.usable:
+            if target_number(target_id) == number:
+                self.health.suspend(target_id, self.clock.monotonic_ms())
+
+
+async def sweep(state: EntryState, interval_s: float = 0.5) -> None:
+    """Forget the work of silent peers, until cancelled."""
+    while True:
+        await trio.sleep(interval_s)
+        state.board.forget_silent_peers()
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -0,0 +1,344 @@
+"""An HTTP/1.1 server on h11, for callers, targets, operators and peers.
+
+h11 on trio stands in for hypercorn here: an entry has to notice a caller that leaves, to say on
+each answer whether it will close, to close idle connections between requests only, and to cut an
+answer so that it looks cut. See docs/design/infrastructure.md.
+"""
+
+from __future__ import annotations
+
+import traceback
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+import trio
+
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.sockets import CALLER_UNACKNOWLEDGED_MS, listen, set_options
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from marigoldarch.clock import Clock, Millis
+
+Headers = list[tuple[bytes, bytes]]
+
+READ_BYTES = 65_536
+MAX_CONNECTIONS = 3000
+"""Below the descriptors of the hosts, 4,096 less 200 for files, with room for targets."""
+
+BODY_PAUSE_S = 5.0
+"""How long a caller may pause within a body."""
+
+CLOSE_WAIT_S = 0.5
+"""How long a refused caller may read on before the connection is closed."""
+
+log = EventLog("http")
+
+
+class ServerLimits(NamedTuple):
+    """What a caller may send, and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: Millis = 3000.0
+    idle_timeout_ms: Millis = 15_000.0
+
+
+class Request(NamedTuple):
+    """A whole request; header names are in lower case, `target` is path and query as sent."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    received_ms: Millis
+
+    def header(self, name: bytes) -> str:
+        """Return the first value of a header, or an empty text."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return ""
+
+
+class CallerGoneError(Exception):
+    """The caller no longer reads its answer."""
+
+
+@dataclass
+class Exchange:
+    """One request and its answer."""
+
+    request: Request
+    connection: _ServerConnection
+    is_head_sent: bool = False
+    is_complete: bool = False
+    is_cut: bool = False
+    is_caller_gone: bool = False
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        """Begin the answer; without a length the body is sent in chunks."""
+        self.is_head_sent = True
+        await self.connection.send(self.connection.head_bytes(status, headers))
+
+    async def send_data(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self.connection.send(self.connection.protocol.send(h11.Data(data=data)))
+
+    async def end(self) -> None:
+        """Complete the answer."""
+        self.is_complete = True
+        await self.connection.send(self.connection.protocol.send(h11.EndOfMessage()) or b"")
+
+    async def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer in one write."""
+        self.is_head_sent = True
+        protocol = self.connection.protocol
+        if not any(name == b"content-length" for name, _ in headers):
+            headers = [*headers, (b"content-length", b"%d" % len(body))]
+        data = self.connection.head_bytes(status, headers)
+        if body and self.request.method != "HEAD":
+            data += protocol.send(h11.Data(data=body))
+        data += protocol.send(h11.EndOfMessage()) or b""
+        self.is_complete = True
+        await self.connection.send(data)
+
+    def cut(self) -> None:
+        """End the connection so that the answer looks cut."""
+        self.is_cut = True
+
+    def close_after(self) -> None:
+        """Announce with the answer that the connection closes after it."""
+        self.connection.is_closing = True
+
+
+@dataclass
+class ServerState:
+    """What all connections of a server share."""
+
+    handler: Callable[[Exchange], Awaitable[None]]
+    limits: Callable[[], ServerLimits]
+    clock: Clock
+    is_closing: bool = False
+    connections: set[_ServerConnection] = field(default_factory=set)
+
+
+class _ServerConnection:
+    """One caller's connection."""
+
+    def __init__(self, stream: trio.SocketStream, state: ServerState) -> None:
+        self._stream = stream
+        self._state = state
+        self._input_ended = False
+        self._idle_scope: trio.CancelScope | None = None
+        self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=READ_BYTES)
+        self.is_closing = False
+
+    def end_if_idle(self) -> None:
+        """Close the connection if it waits for a request."""
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
+
+    def head_bytes(self, status: int, headers: Headers) -> bytes:
+        """Return the head of an answer."""
+        if self.is_closing or self._state.is_closing:
+            headers = [*headers, (b"connection", b"close")]
+        return self.protocol.send(h11.Response(status_code=status, headers=headers))
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes; raise `CallerGoneError` when the caller has closed."""
+        if not data:
+            return
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerGoneError from error
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while await self._serve_one():
+                self.protocol.start_next_cycle()
+        except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error.error_status_hint)
+        finally:
+            self._stream.socket.close()
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; return whether another may follow."""
+        request = await self._read_request()
+        if request is None:
+            return False
+        exchange = Exchange(request, self)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, exchange, nursery.cancel_scope)
+            await self._handle(exchange)
+            nursery.cancel_scope.cancel()
+        if exchange.is_cut or exchange.is_caller_gone or not exchange.is_complete:
+            return False
+        done = self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
+        return done and not self.is_closing and not self._state.is_closing
+
+    async def _handle(self, exchange: Exchange) -> None:
+        """Run the handler; a fault of its own ends this connection only."""
+        try:
+            await self._state.handler(exchange)
+        except CallerGoneError:
+            exchange.is_caller_gone = True
+        except Exception as error:
+            log.error(
+                "handler failed",
+                error=type(error).__name__,
+                target=exchange.request.target,
+                trace=traceback.format_exc(limit=-4),
+            )
+            exchange.cut()
+
+    async def _watch_caller(self, exchange: Exchange, scope: trio.CancelScope) -> None:
+        """Cancel the handler when the caller closes; keep what it sends ahead."""
+        received = 0
+        while received < READ_BYTES:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                exchange.is_caller_gone = True
+                scope.cancel()
+                return
+            received += len(data)
+            self.protocol.receive_data(data)
+
+    async def _read_request(self) -> Request | None:
+        """Return the next request, or None when the connection ends before one."""
+        limits = self._state.limits()
+        event = self.protocol.next_event()
+        if event is h11.NEED_DATA:
+            if self._state.is_closing:
+                return None
+            with trio.move_on_after(limits.idle_timeout_ms / 1000.0) as self._idle_scope:
+                await self._receive()
+            was_idle = self._idle_scope.cancelled_caught
+            self._idle_scope = None
+            if was_idle:
+                return None
+            event = self.protocol.next_event()
+        received_ms = self._state.clock.monotonic_ms()
+        with trio.move_on_after(limits.header_timeout_ms / 1000.0) as scope:
+            while event is h11.NEED_DATA:
+                await self._receive()
+                event = self.protocol.next_event()
+        if scope.cancelled_caught:
+            await self._refuse(408)
+            return None
+        if not isinstance(event, h11.Request):
+            return None
+        if sum(len(name) + len(value) + 4 for name, value in event.headers) > limits.header_bytes:
+            await self._refuse(431)
+            return None
+        if self.protocol.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self.send(self.protocol.send(go_on))
+        body = await self._read_body(limits)
+        if body is None:
+            return None
+        return Request(
+            event.method.decode("ascii"),
+            event.target.decode("ascii"),
+            list(event.headers),
+            body,
+            received_ms,
+        )
+
+    async def _read_body(self, limits: ServerLimits) -> bytes | None:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.NEED_DATA:
+                with trio.move_on_after(BODY_PAUSE_S) as scope:
+                    await self._receive()
+                if scope.cancelled_caught:
+                    await self._refuse(408)
+                    return None
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    await self._refuse(413)
+                    return None
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                return None
+
+    async def _receive(self) -> None:
+        data = await self._stream.receive_some(READ_BYTES)
+        self.protocol.receive_data(data)
+
+    async def _refuse(self, status: int) -> None:
+        """Answer a request that cannot be read, and close."""
+        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        data = self.protocol.send(h11.Response(status_code=status, headers=headers))
+        try:
+            await self.send(data + (self.protocol.send(h11.EndOfMessage()) or b""))
+            await self._stream.send_eof()
+            with trio.move_on_after(CLOSE_WAIT_S):
+                while await self._stream.receive_some(READ_BYTES):
+                    pass
+        except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+class HttpServer:
+    """A server on one address."""
+
+    def __init__(self, state: ServerState) -> None:
+        self._state = state
+        self._listener: trio.SocketListener | None = None
+        self._accept_scope = trio.CancelScope()
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many callers are connected."""
+        return len(self._state.connections)
+
+    async def serve(
+        self, address: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accept connections until cancelled or told to stop; started once it listens."""
+        listener = await listen(address)
+        task_status.started()
+        async with trio.open_nursery() as nursery:
+            with self._accept_scope:
+                await trio.serve_listeners(self._handle, [listener], handler_nursery=nursery)
+
+    def begin_closing(self) -> None:
+        """Announce on each answer from now on that the connection closes."""
+        self._state.is_closing = True
+
+    def close_idle(self) -> None:
+        """Stop accepting, and close the connections that wait for a request."""
+        self._accept_scope.cancel()
+        for connection in list(self._state.connections):
+            connection.end_if_idle()
+
+    async def _handle(self, stream: trio.SocketStream) -> None:
+        if len(self._state.connections) >= MAX_CONNECTIONS:
+            stream.socket.close()
+            return
+        connection = _ServerConnection(stream, self._state)
+        self._state.connections.add(connection)
+        try:
+            set_options(stream.socket, CALLER_UNACKNOWLEDGED_MS)
+            await connection.run()
+        except OSError:
+            stream.socket.close()
+        finally:
+            self._state.connections.discard(connection)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
@@ -0,0 +1,50 @@
+"""Counters and latency histograms of a serving node."""
+
+from __future__ import annotations
+
+import resource
+import time
+from math import inf
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, inf)
+
+
+class ServingMetrics:
+    """What operators watch on an entry or a control host."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests = self._counter("requests_total", "Requests by route, outcome and status.")
+        self.attempts = self._counter("attempts_total", "Attempts by service and outcome.")
+        self.refusals = self._counter("refusals_total", "Requests not run, by reason.")
+        self.announcements = self._counter("announcements_total", "Announcements by outcome.")
+        self.declarations = self._counter("declarations_total", "Declarations by outcome.")
+        self.first_answer = Histogram(
+            "marigoldarch_first_answer_seconds",
+            "Time to the first answer or event, by route.",
+            registry=self._registry,
+            buckets=_SECONDS,
+        )
+        self.sync = Histogram(
+            "marigoldarch_log_sync_seconds",
+            "Time to write and sync a batch of log records.",
+            registry=self._registry,
+            buckets=_SECONDS,
+        )
+        self._gauges = Gauge("marigoldarch_state", "Sizes by name.", registry=self._registry)
+
+    def render(self, sizes: dict[str, float]) -> tuple[bytes, dict[str, str]]:
+        """Return all metrics as text, with their content type."""
+        for name, value in sizes.items():
+            self._gauges.set({"name": name}, value)
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self._gauges.set({"name": "processor_seconds"}, time.process_time())
+        self._gauges.set({"name": "peak_resident_kilobytes"}, usage.ru_maxrss)
+        content, headers = render(self._registry, [])
+        return content, headers
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(f"marigoldarch_{name}", doc, registry=self._registry)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/node.py
@@ -0,0 +1,111 @@
+"""Run a serving node: its settings file, its signals and its one role."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.exceptions import ConfigurationError, MarigoldarchError
+from marigoldarch_node.serving import event_log
+from marigoldarch_node.serving.control_host import ControlHost
+from marigoldarch_node.serving.entry_host import EntryHost
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.settings import ServingSettings, load_settings
+
+if TYPE_CHECKING:
+    from marigoldarch_node.serving.dialect import Dialect
+
+EXIT_FAILURE = 1
+EXIT_CONFIGURATION = 2
+WATCH_S = 1.0
+"""How often the settings file is looked at; it may change without a signal."""
+
+log = EventLog("node")
+
+
+def run_node(settings_file: Path, dialect: Dialect) -> None:
+    """Run until told to stop; exit with a sentence on standard error if that cannot be done."""
+    try:
+        settings = load_settings(settings_file)
+    except ConfigurationError as error:
+        print(f"marigoldarchd: {error}", file=sys.stderr)
+        sys.exit(EXIT_CONFIGURATION)
+    writer = event_log.install(settings.node)
+    try:
+        trio.run(_serve, settings, settings_file, dialect)
+    except* (MarigoldarchError, OSError) as errors:
+        for error in errors.exceptions:
+            log.error("stopped by an error", error=type(error).__name__, reason=str(error))
+        writer.stop()
+        sys.exit(EXIT_FAILURE)
+    writer.stop()
+
+
+async def _serve(settings: ServingSettings, settings_file: Path, dialect: Dialect) -> None:
+    start_id = random.SystemRandom().randrange(1 << 48)
+    if settings.control_address:
+        host: ControlHost | EntryHost = ControlHost(
+            settings, dialect, Path(settings.data_folder), start_id
+        )
+    else:
+        host = EntryHost(settings, dialect, start_id)
+    log.info(
+        "start",
+        role=type(host).__name__,
+        start_id=start_id,
+        control_hosts=settings.control_hosts,
+        is_first_start=settings.is_first_start,
+        process=os.getpid(),
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(host.run)
+        nursery.start_soon(_watch_settings, settings_file, host)
+        await _wait_for_stop(settings_file, host)
+        log.info("stop begins")
+        await host.stop()
+        nursery.cancel_scope.cancel()
+    log.info("stop")
+
+
+async def _wait_for_stop(settings_file: Path, host: ControlHost | EntryHost) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for received in signals:
+            if received != signal.SIGHUP:
+                return
+            reload_settings(settings_file, host)
+
+
+async def _watch_settings(settings_file: Path, host: ControlHost | EntryHost) -> None:
+    seen = _stamp(settings_file)
+    while True:
+        await trio.sleep(WATCH_S)
+        stamp = _stamp(settings_file)
+        if stamp != seen:
+            seen = stamp
+            reload_settings(settings_file, host)
+
+
+def reload_settings(settings_file: Path, host: ControlHost | EntryHost) -> None:
+    """Take a changed settings file, or keep the old settings if it is not valid as a whole."""
+    try:
+        settings = load_settings(settings_file)
+    except ConfigurationError as error:
+        log.error("settings refused", reason=str(error))
+        return
+    host.take_settings(settings)
+    log.info("settings taken", control_hosts=settings.control_hosts)
+
+
+def _stamp(path: Path) -> tuple[int, int]:
+    try:
+        status = path.stat()
+    except OSError as error:
+        log.warning("settings file not readable", reason=error.strerror)
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/peer_stream.py
@@ -0,0 +1,230 @@
+"""Streams of messages between nodes: a long HTTP answer, a JSON line for each batch.
+
+The receiver asks (`GET /peer/v1/messages?node=NAME`), the sender pushes. A stream may lose messages
+when it breaks, and only then; what matters is sent again by its owner.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, quote, urlsplit
+
+import h11
+import trio
+
+from marigoldarch.codec import decode_json, encode_json
+from marigoldarch.exceptions import CodecError
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.sockets import connect
+from marigoldarch_node.serving.target_connections import (
+    AnswerError,
+    TargetConnection,
+    TargetRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from marigoldarch.codec import Codec
+    from marigoldarch.serving.presence import NodeRole
+    from marigoldarch_node.serving.http_server import Exchange
+
+MESSAGES_PATH = "/peer/v1/messages"
+DOCUMENT_PATH = "/peer/v1/document"
+OUTBOX_LINES = 5000
+CONNECT_TIMEOUT_MS = 1000.0
+RECONNECT_S = 0.15
+SILENCE_S = 2.0
+"""A stream without a line for four hello intervals is opened anew."""
+
+MAX_LINE_BYTES = 64 * 1024 * 1024
+
+log = EventLog("peers")
+
+
+class Outbox:
+    """The messages for one subscriber that its stream has not taken yet."""
+
+    def __init__(self) -> None:
+        self._lines: deque[bytes] = deque()
+        self._wakeup = trio.Event()
+        self._is_broken = False
+
+    def put(self, line: bytes) -> None:
+        """Queue a line; a subscriber that falls far behind has to begin anew."""
+        if len(self._lines) >= OUTBOX_LINES:
+            self._is_broken = True
+        else:
+            self._lines.append(line)
+        self._wakeup.set()
+
+    async def take(self) -> bytes | None:
+        """Return everything queued, None when the subscriber has to begin anew."""
+        while not self._lines and not self._is_broken:
+            self._wakeup = trio.Event()
+            await self._wakeup.wait()
+        if self._is_broken:
+            return None
+        data = b"".join(self._lines)
+        self._lines.clear()
+        return data
+
+
+class Subscribers:
+    """The nodes that take this node's messages, by name; the newest stream of a node counts."""
+
+    def __init__(self, codec: Codec) -> None:
+        self._codec = codec
+        self._outboxes: dict[str, Outbox] = {}
+        self.sent_bytes = 0
+
+    @property
+    def names(self) -> list[str]:
+        """Return the nodes that are connected."""
+        return list(self._outboxes)
+
+    def send(self, node: str, message: object) -> None:
+        """Queue a message to one node; without a stream it is lost."""
+        outbox = self._outboxes.get(node)
+        if outbox is not None:
+            outbox.put(self._line([message]))
+
+    def send_to_all(self, message: object) -> None:
+        """Queue a message to every node."""
+        line = self._line([message])
+        for outbox in self._outboxes.values():
+            outbox.put(line)
+
+    async def serve(self, exchange: Exchange, first: list[object]) -> None:
+        """Stream messages to the node that asks, beginning with `first`, until it is gone."""
+        node = subscriber_of(exchange)
+        outbox = Outbox()
+        if first:
+            outbox.put(self._line(first))
+        self._outboxes[node] = outbox
+        log.info("subscriber connected", peer=node)
+        try:
+            await exchange.send_head(200, [(b"content-type", b"application/jsonl")])
+            while (data := await outbox.take()) is not None:
+                if self._outboxes.get(node) is not outbox:
+                    break
+                self.sent_bytes += len(data)
+                await exchange.send_data(data)
+        finally:
+            exchange.cut()
+            if self._outboxes.get(node) is outbox:
+                del self._outboxes[node]
+                log.info("subscriber gone", peer=node)
+
+    def _line(self, messages: list[object]) -> bytes:
+        plain = [self._codec.to_plain(message) for message in messages]
+        return encode_json(plain) + b"\n"
+
+
+def subscriber_of(exchange: Exchange) -> str:
+    """Return the name of the node that asks for messages."""
+    return _query_value(exchange, "node")
+
+
+def role_of(exchange: Exchange) -> str:
+    """Return the role of the node that asks for messages."""
+    return _query_value(exchange, "role")
+
+
+def _query_value(exchange: Exchange, name: str) -> str:
+    return parse_qs(urlsplit(exchange.request.target).query).get(name, [""])[0]
+
+
+class Subscription:
+    """The stream of messages from one peer, opened again whenever it breaks."""
+
+    def __init__(
+        self,
+        own: str,
+        role: NodeRole,
+        peer: str,
+        codec: Codec,
+        on_message: Callable[[str, Any], None],
+        on_connection: Callable[[str, bool], None],
+    ) -> None:
+        self._own = own
+        self._role = role
+        self._peer = peer
+        self._codec = codec
+        self._on_message = on_message
+        self._on_connection = on_connection
+
+    async def run(self) -> None:
+        """Receive messages until cancelled."""
+        while True:
+            is_connected = False
+            try:
+                async for line in fetch_lines(self._peer, self._path(), SILENCE_S):
+                    if not is_connected:
+                        is_connected = True
+                        log.info("connected to peer", peer=self._peer)
+                        self._on_connection(self._peer, True)
+                    self._receive(line)
+            except (OSError, trio.TooSlowError, AnswerError) as error:
+                if is_connected:
+                    log.warning("lost peer", peer=self._peer, reason=type(error).__name__)
+            if is_connected:
+                self._on_connection(self._peer, False)
+            await trio.sleep(RECONNECT_S)
+
+    def _path(self) -> str:
+        return f"{MESSAGES_PATH}?node={quote(self._own)}&role={self._role}"
+
+    def _receive(self, line: bytes) -> None:
+        try:
+            messages = [self._codec.from_plain(plain) for plain in decode_json(line)]
+        except (CodecError, TypeError) as error:
+            log.error("undecodable batch dropped", peer=self._peer, reason=str(error))
+            return
+        for message in messages:
+            self._on_message(self._peer, message)
+
+
+async def fetch_lines(address: str, path: str, silence_s: float) -> AsyncIterator[bytes]:
+    """Yield the lines of a peer's long answer; raise when it breaks or falls silent."""
+    connection = TargetConnection(
+        address, await connect(address, CONNECT_TIMEOUT_MS), h11.Connection(h11.CLIENT), False
+    )
+    try:
+        with trio.fail_after(CONNECT_TIMEOUT_MS / 1000.0):
+            await connection.send(_get(path))
+            await connection.read_head()
+        rest = b""
+        chunks = connection.chunks()
+        while True:
+            with trio.fail_after(silence_s):
+                data = await anext(chunks, None)
+            if data is None:
+                return
+            *lines, rest = (rest + data).split(b"\n")
+            for line in lines:
+                yield line
+    finally:
+        connection.connection.close()
+
+
+async def fetch_body(address: str, path: str, timeout_s: float) -> bytes:
+    """Return the whole answer of a peer; raise `OSError`, `TooSlowError` or `AnswerError`."""
+    with trio.fail_after(timeout_s):
+        connection = TargetConnection(
+            address, await connect(address, CONNECT_TIMEOUT_MS), h11.Connection(h11.CLIENT), False
+        )
+        try:
+            await connection.send(_get(path))
+            head = await connection.read_head()
+            body = b"".join([chunk async for chunk in connection.chunks()])
+        finally:
+            connection.connection.close()
+    if head.status != 200:
+        raise OSError(f"the peer answers {head.status}")
+    return body
+
+
+def _get(path: str) -> TargetRequest:
+    return TargetRequest("GET", path, [(b"host", b"peer")], b"")
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -0,0 +1,294 @@
+"""A caller's request from its admission to its one final answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.serving.attempts import (
+    LEAST_TIME_MS,
+    AttemptHistory,
+    Budget,
+    CutStream,
+    DeliverFailure,
+    Fail,
+    NextStep,
+    Refuse,
+    TargetFailed,
+    TryAgain,
+)
+from marigoldarch.serving.candidates import target_number
+from marigoldarch.serving.placement import (
+    EnginePlacer,
+    Job,
+    Placement,
+    PlacementWeights,
+    Saturated,
+    choose_plain,
+)
+from marigoldarch_node.serving.attempt import Attempt, AttemptPlan, Delivered
+from marigoldarch_node.serving.dialect import CallFacts, Forwarding
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.http_server import CallerGoneError
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.serving.attempts import AttemptOutcome
+    from marigoldarch.serving.declaration import Customer, Route, Service
+    from marigoldarch_node.serving.dialect import Dialect
+    from marigoldarch_node.serving.entry_state import EntryState
+    from marigoldarch_node.serving.http_server import Exchange
+    from marigoldarch_node.serving.target_connections import TargetConnections
+
+STOP_ACCEPTING_MS: Millis = 3000.0
+"""After this time of a stop new requests are refused: callers that keep a directory answer for
+three times its time to live have moved on by then."""
+
+PATIENCE_SHARE = 0.5
+"""The part of the time left for which a request may wait for room before it is refused."""
+
+DEFAULT_RETRY_MS: Millis = 250.0
+"""When to come back after a refusal whose cause gives no better time: five engine passes."""
+
+POLL_MS: Millis = 50.0
+"""How often waiting work looks again, beside every end of other work."""
+
+DEFAULT_PATIENCE_MS: Millis = 60_000.0
+"""How long a caller is taken to wait that does not say."""
+
+log = EventLog("requests")
+
+
+@dataclass
+class RefusalError(Exception):
+    """The request is answered by the system itself."""
+
+    status: int
+    reason: str
+    retry_after_ms: Millis | None = None
+
+
+@dataclass
+class Call:
+    """An admitted request."""
+
+    exchange: Exchange
+    facts: CallFacts
+    route: Route
+    service: Service
+    customer: Customer | None
+    version: int
+    ends_ms: Millis
+    history: AttemptHistory
+
+    @property
+    def request_id(self) -> str:
+        """Return the caller's id of the request."""
+        return self.facts.request_id
+
+
+class Proxy:
+    """Serve the requests of callers."""
+
+    def __init__(self, state: EntryState, dialect: Dialect, connections: TargetConnections) -> None:
+        self._state = state
+        self._dialect = dialect
+        self._connections = connections
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request; whatever happens, the caller gets a final answer or a cut."""
+        facts = self._dialect.read_call(exchange.request)
+        call: Call | None = None
+        outcome = "caller gone"
+        try:
+            call = self._admit(exchange, facts)
+            outcome = await self._serve(call)
+        except RefusalError as refusal:
+            outcome = f"refused: {refusal.reason}"
+            await self._refuse(exchange, facts, refusal)
+        except CallerGoneError:
+            exchange.is_caller_gone = True
+        finally:
+            self._log_end(exchange, facts, call, outcome)
+
+    def _admit(self, exchange: Exchange, facts: CallFacts) -> Call:
+        """Return the request with its route, or raise `RefusalError` where nothing allows it."""
+        state, table = self._state, self._state.table
+        if table is None:
+            raise RefusalError(503, "no declaration yet", DEFAULT_RETRY_MS)
+        route = table.find_route(facts.host, facts.path)
+        if route is None:
+            raise RefusalError(404, "no route")
+        customer = table.find_customer(facts.key)
+        if customer is None and table.requires_keys and not route.is_public:
+            raise RefusalError(401, "unknown key")
+        stop_ms = state.stop_began_ms
+        if stop_ms is not None and state.clock.monotonic_ms() > stop_ms + STOP_ACCEPTING_MS:
+            raise RefusalError(503, "node is stopping", 0.0)
+        service = table.choose_service(route, state.chooser)
+        patience_ms = facts.patience_ms or DEFAULT_PATIENCE_MS
+        ends_ms = exchange.request.received_ms + min(patience_ms, route.timeout_ms)
+        state.board.note_request(target_number(service.name))
+        history = AttemptHistory(route)
+        return Call(exchange, facts, route, service, customer, table.version, ends_ms, history)
+
+    async def _serve(self, call: Call) -> str:
+        """Attempt until there is a final answer; return how the request ended."""
+        last_event = call.facts.last_event
+        while True:
+            placement = await self._find_place(call)
+            plan = self._plan(call, placement, last_event)
+            attempt = Attempt(self._state, self._dialect, self._connections, plan)
+            ended = await attempt.run()
+            if isinstance(ended, Delivered):
+                return "delivered"
+            target_id = placement.targets[0].target_id
+            call.history.note(target_id, ended)
+            step = call.history.next_step(ended, self._budget(call))
+            self._log_attempt(call, plan, ended, step)
+            last_event = plan.last_event
+            match step:
+                case TryAgain():
+                    continue
+                case DeliverFailure():
+                    await attempt.deliver_held()
+                    return f"target failed: {_status_of(ended)}"
+                case CutStream():
+                    call.exchange.cut()
+                    return "stream cut"
+                case Refuse(retry_after_ms=retry_after_ms):
+                    raise RefusalError(503, "no target ran it", retry_after_ms or DEFAULT_RETRY_MS)
+                case Fail(is_timeout=is_timeout):
+                    if call.exchange.is_head_sent:
+                        call.exchange.cut()
+                        return "stream cut"
+                    raise RefusalError(504 if is_timeout else 502, "outcome unknown")
+
+    async def _find_place(self, call: Call) -> Placement:
+        """Return where to run a request, waiting for room where that is worth it."""
+        began_ms = self._now_ms()
+        while True:
+            placement = self._place(call)
+            if isinstance(placement, Placement):
+                return placement
+            left_ms = call.ends_ms - self._now_ms()
+            waited_ms = self._now_ms() - began_ms
+            is_hopeless = placement.retry_after_ms > left_ms * PATIENCE_SHARE
+            if is_hopeless or waited_ms > left_ms or left_ms < LEAST_TIME_MS:
+                self._give_up_waiting(call, placement)
+            with trio.move_on_after(POLL_MS / 1000.0):
+                await self._state.board.wait_for_change()
+
+    def _give_up_waiting(self, call: Call, placement: Saturated) -> None:
+        if call.exchange.is_head_sent:
+            call.exchange.cut()
+            raise CallerGoneError
+        if call.history.may_have_run:
+            raise RefusalError(502, "outcome unknown")
+        raise RefusalError(503, "no room", placement.retry_after_ms)
+
+    def _place(self, call: Call) -> Placement | Saturated:
+        now_ms = self._now_ms()
+        found = self._state.candidates.find(call.service.name, call.history.failed_targets, now_ms)
+        if not found:
+            return Saturated(DEFAULT_RETRY_MS)
+        prompt, engine = call.facts.prompt, call.service.engine
+        if engine is None or prompt is None:
+            chosen = choose_plain(found)
+            return Placement((chosen.target,), 0.0, 0.0)
+        spent_ms = now_ms - call.exchange.request.received_ms
+        job = Job(
+            prompt.tokens,
+            prompt.answer_tokens,
+            max(call.route.goal_ms - spent_ms, 1.0),
+            call.ends_ms - now_ms,
+            call.route.pause_goal_ms,
+        )
+        return EnginePlacer(engine, PlacementWeights()).place(job, found, now_ms)
+
+    def _plan(self, call: Call, placement: Placement, last_event: int | None) -> AttemptPlan:
+        prompt = call.facts.prompt
+        customer = call.customer
+        rank = call.route.rank
+        if customer is not None and customer.rank is not None:
+            rank = customer.rank
+        forwarding = Forwarding(
+            placement.targets[0].target_id,
+            customer.name if customer else "",
+            call.ends_ms - self._now_ms(),
+            last_event,
+            _urgency(rank, prompt.tokens) if prompt else None,
+            tuple(target.address for target in placement.targets[1:]),
+        )
+        return AttemptPlan(call, placement, forwarding, last_event)
+
+    def _budget(self, call: Call) -> Budget:
+        has_retry = self._state.board.may_repeat(target_number(call.service.name))
+        return Budget(call.ends_ms - self._now_ms(), has_retry)
+
+    async def _refuse(self, exchange: Exchange, facts: CallFacts, refusal: RefusalError) -> None:
+        self._state.metrics.refusals.inc({"reason": refusal.reason})
+        if exchange.is_head_sent:
+            exchange.cut()
+            return
+        headers = self._dialect.refusal_headers(facts.request_id, refusal.retry_after_ms)
+        await exchange.answer(refusal.status, headers)
+
+    def _now_ms(self) -> Millis:
+        return self._state.clock.monotonic_ms()
+
+    def _log_attempt(
+        self, call: Call, plan: AttemptPlan, ended: AttemptOutcome, step: NextStep
+    ) -> None:
+        kind = type(ended).__name__
+        log.info(
+            "attempt failed",
+            request=call.request_id,
+            target=plan.forwarding.target_id,
+            outcome=kind,
+            detail=str(getattr(ended, "reason", "") or _status_of(ended)),
+            next=type(step).__name__,
+            sent=call.history.sent,
+            left_ms=round(call.ends_ms - self._now_ms()),
+        )
+        self._state.metrics.attempts.inc({"service": call.service.name, "outcome": kind})
+
+    def _log_end(
+        self, exchange: Exchange, facts: CallFacts, call: Call | None, outcome: str
+    ) -> None:
+        fields: dict[str, object] = {
+            "request": facts.request_id,
+            "outcome": outcome,
+            "total_ms": round(self._now_ms() - exchange.request.received_ms),
+        }
+        if call is not None:
+            fields["route"] = call.route.name
+            fields["version"] = call.version
+            fields["customer"] = call.customer.name if call.customer else ""
+            fields["attempts"] = call.history.sent + call.history.unsent
+            if call.facts.prompt is not None:
+                fields["tokens"] = call.facts.prompt.tokens
+        else:
+            table = self._state.table
+            fields["version"] = table.version if table else 0
+            fields["host"], fields["path"] = facts.host, facts.path
+        log.info("request ended", **fields)
+        self._state.metrics.requests.inc({"outcome": outcome})
+
+
+def _status_of(ended: object) -> str:
+    return (
+        str(ended.status) if isinstance(ended, TargetFailed) else str(getattr(ended, "status", ""))
+    )
+
+
+SHORT_PROMPT_TOKENS = 16_384
+LONG_PROMPT_TOKENS = 102_400
+
+
+def _urgency(rank: int, tokens: int) -> int:
+    """Return the urgency for an engine, 0 to 9: the rank first, then the length of the prompt."""
+    lane = 0 if tokens <= SHORT_PROMPT_TOKENS else 1 if tokens <= LONG_PROMPT_TOKENS else 2
+    return min(9, 3 * min(rank, 2) + lane)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
@@ -0,0 +1,88 @@
+"""The settings file of a serving node: TOML, checked whole, taken again when it changes."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from marigoldarch.exceptions import ConfigurationError
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+MAX_PORT = 65_535
+
+
+class Bounds(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """What the operators of the hosts promise to targets and callers."""
+
+    stop_grace_ms: float = 8000.0
+    """How long a node may take to stop before it is killed."""
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 20.0
+    retry_window_ms: float = 10_000.0
+
+
+class ServingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The settings of one node; addresses are `IP:PORT`, empty where nothing is served."""
+
+    node: str
+    ip: str
+    data_centre: str
+    peer_port: int
+    control_hosts: list[str]
+    caller_address: str = ""
+    health_address: str = ""
+    control_address: str = ""
+    directory_address: str = ""
+    metrics_port: int = 0
+    data_folder: str = ""
+    is_first_start: bool = False
+    tolerated_losses: int = 1
+    bounds: Bounds = Bounds()
+
+    @property
+    def peer_address(self) -> str:
+        """Return where the other nodes reach this one, which is also its name among them."""
+        return f"{self.ip}:{self.peer_port}"
+
+    @property
+    def control_peers(self) -> tuple[str, ...]:
+        """Return the control hosts that are named, as their peers reach them."""
+        hosts = {host.rpartition(":")[0] for host in self.control_hosts if host}
+        return tuple(sorted(f"{host}:{self.peer_port}" for host in hosts))
+
+
+def load_settings(path: Path) -> ServingSettings:
+    """Read and check a settings file; raise `ConfigurationError` that names option and remedy."""
+    try:
+        plain = tomllib.loads(path.read_text())
+        settings = msgspec.convert(plain, ServingSettings)
+    except OSError as error:
+        raise ConfigurationError(f"settings file {path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigurationError(f"settings file: not TOML: {error}") from error
+    except msgspec.ValidationError as error:
+        raise ConfigurationError(
+            f"settings file: {error}; see docs/user-guide/serving.md"
+        ) from error
+    _check(settings)
+    return settings
+
+
+def _check(settings: ServingSettings) -> None:
+    if not settings.node:
+        raise ConfigurationError("node: name the node")
+    if not 0 < settings.peer_port <= MAX_PORT:
+        raise ConfigurationError(f"peer_port: use a port from 1 to {MAX_PORT}")
+    if not settings.control_peers:
+        raise ConfigurationError("control_hosts: name at least one control host as IP:PORT")
+    for name in ("caller_address", "health_address", "control_address", "directory_address"):
+        address = getattr(settings, name)
+        if address and not address.rpartition(":")[2].isdigit():
+            raise ConfigurationError(f"{name}: use IP:PORT, not {address!r}")
+    if settings.tolerated_losses < 0:
+        raise ConfigurationError("tolerated_losses: use 0 or more")
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/sockets.py
@@ -0,0 +1,89 @@
+"""Sockets with the options by which the kernel ends connections to peers that are gone."""
+
+from __future__ import annotations
+
+import socket
+from typing import NamedTuple
+
+import trio
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+"""A silent peer is noticed after about 3 s, before callers give a stream up."""
+
+UNACKNOWLEDGED_MS = 1500
+"""How long data to a target or peer may stay unacknowledged: several retransmissions, which begin
+after 200 ms, fit in."""
+
+CALLER_UNACKNOWLEDGED_MS = 20_000
+"""The same for callers, which may read slowly."""
+
+BACKLOG = 1024
+
+
+class Connection(NamedTuple):
+    """A connected socket, and the same as a stream."""
+
+    socket: socket.socket
+    stream: trio.SocketStream
+
+    def has_input(self) -> bool:
+        """Return whether bytes or the end of the connection wait to be read."""
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.stream.socket.close()
+
+
+def set_options(sock: trio.socket.SocketType | socket.socket, unacknowledged_ms: int) -> None:
+    """Set what every connection of a node has."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP and port of `IP:PORT`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+async def connect(address: str, timeout_ms: float) -> Connection:
+    """Open a connection; raise `OSError`, or `trio.TooSlowError` after `timeout_ms`."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    set_options(sock, UNACKNOWLEDGED_MS)
+    trio_socket = trio.socket.from_stdlib_socket(sock)
+    try:
+        with trio.fail_after(timeout_ms / 1000.0):
+            await trio_socket.connect(split_address(address))
+    except BaseException:
+        trio_socket.close()
+        raise
+    return Connection(sock, trio.SocketStream(trio_socket))
+
+
+async def listen(address: str) -> trio.SocketListener:
+    """Listen at an address."""
+    host, port = split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+    return listeners[0]
+
+
+async def open_datagrams(address: str) -> trio.socket.SocketType:
+    """Return a datagram socket that is bound to an address."""
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    await sock.bind(split_address(address))
+    return sock
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -0,0 +1,213 @@
+"""Connections to targets: one request at a time, bytes unchanged, strays never passed on.
+
+h11 stands in for httpcore here: the caller of this module has to know whether a byte has left the
+node, to stop a body half-way when the target answers early, and to see bytes that follow a whole
+answer. See docs/design/infrastructure.md.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+import trio
+
+from marigoldarch.exceptions import MarigoldarchError
+from marigoldarch.serving.attempts import FailureReason
+from marigoldarch_node.serving.http_server import READ_BYTES
+from marigoldarch_node.serving.sockets import connect
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from marigoldarch.clock import Clock, Millis
+    from marigoldarch_node.serving.http_server import Headers
+    from marigoldarch_node.serving.sockets import Connection
+
+CONNECT_TIMEOUT_MS: Millis = 350.0
+"""A new connection takes two ways of about a millisecond and 1 ms at the target; one lost packet
+is sent again after 200 ms."""
+
+IDLE_LIMIT_MS: Millis = 4000.0
+"""Kept connections are used again for this time where the target names none."""
+
+IDLE_MARGIN_MS: Millis = 700.0
+"""A kept connection is not used this close to the end that its target has announced."""
+
+MAX_IDLE_PER_TARGET = 4
+
+
+class UnreachableError(MarigoldarchError):
+    """No connection could be opened; nothing was sent."""
+
+
+class AnswerError(MarigoldarchError):
+    """The target gave no whole answer."""
+
+    def __init__(self, reason: FailureReason) -> None:
+        super().__init__(str(reason))
+        self.reason = reason
+
+
+class TargetRequest(NamedTuple):
+    """What is sent to a target."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+class AnswerHead(NamedTuple):
+    """The head of a target's answer."""
+
+    status: int
+    headers: Headers
+
+    def header(self, name: bytes) -> str:
+        """Return the first value of a header, or an empty text."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return ""
+
+
+@dataclass
+class TargetConnection:
+    """A connection while it carries a request."""
+
+    address: str
+    connection: Connection
+    protocol: h11.Connection
+    is_reused: bool
+    is_sent: bool = False
+    has_answer_bytes: bool = False
+
+    async def send(self, request: TargetRequest) -> None:
+        """Send a request; a failure shows when the answer is read."""
+        head = h11.Request(method=request.method, target=request.target, headers=request.headers)
+        data = self.protocol.send(head) or b""
+        if request.body:
+            data += self.protocol.send(h11.Data(data=request.body))
+        data += self.protocol.send(h11.EndOfMessage()) or b""
+        try:
+            await self.connection.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        self.is_sent = True
+
+    async def read_head(self) -> AnswerHead:
+        """Return the head of the answer; raise `AnswerError`."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                return AnswerHead(event.status_code, list(event.headers))
+            raise AnswerError(FailureReason.GARBLED)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; raise `AnswerError` if it does not end properly."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise AnswerError(FailureReason.GARBLED)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the answer was read to its end, and nothing but it."""
+        protocol = self.protocol
+        return (
+            self.is_sent
+            and protocol.our_state is h11.DONE
+            and protocol.their_state is h11.DONE
+            and not protocol.trailing_data[0]
+            and not self.connection.has_input()
+        )
+
+    async def _next_event(self) -> h11.Event:
+        try:
+            while (event := self.protocol.next_event()) is h11.NEED_DATA:
+                data = await self.connection.stream.receive_some(READ_BYTES)
+                self.has_answer_bytes = self.has_answer_bytes or bool(data)
+                self.protocol.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            is_cut = self.protocol.their_state is h11.ERROR and not self.has_answer_bytes
+            reason = FailureReason.RESET if is_cut else FailureReason.GARBLED
+            raise AnswerError(reason) from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise AnswerError(FailureReason.RESET) from error
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise AnswerError(FailureReason.CUT)
+        return event
+
+
+class _Idle(NamedTuple):
+    connection: Connection
+    usable_until_ms: Millis
+
+
+class TargetConnections:
+    """The kept connections to all targets, by address and instance."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._idle: dict[str, list[_Idle]] = {}
+
+    async def take(self, address: str, *, must_be_new: bool) -> TargetConnection:
+        """Return a connection; raise `UnreachableError` if none can be opened."""
+        idle = self._idle.get(address, [])
+        while idle and not must_be_new:
+            item = idle.pop()
+            is_usable = self._clock.monotonic_ms() < item.usable_until_ms
+            if is_usable and not item.connection.has_input():
+                return self._begin(address, item.connection, is_reused=True)
+            item.connection.close()
+        try:
+            connection = await connect(address, CONNECT_TIMEOUT_MS)
+        except (OSError, trio.TooSlowError) as error:
+            raise UnreachableError(f"{address}: {error}") from error
+        return self._begin(address, connection, is_reused=False)
+
+    def give_back(self, used: TargetConnection, head: AnswerHead | None) -> None:
+        """Keep a connection for the next request, or close it."""
+        idle = self._idle.setdefault(used.address, [])
+        is_kept = head is not None and used.is_reusable and len(idle) < MAX_IDLE_PER_TARGET
+        if not is_kept or "close" in head.header(b"connection").lower():
+            used.connection.close()
+            return
+        limit_ms = _announced_idle_ms(head.header(b"keep-alive"))
+        usable_ms = IDLE_LIMIT_MS if limit_ms is None else limit_ms - IDLE_MARGIN_MS
+        idle.append(_Idle(used.connection, self._clock.monotonic_ms() + usable_ms))
+
+    def sweep(self) -> None:
+        """Close kept connections that are no longer usable."""
+        now_ms = self._clock.monotonic_ms()
+        for address, idle in list(self._idle.items()):
+            kept: list[_Idle] = []
+            for item in idle:
+                if now_ms < item.usable_until_ms and not item.connection.has_input():
+                    kept.append(item)
+                else:
+                    item.connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def _begin(self, address: str, connection: Connection, *, is_reused: bool) -> TargetConnection:
+        return TargetConnection(address, connection, h11.Connection(h11.CLIENT), is_reused)
+
+
+def _announced_idle_ms(keep_alive: str) -> Millis | None:
+    """Return the idle time of a `Keep-Alive` header, which is in whole seconds."""
+    for item in keep_alive.split(","):
+        name, _, value = item.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return int(value) * 1000.0
+    return None
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
@@ -0,0 +1,213 @@
+"""An entry's own work, told to its peers, and theirs as they tell it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+import trio
+
+from marigoldarch.serving.pool_view import PoolView, RunningWork
+from marigoldarch.serving.retry_budget import RetryBudget, RetryBudgetSettings
+from marigoldarch.serving.work_reports import WorkReport, WorkStarted
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from marigoldarch.clock import Clock, Millis
+
+COALESCE_S = 0.008
+"""Changes of this time travel in one datagram: a sixth of an engine's pass."""
+
+WHOLE_INTERVAL_MS: Millis = 1000.0
+"""How often an entry tells all its work, which makes lost datagrams good."""
+
+PEER_SILENCE_MS: Millis = 3500.0
+"""The work of a peer that was not heard of for three whole reports is forgotten."""
+
+
+class _Peer(NamedTuple):
+    start_id: int
+    serial: int
+    heard_ms: Millis
+
+
+class WorkBoard:
+    """What runs anywhere, as this entry knows it."""
+
+    def __init__(self, node: str, start_id: int, clock: Clock, budget: RetryBudgetSettings) -> None:
+        self._node = node
+        self._start_id = start_id
+        self._clock = clock
+        self._view = PoolView()
+        self._budget = RetryBudget(budget)
+        self._serial = 0
+        self._number = 0
+        self._started: list[RunningWork] = []
+        self._read: list[int] = []
+        self._ended: list[int] = []
+        self._suspended: list[int] = []
+        self._requests: Counter[int] = Counter()
+        self._peers: dict[str, _Peer] = {}
+        self._whole_ms: Millis = float("-inf")
+        self._has_news = trio.Event()
+        self._changed = trio.Event()
+        self.on_suspended: Callable[[int], None] = lambda _: None
+
+    @property
+    def view(self) -> PoolView:
+        """Return the work on each target."""
+        return self._view
+
+    @property
+    def peers(self) -> int:
+        """Return how many other entries are heard of."""
+        return len(self._peers)
+
+    @property
+    def oldest_report_ms(self) -> Millis:
+        """Return the age of the oldest report that the view rests on."""
+        now_ms = self._clock.monotonic_ms()
+        return max((now_ms - peer.heard_ms for peer in self._peers.values()), default=0.0)
+
+    async def wait_for_change(self) -> None:
+        """Return when work has ended anywhere."""
+        await self._changed.wait()
+
+    def note_request(self, service: int) -> None:
+        """Count a request of this entry for the budget of all."""
+        self._budget.note_request(service, self._clock.monotonic_ms())
+        self._requests[service] += 1
+        self._has_news.set()
+
+    def may_repeat(self, service: int) -> bool:
+        """Return whether the shared budget has room for a repeat."""
+        return self._budget.may_repeat(service, self.peers, self._clock.monotonic_ms())
+
+    def start(self, work: RunningWork) -> int:
+        """Add work of this entry; return its number."""
+        now_ms = self._clock.monotonic_ms()
+        self._number += 1
+        work = work._replace(number=self._number)
+        self._view.start(self._node, work, now_ms)
+        if work.is_repeat:
+            self._budget.note_repeat(work.service, now_ms, is_own=True)
+        self._started.append(work)
+        self._has_news.set()
+        return self._number
+
+    def finish_reading(self, number: int) -> None:
+        """Note the first token of work of this entry."""
+        self._view.finish_reading(self._node, number, self._clock.monotonic_ms())
+        self._read.append(number)
+        self._has_news.set()
+
+    def end(self, number: int) -> None:
+        """Remove work of this entry."""
+        self._view.end(self._node, number, self._clock.monotonic_ms())
+        self._ended.append(number)
+        self._has_news.set()
+        self._wake()
+
+    def tell_suspended(self, target: int) -> None:
+        """Tell the peers of a target that this entry has set aside."""
+        self._suspended.append(target)
+        self._has_news.set()
+
+    async def next_report(self) -> bytes:
+        """Return the next report once there is news, all the work if that is due."""
+        with trio.move_on_after(WHOLE_INTERVAL_MS / 1000.0):
+            await self._has_news.wait()
+            await trio.sleep(COALESCE_S)
+        self._serial += 1
+        now_ms = self._clock.monotonic_ms()
+        is_whole = now_ms >= self._whole_ms + WHOLE_INTERVAL_MS
+        if is_whole:
+            self._whole_ms = now_ms
+        self._has_news = trio.Event()
+        works = self._view.works_of(self._node) if is_whole else self._started
+        report = WorkReport(
+            self._node,
+            self._start_id,
+            self._serial,
+            is_whole,
+            [_as_started(work) for work in works],
+            self._read,
+            self._ended,
+            self._suspended,
+            dict(self._requests),
+        )
+        self._started, self._read, self._ended, self._suspended = [], [], [], []
+        self._requests.clear()
+        return msgspec.msgpack.encode(report)
+
+    def receive(self, report: WorkReport) -> None:
+        """Take a peer's report; one that is older than another is ignored."""
+        now_ms = self._clock.monotonic_ms()
+        peer = self._peers.get(report.node)
+        if report.node == self._node:
+            return
+        is_same_start = peer is not None and peer.start_id == report.start_id
+        if is_same_start and report.serial <= peer.serial:
+            return
+        if peer is not None and not is_same_start:
+            self._view.keep_only(report.node, set(), now_ms)
+        self._peers[report.node] = _Peer(report.start_id, report.serial, now_ms)
+        self._take(report, now_ms)
+
+    def forget_silent_peers(self) -> None:
+        """Forget the work of entries that are no longer heard of."""
+        now_ms = self._clock.monotonic_ms()
+        for node, peer in list(self._peers.items()):
+            if now_ms >= peer.heard_ms + PEER_SILENCE_MS:
+                del self._peers[node]
+                self._view.keep_only(node, set(), now_ms)
+                self._wake()
+
+    def _take(self, report: WorkReport, now_ms: Millis) -> None:
+        for service, count in report.requests.items():
+            for _ in range(min(count, 1000)):
+                self._budget.note_request(service, now_ms)
+        works = [_as_running(item) for item in report.started]
+        if report.is_whole:
+            self._view.keep_only(report.node, {work.number for work in works}, now_ms)
+        for work in works:
+            if self._view.start(report.node, work, now_ms) and work.is_repeat:
+                self._budget.note_repeat(work.service, now_ms, is_own=False)
+        for number in report.read:
+            self._view.finish_reading(report.node, number, now_ms)
+        for number in report.ended:
+            self._view.end(report.node, number, now_ms)
+        for target in report.suspended:
+            self.on_suspended(target)
+        if report.ended:
+            self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _as_started(work: RunningWork) -> WorkStarted:
+    return WorkStarted(
+        work.number,
+        work.service,
+        list(work.targets),
+        round(work.reading_ms),
+        work.context_tokens,
+        round(work.pause_goal_ms),
+        work.is_repeat,
+    )
+
+
+def _as_running(item: WorkStarted) -> RunningWork:
+    return RunningWork(
+        item.number,
+        item.service,
+        tuple(item.targets),
+        float(item.reading_ms),
+        item.context_tokens,
+        float(item.pause_goal_ms),
+        item.is_repeat,
+    )
--- a/packages/marigoldarch-node/marigoldarch_node/storage/folder.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/folder.py
@@ -13,7 +13,7 @@
     encode_identity,
     new_identity,
 )
-from marigoldarch_node.storage.records import encode_record, scan_records
+from marigoldarch_node.storage.records import encode_frame, scan_records
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -23,6 +23,7 @@
 IDENTITY_FILE = "identity.json"
 LOG_FILE = "log"
 NEW_SUFFIX = ".new"
+DAMAGED_FILE = "log.damaged"
 
 _FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
@@ -30,8 +31,8 @@
 class DataFolder:
     """One replica's files. Records count only once `append` or `replace` has returned.
 
-    After an error nothing more may be written: the process has to stop and start again, which cuts
-    what was written in part.
+    After an error nothing more may be written before `repair` has cut what was written in part, or
+    the process has started again, which cuts it too.
     """
 
     def __init__(self, path: Path, node: str, installation: str) -> None:
@@ -40,6 +41,7 @@
         self._installation = installation
         self._descriptor: int | None = None
         self._is_broken = False
+        self._synced_bytes = 0
 
     def open(self) -> DurableState:
         """Check the identity, cut a torn tail, and return the durable state.
@@ -55,28 +57,55 @@
 
     def append(self, records: list[LogRecord]) -> None:
         """Write and sync records; raise `StorageError` when the disk refuses."""
-        data = b"".join(encode_record(record) for record in records)
+        data = encode_frame(records)
         self._check_usable()
         try:
             _write_all(self._descriptor, data)
             os.fdatasync(self._descriptor)
+            self._synced_bytes += len(data)
         except OSError as error:
             self._is_broken = True
             raise _typed(error, "cannot write the log") from error
 
     def replace(self, records: list[LogRecord]) -> None:
         """Replace the whole log by these records, in one step that lasts."""
-        data = b"".join(encode_record(record) for record in records)
+        data = encode_frame(records)
         self._check_usable()
         path = self._path / LOG_FILE
         try:
             self._write_synced(path, data)
             os.close(self._descriptor)
             self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
+            self._synced_bytes = len(data)
         except OSError as error:
             self._is_broken = True
             raise _typed(error, "cannot write a snapshot") from error
 
+    def repair(self) -> None:
+        """Cut what a refused write left in part, so that the write can be tried again.
+
+        Raises `StorageError` when the disk does not allow that either.
+        """
+        try:
+            size = os.fstat(self._descriptor).st_size
+            if size > self._synced_bytes:
+                os.ftruncate(self._descriptor, self._synced_bytes)
+            self._is_broken = False
+        except OSError as error:
+            raise _typed(error, "cannot cut the log") from error
+
+    def set_aside(self) -> None:
+        """Rename a damaged log and drop the identity: the folder begins as a new replica's.
+
+        Raises `StorageError`.
+        """
+        try:
+            os.replace(self._path / LOG_FILE, self._path / DAMAGED_FILE)
+            (self._path / IDENTITY_FILE).unlink(missing_ok=True)
+            self._sync_folder()
+        except OSError as error:
+            raise _typed(error, "cannot set the damaged log aside") from error
+
     def close(self) -> None:
         """Close the log."""
         if self._descriptor is not None:
@@ -106,6 +135,7 @@
         if scan.intact_bytes < len(data):
             os.ftruncate(self._descriptor, scan.intact_bytes)
         os.fsync(self._descriptor)
+        self._synced_bytes = scan.intact_bytes
         self._sync_folder()
         return replay(scan.records, replica_id)
 
--- a/packages/marigoldarch-node/marigoldarch_node/storage/records.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/records.py
@@ -1,4 +1,8 @@
-"""The format of log records on disk: a mark, the length, CRC-32 and a JSON payload."""
+"""The format of the log on disk: frames of a mark, the length, CRC-32 and JSON records.
+
+One frame holds what one sync covers. After a power loss any part of the last frame may be missing,
+its start included, and never a part of an earlier one.
+"""
 
 from __future__ import annotations
 
@@ -15,9 +19,9 @@
 from marigoldarch.exceptions import CodecError, DamagedLogError
 
 MARK = b"\xff\xfeMR"
-"""Begins each record. Bytes 0xFF and 0xFE never occur in UTF-8, so no payload contains it."""
+"""Begins each frame. Bytes 0xFF and 0xFE never occur in UTF-8, so no payload contains it."""
 
-MAX_RECORD_BYTES = 256 * 1024 * 1024
+MAX_FRAME_BYTES = 256 * 1024 * 1024
 
 _HEADER = struct.Struct("<4sII")
 _CLASSES = {cls.__name__: cls for cls in (VoteRecord, TruncateRecord, Snapshot, Entry)}
@@ -30,55 +34,54 @@
     intact_bytes: int
 
 
-def encode_record(record: LogRecord) -> bytes:
-    """Return a record with its header."""
-    payload = encode_json([type(record).__name__, record])
+def encode_frame(records: list[LogRecord]) -> bytes:
+    """Return the records of one sync with their header."""
+    payload = encode_json([[type(record).__name__, record] for record in records])
     return _HEADER.pack(MARK, len(payload), zlib.crc32(payload)) + payload
 
 
 def scan_records(data: bytes) -> Scan:
-    """Read all records; a torn tail is left out.
+    """Read all records; a torn last frame is left out.
 
-    A record that is cut short or damaged is a torn tail only if no intact record follows it.
+    A frame that is cut short or damaged is a torn one only if no intact frame follows it.
     Raises `DamagedLogError` otherwise, since cutting there would forget acknowledged records.
     """
     records: list[LogRecord] = []
     position = 0
     while position < len(data):
-        end = _record_end(data, position)
+        end = _frame_end(data, position)
         if end is None:
-            if _has_record_after(data, position):
+            if _has_frame_after(data, position):
                 raise DamagedLogError(f"damaged record at byte {position}")
             return Scan(records, position)
-        records.append(_decode(data[position + _HEADER.size : end], position))
+        records += _decode(data[position + _HEADER.size : end], position)
         position = end
     return Scan(records, position)
 
 
-def _record_end(data: bytes, position: int) -> int | None:
+def _frame_end(data: bytes, position: int) -> int | None:
     if position + _HEADER.size > len(data):
         return None
     mark, length, checksum = _HEADER.unpack_from(data, position)
     end = position + _HEADER.size + length
-    if mark != MARK or length > MAX_RECORD_BYTES or end > len(data):
+    if mark != MARK or length > MAX_FRAME_BYTES or end > len(data):
         return None
     payload = memoryview(data)[position + _HEADER.size : end]
     return end if zlib.crc32(payload) == checksum else None
 
 
-def _has_record_after(data: bytes, position: int) -> bool:
-    """Return whether an intact record begins after `position`; looks only where a mark stands."""
+def _has_frame_after(data: bytes, position: int) -> bool:
+    """Return whether an intact frame begins after `position`; looks only where a mark stands."""
     start = data.find(MARK, position + 1)
     while start >= 0:
-        if _record_end(data, start) is not None:
+        if _frame_end(data, start) is not None:
             return True
         start = data.find(MARK, start + 1)
     return False
 
 
-def _decode(payload: bytes, position: int) -> LogRecord:
+def _decode(payload: bytes, position: int) -> list[LogRecord]:
     try:
-        name, fields = decode_json(payload)
-        return msgspec.convert(fields, _CLASSES[name])
+        return [msgspec.convert(fields, _CLASSES[name]) for name, fields in decode_json(payload)]
     except (CodecError, KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
         raise DamagedLogError(f"undecodable record at byte {position}: {error}") from error
--- a/packages/marigoldarch/marigoldarch/control/bootstrap.py
+++ b/packages/marigoldarch/marigoldarch/control/bootstrap.py
@@ -30,7 +30,7 @@
     @property
     def is_coordinator(self) -> bool:
         """Return whether this replica forms the first configuration."""
-        return self._voters[0] == self._own.node
+        return bool(self._voters) and self._voters[0] == self._own.node
 
     def tick(self, now_ms: Millis) -> list[Effect]:
         """Ask the voters that have not answered yet."""
@@ -41,8 +41,12 @@
         return [Send(voter, query) for voter in self._voters if voter not in self._blank]
 
     def on_query(self, sender: str, query: BootstrapQuery) -> list[Effect]:
-        """Tell the coordinator that this replica is blank."""
-        if sender != self._voters[0] or self._own.node not in self._voters:
+        """Tell the coordinator that this replica is blank.
+
+        A replica that was told of no voters, as after a restart during the first start, answers
+        too: only a coordinator that forms the installation asks.
+        """
+        if self._voters and (sender != self._voters[0] or self._own.node not in self._voters):
             return []
         return [Send(sender, BootstrapReply(query.coordinator_replica, self._own.replica_id))]
 
--- a/packages/marigoldarch/marigoldarch/control/commands.py
+++ b/packages/marigoldarch/marigoldarch/control/commands.py
@@ -100,6 +100,17 @@
     started_before_ms: int
 
 
+@dataclass(frozen=True)
+class PutDocument:
+    """Replace the stored document, if `version` is higher than the one held.
+
+    `text` is compressed and in base64, as it stays in the log and on the disk.
+    """
+
+    version: int
+    text: str
+
+
 Command = (
     Noop
     | Configure
@@ -111,6 +122,7 @@
     | LedgerFinish
     | LedgerAbandon
     | LedgerExpire
+    | PutDocument
 )
 
 
@@ -214,6 +226,7 @@
         LedgerFinish,
         LedgerAbandon,
         LedgerExpire,
+        PutDocument,
     )
 )
 RESULTS = Codec(
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Pass-through serving: routes, placement on engines, retries and refusals, without I/O."""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -0,0 +1,133 @@
+"""What runs on each target, from this entry's own work and what its peers tell of theirs.
+
+Load pattern: entries that place by reports of the targets alone all choose the same idle target
+for as long as the reports lag. Each entry therefore tells the others what it starts and ends.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from marigoldarch.clock import Millis
+
+WorkKey = tuple[str, int]
+"""An entry, and the number it gave the work."""
+
+TargetNumber = int
+"""The number under which a target travels, see `work_reports.number_of`."""
+
+
+class RunningWork(NamedTuple):
+    """One attempt: the first target runs it, the others read a part of its prompt.
+
+    `reading_ms` and `context_tokens` are those of one part. `pause_goal_ms` is 0 for work that
+    writes no stream.
+    """
+
+    number: int
+    service: int
+    targets: tuple[TargetNumber, ...]
+    reading_ms: Millis
+    context_tokens: int
+    pause_goal_ms: Millis
+    is_repeat: bool
+
+
+class _Placed(NamedTuple):
+    work: RunningWork
+    reads_until_ms: dict[TargetNumber, Millis]
+
+
+@dataclass
+class TargetLoad:
+    """The work on one target."""
+
+    runs: dict[WorkKey, RunningWork] = field(default_factory=dict)
+    helps: dict[WorkKey, RunningWork] = field(default_factory=dict)
+    reads_until_ms: Millis = 0.0
+
+    @property
+    def active(self) -> int:
+        """Return how many requests run here."""
+        return len(self.runs)
+
+    @property
+    def tightest_pause_ms(self) -> Millis:
+        """Return the shortest pause that a stream here may have, infinite without streams."""
+        pauses = [work.pause_goal_ms for work in self.runs.values() if work.pause_goal_ms > 0]
+        return min(pauses, default=float("inf"))
+
+    @property
+    def context_tokens(self) -> int:
+        """Return how many tokens the running requests hold in memory."""
+        return sum(work.context_tokens for work in self.runs.values())
+
+
+EMPTY_LOAD = TargetLoad()
+
+
+class PoolView:
+    """All work in progress, by target."""
+
+    def __init__(self) -> None:
+        self._loads: dict[TargetNumber, TargetLoad] = {}
+        self._placed: dict[WorkKey, _Placed] = {}
+
+    def load_of(self, target: TargetNumber) -> TargetLoad:
+        """Return the load of a target; it must not be changed."""
+        return self._loads.get(target, EMPTY_LOAD)
+
+    def works_of(self, entry: str) -> list[RunningWork]:
+        """Return the work of one entry."""
+        return [placed.work for key, placed in self._placed.items() if key[0] == entry]
+
+    def active(self, service: int) -> int:
+        """Return how many requests of a service run on any target."""
+        return sum(1 for placed in self._placed.values() if placed.work.service == service)
+
+    def start(self, entry: str, work: RunningWork, now_ms: Millis) -> bool:
+        """Add work that an entry has just sent to its targets; return whether it is new."""
+        key = (entry, work.number)
+        if key in self._placed:
+            return False
+        reads_until: dict[TargetNumber, Millis] = {}
+        for position, target in enumerate(work.targets):
+            load = self._loads.setdefault(target, TargetLoad())
+            (load.helps if position else load.runs)[key] = work
+            load.reads_until_ms = max(load.reads_until_ms, now_ms) + work.reading_ms
+            reads_until[target] = load.reads_until_ms
+        self._placed[key] = _Placed(work, reads_until)
+        return True
+
+    def finish_reading(self, entry: str, number: int, now_ms: Millis) -> None:
+        """Note that the first token has come: whatever was read before it is read."""
+        placed = self._placed.get((entry, number))
+        if placed is None:
+            return
+        for target, until_ms in placed.reads_until_ms.items():
+            self._shorten(target, until_ms - now_ms)
+            placed.reads_until_ms[target] = min(until_ms, now_ms)
+
+    def end(self, entry: str, number: int, now_ms: Millis) -> None:
+        """Remove work that has ended."""
+        key = (entry, number)
+        placed = self._placed.pop(key, None)
+        if placed is None:
+            return
+        for target, until_ms in placed.reads_until_ms.items():
+            load = self._loads[target]
+            load.runs.pop(key, None)
+            load.helps.pop(key, None)
+            self._shorten(target, min(until_ms - now_ms, placed.work.reading_ms))
+            if not load.runs and not load.helps:
+                del self._loads[target]
+
+    def keep_only(self, entry: str, numbers: set[int], now_ms: Millis) -> None:
+        """Remove the work of an entry that its whole list no longer has."""
+        for key in [key for key in self._placed if key[0] == entry and key[1] not in numbers]:
+            self.end(entry, key[1], now_ms)
+
+    def _shorten(self, target: TargetNumber, duration_ms: Millis) -> None:
+        if duration_ms > 0:
+            self._loads[target].reads_until_ms -= duration_ms
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/serving/routing.py
@@ -0,0 +1,81 @@
+"""Which route, customer and service a request has under one declaration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    import random
+
+    from marigoldarch.serving.declaration import (
+        Customer,
+        Route,
+        Service,
+        ServingDeclaration,
+    )
+
+
+class RoutingTable:
+    """One declaration, indexed for requests."""
+
+    def __init__(self, declaration: ServingDeclaration) -> None:
+        self._declaration = declaration
+        self._services = {service.name: service for service in declaration.services}
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in declaration.routes:
+            self._routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        self._customers = {
+            key: customer for customer in declaration.customers for key in customer.keys
+        }
+
+    @property
+    def version(self) -> int:
+        """Return the version of the declaration."""
+        return self._declaration.version
+
+    @property
+    def declaration(self) -> ServingDeclaration:
+        """Return the declaration."""
+        return self._declaration
+
+    @property
+    def requires_keys(self) -> bool:
+        """Return whether routes that are not public need a customer's key."""
+        return bool(self._declaration.customers)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`; prefixes end with a slash."""
+        routes = self._routes.get(host.partition(":")[0].lower())
+        if routes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def find_customer(self, key: str) -> Customer | None:
+        """Return the customer that holds a key."""
+        return self._customers.get(key)
+
+    def find_service(self, name: str) -> Service:
+        """Return a declared service."""
+        return self._services[name]
+
+    def choose_service(self, route: Route, chooser: random.Random) -> Service:
+        """Draw one of the route's services by weight."""
+        if len(route.services) == 1:
+            return self._services[route.services[0].service]
+        weights = [item.weight for item in route.services]
+        chosen = chooser.choices(route.services, weights)[0]
+        return self._services[chosen.service]
+
+
+class Prompt(NamedTuple):
+    """The size of a prompt; `subject` names its last shared part."""
+
+    tokens: int
+    answer_tokens: int
+    subject: str = ""
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/store/__init__.py
@@ -0,0 +1,1 @@
+"""A replicated document: one text with a version, on the project's own log."""
