Read large prompts by more engines, and set memory aside for the largest

In the model of the engines a part read for another target overtakes own prompts (expected 508 ms, first token after 8.7 s).

--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/__main__.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/__main__.py
@@ -18,7 +18,9 @@
     """Print the credit by pattern, placement and kind."""
     names = patterns.split(",") if patterns else list(PATTERNS)
     for name in names:
-        print(f"\n{name:12} {'share':>6} {'late':>5} {'none':>5}   by kind, and p50/p99 of the first")
+        print(
+            f"\n{name:12} {'share':>6} {'late':>5} {'none':>5}   by kind, and p50/p99 of the first"
+        )
         for label, make in placements().items():
             results = [
                 Simulation(SHEET_ENGINE, engines, make()).run(
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/engine.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/engine.py
@@ -104,7 +104,9 @@
             if tokens <= 0:
                 break
             share = min(1.0, tokens / reading.tokens_left) if reading.tokens_left else 1.0
-            self._reading_now.append((reading, reading.left_ms * share, reading.tokens_left * share))
+            self._reading_now.append(
+                (reading, reading.left_ms * share, reading.tokens_left * share)
+            )
             tokens -= reading.tokens_left * share
             duration_ms += reading.left_ms * share
         self.pass_ends_ms = now_ms + duration_ms * self.pace
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
@@ -162,7 +162,12 @@
         request.placement, request.engine = placement, numbers[0]
         lane = 0 if arrival.prompt_tokens <= 16_384 else 1 if arrival.prompt_tokens < 102_400 else 2
         request.generation = Generation(
-            request.number, arrival.prompt_tokens, arrival.answer_tokens, lane, len(numbers), len(numbers)
+            request.number,
+            arrival.prompt_tokens,
+            arrival.answer_tokens,
+            lane,
+            len(numbers),
+            len(numbers),
         )
         self._by_generation[request.number] = request
         work = RunningWork(
@@ -170,8 +175,12 @@
             0,
             numbers,
             placement.reading_ms,
-            arrival.prompt_tokens + arrival.answer_tokens,
+            arrival.prompt_tokens
+            - placement.held_tokens * (len(numbers) - 1)
+            + arrival.answer_tokens,
+            placement.held_tokens,
             arrival.kind.pause_ms,
+            max(0.0, arrival.kind.goal_ms - (self._now_ms - arrival.at_ms)),
             False,
         )
         self._tell(request, lambda view, entry: view.start(entry, work, self._now_ms))
--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -34,10 +34,12 @@
     from marigoldarch.clock import Millis
     from marigoldarch.serving.attempts import AttemptOutcome
     from marigoldarch.serving.placement import Placement
+    from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.dialect import AnswerMarks, Dialect, Forwarding
     from marigoldarch_node.serving.entry_state import EntryState
     from marigoldarch_node.serving.proxy import Call
     from marigoldarch_node.serving.target_connections import TargetConnections
+    from marigoldarch_node.serving.tickets import Ticket, TicketOffice
 
 FIRST_EVENT_FACTOR = 3.0
 FIRST_EVENT_EXTRA_MS: Millis = 600.0
@@ -61,6 +63,7 @@
     placement: Placement
     forwarding: Forwarding
     last_event: int | None
+    tickets: list[Ticket]
 
 
 @dataclass(frozen=True)
@@ -76,12 +79,14 @@
         state: EntryState,
         dialect: Dialect,
         connections: TargetConnections,
+        office: TicketOffice,
         plan: AttemptPlan,
     ) -> None:
         self._state = state
         self._dialect = dialect
         self._connections = connections
         self._plan = plan
+        self._office = office
         self._call = plan.call
         self._target_id = plan.forwarding.target_id
         self._number = 0
@@ -95,6 +100,29 @@
 
         The caller's departure cancels the attempt, which closes the target's connection at once.
         """
+        self._number = self._state.board.start(self._work())
+        try:
+            if self._plan.tickets:
+                refusing = await self._office.reserve(self._plan.tickets)
+                if refusing is not None:
+                    return self._without_memory(refusing)
+            return await self._run()
+        finally:
+            self._office.release(self._plan.tickets)
+            self._state.board.end(self._number)
+
+    def _without_memory(self, refusing: Target) -> AttemptOutcome:
+        """A helper has no memory to set aside; nothing was sent to the first target."""
+        log.info(
+            "no memory",
+            request=self._call.request_id,
+            target=refusing.target_id,
+            tokens=self._plan.placement.held_tokens,
+        )
+        self._call.history.failed_targets.add(refusing.target_id)
+        return NotSent(FailureReason.NO_MEMORY)
+
+    async def _run(self) -> Delivered | AttemptOutcome:
         call, target = self._call, self._plan.placement.targets[0]
         try:
             connection = await self._connections.take(
@@ -103,7 +131,6 @@
         except UnreachableError:
             self._state.note_failure(self._target_id, is_unreachable=True)
             return NotSent(FailureReason.UNREACHABLE)
-        self._number = self._state.board.start(self._work())
         self._sent_ms = self._state.clock.monotonic_ms()
         head: AnswerHead | None = None
         ended: Delivered | AttemptOutcome | None = None
@@ -114,7 +141,6 @@
                     head, ended = await self._relay(connection)
                 nursery.cancel_scope.cancel()
         finally:
-            self._state.board.end(self._number)
             self._connections.give_back(connection, head)
         if self._is_caller_gone:
             raise CallerGoneError
@@ -139,17 +165,26 @@
 
     def _work(self) -> RunningWork:
         call, placement = self._call, self._plan.placement
-        prompt = call.facts.prompt
         return RunningWork(
             0,
             target_number(call.service.name),
             tuple(target_number(target.target_id) for target in placement.targets),
             placement.reading_ms,
-            prompt.tokens + prompt.answer_tokens if prompt else 0,
+            self._own_tokens(),
+            placement.held_tokens,
             call.route.pause_goal_ms if call.route.is_stream else 0.0,
+            max(0.0, call.route.goal_ms - self._spent_ms()),
             call.history.is_repeat,
         )
 
+    def _own_tokens(self) -> int:
+        """Return the memory that the first target needs."""
+        prompt, placement = self._call.facts.prompt, self._plan.placement
+        if prompt is None:
+            return 0
+        held = placement.held_tokens * (len(placement.targets) - 1)
+        return prompt.tokens - held + prompt.answer_tokens
+
     def _request(self) -> TargetRequest:
         request = self._call.exchange.request
         headers = self._dialect.target_headers(request, self._plan.forwarding)
@@ -158,6 +193,9 @@
     def _time_left_ms(self) -> Millis:
         return max(0.0, self._call.ends_ms - self._state.clock.monotonic_ms())
 
+    def _spent_ms(self) -> Millis:
+        return self._state.clock.monotonic_ms() - self._call.exchange.request.received_ms
+
     async def _relay(
         self, connection: TargetConnection
     ) -> tuple[AnswerHead | None, Delivered | AttemptOutcome]:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
@@ -18,7 +18,7 @@
     from marigoldarch.serving.declaration import DeclarationFault, ServingDeclaration
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.http_server import Headers, Request
-    from marigoldarch_node.serving.target_connections import AnswerHead
+    from marigoldarch_node.serving.target_connections import AnswerHead, TargetRequest
 
 
 @dataclass(frozen=True)
@@ -128,6 +128,16 @@
         """Return the headers for a target."""
         ...
 
+    def reservation(
+        self, target: Target, ticket_id: str, tokens: int, hold_ms: Millis
+    ) -> TargetRequest:
+        """Encode the order that sets memory aside, or renews that."""
+        ...
+
+    def release(self, target: Target, ticket_id: str) -> TargetRequest:
+        """Encode the order that gives memory back."""
+        ...
+
     def read_answer(self, head: AnswerHead) -> AnswerMarks:
         """Decode the headers of a target's answer."""
         ...
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -22,6 +22,7 @@
 from marigoldarch_node.serving.proxy import STOP_ACCEPTING_MS, Proxy
 from marigoldarch_node.serving.sockets import open_datagrams, split_address
 from marigoldarch_node.serving.target_connections import AnswerError, TargetConnections
+from marigoldarch_node.serving.tickets import TicketOffice
 
 if TYPE_CHECKING:
     from marigoldarch_node.serving.dialect import Dialect
@@ -46,7 +47,8 @@
         self._start_id = start_id
         self._state = EntryState(settings, start_id)
         self._connections = TargetConnections(self._state.clock)
-        proxy = Proxy(self._state, dialect, self._connections)
+        self._office = TicketOffice(self._state.clock, dialect, self._connections)
+        proxy = Proxy(self._state, dialect, self._connections, self._office)
         self._callers = HttpServer(ServerState(proxy.handle, self._state.limits, self._state.clock))
         self._hosts: set[str] = set(settings.control_peers)
         self._subscribed: dict[str, trio.CancelScope] = {}
@@ -72,6 +74,7 @@
             nursery.start_soon(self._report_work)
             nursery.start_soon(self._fetch_declarations)
             nursery.start_soon(self._sweep_connections)
+            nursery.start_soon(self._office.run)
             nursery.start_soon(sweep, state)
 
     async def stop(self) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -41,6 +41,7 @@
     from marigoldarch_node.serving.entry_state import EntryState
     from marigoldarch_node.serving.http_server import Exchange
     from marigoldarch_node.serving.target_connections import TargetConnections
+    from marigoldarch_node.serving.tickets import Ticket, TicketOffice
 
 STOP_ACCEPTING_MS: Millis = 3000.0
 """After this time of a stop new requests are refused: callers that keep a directory answer for
@@ -92,10 +93,17 @@
 class Proxy:
     """Serve the requests of callers."""
 
-    def __init__(self, state: EntryState, dialect: Dialect, connections: TargetConnections) -> None:
+    def __init__(
+        self,
+        state: EntryState,
+        dialect: Dialect,
+        connections: TargetConnections,
+        office: TicketOffice,
+    ) -> None:
         self._state = state
         self._dialect = dialect
         self._connections = connections
+        self._office = office
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request; whatever happens, the caller gets a final answer or a cut."""
@@ -140,7 +148,7 @@
         while True:
             placement = await self._find_place(call)
             plan = self._plan(call, placement, last_event)
-            attempt = Attempt(self._state, self._dialect, self._connections, plan)
+            attempt = Attempt(self._state, self._dialect, self._connections, self._office, plan)
             ended = await attempt.run()
             if isinstance(ended, Delivered):
                 return "delivered"
@@ -217,15 +225,20 @@
         rank = call.route.rank
         if customer is not None and customer.rank is not None:
             rank = customer.rank
+        tickets: list[Ticket] = []
+        helpers = [target.address for target in placement.targets[1:]]
+        if placement.held_tokens:
+            tickets = self._office.make(placement.targets[1:], placement.held_tokens)
+            helpers = [f"{ticket.target.address}/{ticket.ticket_id}" for ticket in tickets]
         forwarding = Forwarding(
             placement.targets[0].target_id,
             customer.name if customer else "",
             call.ends_ms - self._now_ms(),
             last_event,
             _urgency(rank, prompt.tokens) if prompt else None,
-            tuple(target.address for target in placement.targets[1:]),
+            tuple(helpers),
         )
-        return AttemptPlan(call, placement, forwarding, last_event)
+        return AttemptPlan(call, placement, forwarding, last_event, tickets)
 
     def _budget(self, call: Call) -> Budget:
         has_retry = self._state.board.may_repeat(target_number(call.service.name))
--- a/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
@@ -196,7 +196,9 @@
         list(work.targets),
         round(work.reading_ms),
         work.context_tokens,
+        work.held_tokens,
         round(work.pause_goal_ms),
+        round(work.goal_in_ms),
         work.is_repeat,
     )
 
@@ -208,6 +210,8 @@
         tuple(item.targets),
         float(item.reading_ms),
         item.context_tokens,
+        item.held_tokens,
         float(item.pause_goal_ms),
+        float(item.goal_in_ms),
         item.is_repeat,
     )
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -29,6 +29,7 @@
     GARBLED = "garbled"
     STALLED = "stalled"
     CUT = "cut"
+    NO_MEMORY = "no memory"
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -28,6 +28,15 @@
 """Reading beyond this counts as long work: with a pass of about 50 ms it nears the shortest pause
 goal of the deployments' sheets, 250 ms."""
 
+IDLE_MS: Millis = 50.0
+"""An engine that has read everything within a pass counts as one that nothing waits for."""
+
+ABANDON_FACTOR = 4.0
+"""Callers give a stream up that has not begun after four goals, see PROTOCOL.md."""
+
+LATE_SHARE = 0.7
+"""The part of the time until then in which late work has to be read."""
+
 MEMORY_SHARE = 0.92
 """The part of an engine's memory that is planned for; the rest covers longer answers."""
 
@@ -35,19 +44,28 @@
 class PlacementWeights(NamedTuple):
     """What each part of a choice costs, against 1 for an answer that misses its goal."""
 
-    per_goal: float = 0.3
+    per_goal: float = 0.6
     """For a first token at the goal; less in proportion before."""
 
-    beyond_goal: float = 2.0
+    beyond_goal: float = 4.0
     """For each goal's length beyond it."""
 
     broken_pause: float = 0.4
     """For each running stream whose longest pause would be exceeded."""
 
-    helper: float = 0.015
+    made_late: float = 1.5
+    """For each prompt that a part read for another target overtakes, and so makes late."""
+
+    overtaken: float = 0.1
+    """For each prompt that is overtaken and stays in time, or was late before."""
+
+    helper: float = 0.005
     order: float = 0.12
     """For the far end of the common order."""
 
+    fullness: float = 0.3
+    """For the last free slot: another entry may be taking it at this moment."""
+
     other_data_centre: float = 0.04
     suspended: float = 5.0
     goal_margin: float = 0.85
@@ -79,11 +97,16 @@
 
 
 class Placement(NamedTuple):
-    """The target that runs the job, those that help to read, and when its first token is due."""
+    """The target that runs the job, those that help to read, and when its first token is due.
+
+    `held_tokens` is the memory that each helper sets aside for the prompt, 0 if the first target
+    holds it all.
+    """
 
     targets: tuple[Target, ...]
     first_token_ms: Millis
     reading_ms: Millis
+    held_tokens: int = 0
 
 
 class Saturated(NamedTuple):
@@ -106,8 +129,21 @@
         self._weights = weights
 
     def place(self, job: Job, candidates: list[Candidate], now_ms: Millis) -> Placement | Saturated:
-        """Return the choice of the lowest cost."""
+        """Return the choice of the lowest cost, or when to come back."""
         alone_ms = reading_ms(self._engine, job.prompt_tokens)
+        best = self._place_in_time(job, candidates, alone_ms, now_ms)
+        if best is None:
+            return Saturated(self._free_in_ms(candidates, 1, now_ms))
+        if best.first_token_ms > job.goal_ms and alone_ms > LONG_READING_MS:
+            return self._place_late(job, candidates, alone_ms, now_ms)
+        if best.first_token_ms > job.deadline_ms:
+            return Saturated(best.first_token_ms - job.goal_ms)
+        return best
+
+    def _place_in_time(
+        self, job: Job, candidates: list[Candidate], alone_ms: Millis, now_ms: Millis
+    ) -> Placement | None:
+        """Return the choice of the lowest cost over all numbers of readers."""
         best: Placement | None = None
         best_cost = float("inf")
         for parts in PART_COUNTS:
@@ -121,63 +157,136 @@
             cost += self._weights.helper * (parts - 1)
             if cost < best_cost:
                 best_cost = cost
-                targets = tuple(scored.candidate.target for scored in chosen)
-                best = Placement(targets, first_ms, alone_ms / parts)
-        if best is None:
-            return Saturated(self._free_in_ms(candidates, now_ms))
-        if best.first_token_ms > job.deadline_ms:
-            return Saturated(best.first_token_ms - job.goal_ms)
+                best = self._placement(job, chosen, first_ms)
         return best
 
+    def _place_late(
+        self, job: Job, candidates: list[Candidate], alone_ms: Millis, now_ms: Millis
+    ) -> Placement | Saturated:
+        """Place long work that misses its goal on engines that nothing waits for.
+
+        Load pattern: a burst of the largest prompts. One that is late anyway would make those late
+        that can still be in time, so it gets the fewest engines that end its reading early enough,
+        and only while half of the pool has nothing to read.
+        """
+        idle = [
+            item
+            for item in candidates
+            if item.load.reads_until_ms <= now_ms + IDLE_MS and not item.is_suspended
+        ]
+        kept = len(candidates) // 2
+        limit_ms = LATE_SHARE * min(job.deadline_ms, ABANDON_FACTOR * job.goal_ms)
+        for parts in PART_COUNTS:
+            if parts > len(idle) - kept:
+                break
+            if alone_ms / parts > limit_ms:
+                continue
+            chosen = self._choose(job, idle, alone_ms / parts, parts, now_ms)
+            if chosen is not None:
+                first_ms = max(scored.first_token_ms for scored in chosen)
+                return self._placement(job, chosen, first_ms)
+        needed = next((count for count in PART_COUNTS if alone_ms / count <= limit_ms), None)
+        if needed is None or needed + kept > len(candidates):
+            return Saturated(job.deadline_ms)
+        return Saturated(self._free_in_ms(candidates, needed + kept, now_ms))
+
+    def _placement(self, job: Job, chosen: list[_Scored], first_ms: Millis) -> Placement:
+        parts = len(chosen)
+        alone_ms = reading_ms(self._engine, job.prompt_tokens)
+        targets = tuple(scored.candidate.target for scored in chosen)
+        return Placement(targets, first_ms, alone_ms / parts, self._held_tokens(job, parts))
+
+    def _held_tokens(self, job: Job, parts: int) -> int:
+        """Return the memory each helper sets aside: none if one engine can hold the whole."""
+        if job.prompt_tokens + job.answer_tokens <= self._engine.memory_tokens * MEMORY_SHARE:
+            return 0
+        return -(-job.prompt_tokens // parts)
+
     def _choose(
         self, job: Job, candidates: list[Candidate], part_ms: Millis, parts: int, now_ms: Millis
     ) -> list[_Scored] | None:
         """Return `parts` targets of the lowest cost; the first has room to run the job."""
-        scored = [self._score(job, item, part_ms, now_ms) for item in candidates]
-        scored.sort(key=lambda item: item.cost + self._cost_of_time(job, item.first_token_ms))
-        runner = next((item for item in scored if self._has_room(job, item.candidate)), None)
-        if runner is None:
+        runners = [
+            self._score(item, part_ms, now_ms, is_help=False)
+            for item in candidates
+            if self._can_run(job, item, parts)
+        ]
+        if not runners:
             return None
-        helpers = [item for item in scored if item is not runner and self._can_help(item)]
+        runner = min(runners, key=lambda item: self._rating(job, item))
+        if parts == 1:
+            return [runner]
+        helpers = [
+            self._score(item, part_ms, now_ms, is_help=True)
+            for item in candidates
+            if item is not runner.candidate and self._can_help(job, item, parts)
+        ]
         if len(helpers) < parts - 1:
             return None
+        helpers.sort(key=lambda item: self._rating(job, item))
         return [runner, *helpers[: parts - 1]]
 
-    def _score(self, job: Job, candidate: Candidate, part_ms: Millis, now_ms: Millis) -> _Scored:
+    def _rating(self, job: Job, scored: _Scored) -> float:
+        return scored.cost + self._cost_of_time(job, scored.first_token_ms)
+
+    def _score(
+        self, candidate: Candidate, part_ms: Millis, now_ms: Millis, *, is_help: bool
+    ) -> _Scored:
+        """Return what a part costs on a target; parts for another target overtake own prompts."""
         weights, load = self._weights, candidate.load
-        wait_ms = max(0.0, load.reads_until_ms - now_ms)
+        until_ms = load.helps_until_ms if is_help else load.reads_until_ms
+        wait_ms = max(0.0, until_ms - now_ms)
         write_ms = pass_ms(self._engine, load.active + 1, load.context_tokens)
         under_way_ms = write_ms / 2 if load.active else 0.0
         first_ms = (wait_ms + under_way_ms + part_ms + write_ms) * candidate.pace
         cost = 0.0
         if (wait_ms + part_ms + write_ms) * candidate.pace > load.tightest_pause_ms:
-            cost += weights.broken_pause * load.active
+            cost += weights.broken_pause * (load.active - len(load.unread))
         is_long = part_ms > LONG_READING_MS / 2
         cost += weights.order * (1.0 - candidate.order if is_long else candidate.order)
-        if not candidate.is_near:
-            cost += weights.other_data_centre
+        if is_help:
+            cost += self._cost_of_overtaking(load, part_ms)
+        else:
+            slots = max(1, min(self._engine.slots, candidate.target.slots))
+            cost += weights.fullness * ((load.active + 1) / slots) ** 12
+            cost += 0.0 if candidate.is_near else weights.other_data_centre
         if candidate.is_suspended:
             cost += weights.suspended
         return _Scored(cost, first_ms, candidate)
 
+    def _cost_of_overtaking(self, load: TargetLoad, part_ms: Millis) -> float:
+        read_ms = load.reads_until_ms
+        made_late = sum(
+            1 for due_ms in load.unread.values() if read_ms <= due_ms < read_ms + part_ms
+        )
+        others = len(load.unread) - made_late
+        return self._weights.made_late * made_late + self._weights.overtaken * others
+
     def _cost_of_time(self, job: Job, first_ms: Millis) -> float:
         goal_ms = max(job.goal_ms * self._weights.goal_margin, 1.0)
         beyond = max(0.0, first_ms / goal_ms - 1.0)
         return self._weights.per_goal * first_ms / goal_ms + self._weights.beyond_goal * beyond
 
-    def _has_room(self, job: Job, candidate: Candidate) -> bool:
+    def _can_run(self, job: Job, candidate: Candidate, parts: int) -> bool:
         load = candidate.load
+        held = self._held_tokens(job, parts) * (parts - 1)
+        own = job.prompt_tokens - held + job.answer_tokens
         slots = min(self._engine.slots, candidate.target.slots)
-        needed = load.context_tokens + job.prompt_tokens + job.answer_tokens
-        is_roomy = needed <= self._engine.memory_tokens * MEMORY_SHARE
-        return load.active < slots and (is_roomy or load.active == 0)
+        return load.active < slots and self._has_memory(candidate, own)
+
+    def _can_help(self, job: Job, candidate: Candidate, parts: int) -> bool:
+        has_slot = len(candidate.load.helps) < self._engine.slots
+        return has_slot and self._has_memory(candidate, self._held_tokens(job, parts))
 
-    def _can_help(self, scored: _Scored) -> bool:
-        return len(scored.candidate.load.helps) < self._engine.slots
+    def _has_memory(self, candidate: Candidate, tokens: int) -> bool:
+        planned = self._engine.memory_tokens * MEMORY_SHARE
+        return candidate.load.context_tokens + tokens <= planned
 
-    def _free_in_ms(self, candidates: list[Candidate], now_ms: Millis) -> Millis:
-        waits = [max(0.0, item.load.reads_until_ms - now_ms) for item in candidates]
-        return max(min(waits, default=0.0), self._engine.step_ms * self._engine.steps_per_pass)
+    def _free_in_ms(self, candidates: list[Candidate], count: int, now_ms: Millis) -> Millis:
+        """Return when so many engines have read what they have now, a pass at the least."""
+        waits = sorted(max(0.0, item.load.reads_until_ms - now_ms) for item in candidates)
+        wait_ms = waits[min(count, len(waits)) - 1] if waits else 0.0
+        return max(wait_ms, pass_ms(self._engine, 1, 0))
 
 
 def choose_plain(candidates: list[Candidate]) -> Candidate | None:
--- a/packages/marigoldarch/marigoldarch/serving/pool_view.py
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -22,7 +22,8 @@
     """One attempt: the first target runs it, the others read a part of its prompt.
 
     `reading_ms` and `context_tokens` are those of one part. `pause_goal_ms` is 0 for work that
-    writes no stream.
+    writes no stream. `held_tokens` is the memory that each helper holds for the prompt, 0 where the
+    first target holds it all. `goal_in_ms` is the time from the start until its first token is late.
     """
 
     number: int
@@ -30,21 +31,32 @@
     targets: tuple[TargetNumber, ...]
     reading_ms: Millis
     context_tokens: int
+    held_tokens: int
     pause_goal_ms: Millis
+    goal_in_ms: Millis
     is_repeat: bool
 
 
 class _Placed(NamedTuple):
+    """Work with the instants at which its targets have read their parts."""
+
     work: RunningWork
     reads_until_ms: dict[TargetNumber, Millis]
 
 
 @dataclass
 class TargetLoad:
-    """The work on one target."""
+    """The work on one target.
+
+    Parts read for other targets go ahead of the own requests' prompts: `helps_until_ms` is when
+    the former are read, `reads_until_ms` when everything is. `unread` are the instants at which own
+    requests whose first token has not come are late.
+    """
 
     runs: dict[WorkKey, RunningWork] = field(default_factory=dict)
     helps: dict[WorkKey, RunningWork] = field(default_factory=dict)
+    unread: dict[WorkKey, Millis] = field(default_factory=dict)
+    helps_until_ms: Millis = 0.0
     reads_until_ms: Millis = 0.0
 
     @property
@@ -60,8 +72,9 @@
 
     @property
     def context_tokens(self) -> int:
-        """Return how many tokens the running requests hold in memory."""
-        return sum(work.context_tokens for work in self.runs.values())
+        """Return how many tokens are held in memory, for own requests and for those helped."""
+        held = sum(work.held_tokens for work in self.helps.values())
+        return held + sum(work.context_tokens for work in self.runs.values())
 
 
 EMPTY_LOAD = TargetLoad()
@@ -94,7 +107,12 @@
         reads_until: dict[TargetNumber, Millis] = {}
         for position, target in enumerate(work.targets):
             load = self._loads.setdefault(target, TargetLoad())
-            (load.helps if position else load.runs)[key] = work
+            if position:
+                load.helps[key] = work
+                load.helps_until_ms = max(load.helps_until_ms, now_ms) + work.reading_ms
+            else:
+                load.runs[key] = work
+                load.unread[key] = now_ms + work.goal_in_ms
             load.reads_until_ms = max(load.reads_until_ms, now_ms) + work.reading_ms
             reads_until[target] = load.reads_until_ms
         self._placed[key] = _Placed(work, reads_until)
@@ -103,11 +121,8 @@
     def finish_reading(self, entry: str, number: int, now_ms: Millis) -> None:
         """Note that the first token has come: whatever was read before it is read."""
         placed = self._placed.get((entry, number))
-        if placed is None:
-            return
-        for target, until_ms in placed.reads_until_ms.items():
-            self._shorten(target, until_ms - now_ms)
-            placed.reads_until_ms[target] = min(until_ms, now_ms)
+        if placed is not None:
+            self._stop_reading((entry, number), placed, now_ms)
 
     def end(self, entry: str, number: int, now_ms: Millis) -> None:
         """Remove work that has ended."""
@@ -115,19 +130,27 @@
         placed = self._placed.pop(key, None)
         if placed is None:
             return
-        for target, until_ms in placed.reads_until_ms.items():
+        self._stop_reading(key, placed, now_ms)
+        for target in placed.work.targets:
             load = self._loads[target]
             load.runs.pop(key, None)
             load.helps.pop(key, None)
-            self._shorten(target, min(until_ms - now_ms, placed.work.reading_ms))
             if not load.runs and not load.helps:
                 del self._loads[target]
 
+    def _stop_reading(self, key: WorkKey, placed: _Placed, now_ms: Millis) -> None:
+        """Take the reading that is still to do out of the targets' backlogs."""
+        for target, until_ms in placed.reads_until_ms.items():
+            load = self._loads[target]
+            load.unread.pop(key, None)
+            left_ms = min(until_ms - now_ms, placed.work.reading_ms)
+            if left_ms > 0:
+                load.reads_until_ms -= left_ms
+                if key in load.helps:
+                    load.helps_until_ms -= left_ms
+            placed.reads_until_ms[target] = min(until_ms, now_ms)
+
     def keep_only(self, entry: str, numbers: set[int], now_ms: Millis) -> None:
         """Remove the work of an entry that its whole list no longer has."""
         for key in [key for key in self._placed if key[0] == entry and key[1] not in numbers]:
             self.end(entry, key[1], now_ms)
-
-    def _shorten(self, target: TargetNumber, duration_ms: Millis) -> None:
-        if duration_ms > 0:
-            self._loads[target].reads_until_ms -= duration_ms
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -19,7 +19,9 @@
     targets: list[int]
     reading_ms: int
     context_tokens: int
+    held_tokens: int
     pause_goal_ms: int
+    goal_in_ms: int
     is_repeat: bool
 
 
--- a/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
@@ -24,7 +24,7 @@
     """Return the load of streams with these pause goals."""
     found = TargetLoad(reads_until_ms=reads_until_ms)
     for number, pause_ms in enumerate(pauses_ms):
-        work = RunningWork(number, 1, (1,), 0.0, context_tokens, pause_ms, False)
+        work = RunningWork(number, 1, (1,), 0.0, context_tokens, 0, pause_ms, 300.0, False)
         found.runs[("e", number)] = work
     return found
 
--- a/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
@@ -9,7 +9,7 @@
 
 def work(number: int, *targets: int, reading_ms: float = 100.0) -> RunningWork:
     """Return an attempt on targets, of which the first runs it."""
-    return RunningWork(number, 1, targets, reading_ms, 1000, 250.0, False)
+    return RunningWork(number, 1, targets, reading_ms, 1000, 0, 250.0, 300.0, False)
 
 
 class PoolViewTests(unittest.TestCase):
