Place late large prompts on spare engines only

Ruled out: slow hosts (no such fault then), full slots alone (free engines were there but for the reading). Change: work that misses its goal gets at most a quarter of the pool, while at most 40% of the slots are taken; what cannot end its reading so is refused at once.

--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -34,6 +34,12 @@
 ABANDON_FACTOR = 4.0
 """Callers give a stream up that has not begun after four goals, see PROTOCOL.md."""
 
+LATE_POOL_DIVISOR = 4
+"""Late work reads on this part of the pool at most."""
+
+LATE_LOAD = 0.4
+"""Late work is placed while at most this part of all slots is taken."""
+
 LATE_SHARE = 0.7
 """The part of the time until then in which late work has to be read."""
 
@@ -165,30 +171,28 @@
     ) -> Placement | Saturated:
         """Place long work that misses its goal on engines that nothing waits for.
 
-        Load pattern: a burst of the largest prompts. One that is late anyway would make those late
-        that can still be in time, so it gets the fewest engines that end its reading early enough,
-        and only while half of the pool has nothing to read.
+        Load pattern: a burst of the largest prompts, or one of short prompts that follows it. Work
+        that is late anyway would make those late that can still be in time, so it gets the fewest
+        engines that end its reading early enough, at most a quarter of the pool, and only while
+        most slots are free.
         """
+        limit_ms = LATE_SHARE * min(job.deadline_ms, ABANDON_FACTOR * job.goal_ms)
+        most = len(candidates) // LATE_POOL_DIVISOR
+        parts = next((count for count in PART_COUNTS if alone_ms / count <= limit_ms), None)
+        if parts is None or parts > most:
+            return Saturated(job.deadline_ms)
+        active = sum(item.load.active for item in candidates)
+        slots = sum(min(self._engine.slots, item.target.slots) for item in candidates)
         idle = [
             item
             for item in candidates
             if item.load.reads_until_ms <= now_ms + IDLE_MS and not item.is_suspended
         ]
-        kept = len(candidates) // 2
-        limit_ms = LATE_SHARE * min(job.deadline_ms, ABANDON_FACTOR * job.goal_ms)
-        for parts in PART_COUNTS:
-            if parts > len(idle) - kept:
-                break
-            if alone_ms / parts > limit_ms:
-                continue
-            chosen = self._choose(job, idle, alone_ms / parts, parts, now_ms)
-            if chosen is not None:
-                first_ms = max(scored.first_token_ms for scored in chosen)
-                return self._placement(job, chosen, first_ms)
-        needed = next((count for count in PART_COUNTS if alone_ms / count <= limit_ms), None)
-        if needed is None or needed + kept > len(candidates):
-            return Saturated(job.deadline_ms)
-        return Saturated(self._free_in_ms(candidates, needed + kept, now_ms))
+        is_spare = active <= LATE_LOAD * slots and len(idle) >= len(candidates) // 2
+        chosen = self._choose(job, idle, alone_ms / parts, parts, now_ms) if is_spare else None
+        if chosen is None:
+            return Saturated(self._free_in_ms(candidates, len(candidates) // 2, now_ms))
+        return self._placement(job, chosen, max(scored.first_token_ms for scored in chosen))
 
     def _placement(self, job: Job, chosen: list[_Scored], first_ms: Millis) -> Placement:
         parts = len(chosen)
