Serve metrics, tell peers of slow targets, and lead from a complaint to its cause

Cause: the settings named a metrics port that nothing served; a slow engine was known to the entry that had used it only; a caller that came back after a refusal was taken for a new one. Change: /metrics on its own port; the pace of events against the formula, told to the other entries; the time that a returning caller has waited counts against its goal; a refusal for want of room logs what it rests on.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -18,6 +18,7 @@
     TargetFailed,
 )
 from marigoldarch.serving.candidates import target_number
+from marigoldarch.serving.engine_formula import pass_ms
 from marigoldarch.serving.event_stream import EventSplitter
 from marigoldarch.serving.pool_view import RunningWork
 from marigoldarch_node.serving.event_log import EventLog
@@ -173,7 +174,7 @@
             self._own_tokens(),
             placement.held_tokens,
             call.route.pause_goal_ms if call.route.is_stream else 0.0,
-            max(0.0, call.route.goal_ms - self._spent_ms()),
+            max(0.0, call.route.goal_ms - self._spent_ms() - call.waited_before_ms),
             call.history.is_repeat,
         )
 
@@ -245,6 +246,7 @@
         if marks.request_id != self._call.request_id or not marks.is_signed:
             return None, self._broken(FailureReason.GARBLED)
         splitter = EventSplitter()
+        chunk_ms = self._state.clock.monotonic_ms()
         async with aclosing(connection.chunks()) as chunks:
             while True:
                 limit_ms = self._pause_limit_ms() if self._events else self._first_limit_ms()
@@ -254,7 +256,13 @@
                     return None, self._broken(FailureReason.STALLED)
                 if data is None:
                     break
+                events = self._events
                 await self._pass_on(head, splitter, data)
+                now_ms = self._state.clock.monotonic_ms()
+                if events and self._events > events:
+                    self._measure_pace(chunk_ms, now_ms, self._events - events)
+                if self._events > events:
+                    chunk_ms = now_ms
         if splitter.has_rest:
             return None, self._broken(FailureReason.CUT)
         if not self._call.exchange.is_head_sent:
@@ -282,6 +290,15 @@
         self._events += len(parts)
         await exchange.send_data(b"".join(parts))
 
+    def _measure_pace(self, before_ms: Millis, now_ms: Millis, events: int) -> None:
+        """Compare the time of an event with a pass, unless prompts were read meanwhile."""
+        engine = self._call.service.engine
+        load = self._state.board.view.load_of(target_number(self._target_id))
+        if engine is None or load.reads_until_ms > before_ms:
+            return
+        expected_ms = pass_ms(engine, load.active, load.context_tokens)
+        self._state.note_pace(self._target_id, (now_ms - before_ms) / (events * expected_ms))
+
     def _broken(self, reason: FailureReason) -> AttemptOutcome:
         if self._call.exchange.is_head_sent:
             return StreamBroken(reason, self._plan.last_event or 0)
@@ -305,8 +322,13 @@
         return min(max(limit_ms, LEAST_PAUSE_LIMIT_MS), MOST_PAUSE_LIMIT_MS)
 
     def _note_refusal(self, marks: AnswerMarks) -> None:
-        """A target that sheds is full, or another than it was: leave it alone for a moment."""
-        self._state.note_failure(self._target_id, is_unreachable=False)
+        """Note which target refused: the first, or a helper that the answer names."""
+        at_fault = self._target_id
+        for target in self._plan.placement.targets:
+            if marks.target_at_fault in (target.target_id, target.address):
+                at_fault = target.target_id
+        self._call.history.failed_targets.add(at_fault)
+        self._state.note_failure(at_fault, is_unreachable=False)
 
     def _observe_first(self) -> None:
         now_ms = self._state.clock.monotonic_ms()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -30,6 +30,7 @@
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
 from marigoldarch_node.serving.metrics import ServingMetrics
+from marigoldarch_node.serving.metrics_server import serve_metrics
 from marigoldarch_node.serving.peer_stream import (
     DOCUMENT_PATH,
     MESSAGES_PATH,
@@ -133,6 +134,7 @@
                 if address:
                     state = ServerState(handler, lambda: limits, self._clock)
                     await nursery.start(HttpServer(state).serve, address)
+            await serve_metrics(settings, self._metrics, self._clock, self._sizes, nursery)
             nursery.start_soon(self._store.run, lambda: self._presence.control_hosts)
             nursery.start_soon(self._receive_datagrams)
             nursery.start_soon(self._say_hello)
@@ -149,6 +151,20 @@
         self._settings = settings
         self._named_hosts.update(settings.control_peers)
 
+    def _sizes(self) -> dict[str, float]:
+        replica = self._store.store.replica
+        return {
+            "is_leader": replica.is_leader,
+            "term": replica.term,
+            "voters": len(replica.configuration.voters),
+            "commit_index": replica.commit_index,
+            "declaration_version": self._store.store.document.version,
+            "targets": len(self._registry.targets),
+            "watchers": len(self._watchers.names),
+            "watch_bytes": self._watchers.sent_bytes,
+            "log_bytes": self._peers.sent_bytes,
+        }
+
     # Nodes
 
     async def _say_hello(self) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -18,6 +18,7 @@
 from marigoldarch_node.serving.entry_state import EntryState, sweep
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import HttpServer, ServerState
+from marigoldarch_node.serving.metrics_server import serve_metrics
 from marigoldarch_node.serving.peer_stream import DOCUMENT_PATH, Subscription, fetch_body
 from marigoldarch_node.serving.proxy import STOP_ACCEPTING_MS, Proxy
 from marigoldarch_node.serving.sockets import open_datagrams, split_address
@@ -69,6 +70,7 @@
             health = ServerState(self._serve_health, state.limits, state.clock)
             await nursery.start(HttpServer(health).serve, settings.health_address)
             await nursery.start(self._callers.serve, settings.caller_address)
+            await serve_metrics(settings, state.metrics, state.clock, self._sizes, nursery)
             nursery.start_soon(self._receive_datagrams)
             nursery.start_soon(self._say_hello)
             nursery.start_soon(self._report_work)
@@ -97,6 +99,18 @@
         self._settings = settings
         self._hosts.update(settings.control_peers)
 
+    def _sizes(self) -> dict[str, float]:
+        state = self._state
+        return {
+            "caller_connections": self._callers.open_connections,
+            "usable_targets": len(state.roster.usable),
+            "other_entries": state.board.peers,
+            "oldest_report_ms": state.board.oldest_report_ms,
+            "control_host_silence_ms": state.host_silence_ms,
+            "declaration_version": state.table.version if state.table else 0,
+            "tickets": self._office.held,
+        }
+
     async def _serve_health(self, exchange: Exchange) -> None:
         if not isinstance(self._dialect.read_control_call(exchange.request), AskReady):
             await exchange.answer(404, [])
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -8,6 +8,7 @@
 import trio
 
 from marigoldarch.serving.candidates import CandidateSource, target_number
+from marigoldarch.serving.patience import Patience
 from marigoldarch.serving.retry_budget import RetryBudgetSettings
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
 from marigoldarch.serving.targets import TargetRoster
@@ -22,6 +23,12 @@
     from marigoldarch.serving.routing import RoutingTable
     from marigoldarch_node.serving.settings import ServingSettings
 
+SLOW_PACE = 1.8
+"""From this slowness on the peers are told: below it a pass under way explains a sample."""
+
+TELL_SLOW_MS: Millis = 500.0
+"""How often the peers are told of one target."""
+
 log = EventLog("entry")
 
 
@@ -38,9 +45,12 @@
         budget = RetryBudgetSettings(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms)
         self.board = WorkBoard(settings.peer_address, start_id, self.clock, budget)
         self.board.on_suspended = self._hear_of_suspension
+        self.board.on_slow = self._hear_of_slowness
+        self._told_slow_ms: dict[str, Millis] = {}
         self.candidates = CandidateSource(
             settings.data_centre, self.roster, self.board.view, self.health
         )
+        self.patience = Patience()
         self.stop_began_ms: Millis | None = None
         self._table: RoutingTable | None = None
         self._heard_ms: Millis = 0.0
@@ -70,6 +80,7 @@
         if table.version <= before:
             return
         self._table = table
+        self.patience.keep_only({route.name for route in table.declaration.routes})
         log.info(
             "declaration in force",
             version=table.version,
@@ -96,15 +107,44 @@
             log.warning("target set aside", target=target_id, is_unreachable=is_unreachable)
             self.board.tell_suspended(target_number(target_id))
 
+    def note_pace(self, target_id: str, ratio: float) -> None:
+        """Take a measured duration over that of the formula; tell the peers of a slow target."""
+        now_ms = self.clock.monotonic_ms()
+        self.health.note_pace(target_id, ratio, now_ms)
+        pace = self.health.pace_of(target_id, now_ms)
+        due_ms = self._told_slow_ms.get(target_id, 0.0) + TELL_SLOW_MS
+        if pace < SLOW_PACE or now_ms < due_ms:
+            return
+        if target_id not in self._told_slow_ms:
+            log.warning("target is slow", target=target_id, pace=round(pace, 1))
+        self._told_slow_ms[target_id] = now_ms
+        self.board.tell_slow(target_number(target_id), pace)
+
+    def forget_targets(self) -> None:
+        """Forget what was told of targets that are no more."""
+        for target_id in self._told_slow_ms.keys() - self.roster.usable.keys():
+            del self._told_slow_ms[target_id]
+
     def _hear_of_suspension(self, number: int) -> None:
         """Set a target aside that a peer has found failing."""
-        for target_id in self.roster.usable:
-            if target_number(target_id) == number:
-                self.health.suspend(target_id, self.clock.monotonic_ms())
+        target_id = self._target_of(number)
+        if target_id:
+            self.health.suspend(target_id, self.clock.monotonic_ms())
+
+    def _hear_of_slowness(self, number: int, pace: float) -> None:
+        """Take a peer's measurement."""
+        target_id = self._target_of(number)
+        if target_id:
+            self.health.set_pace(target_id, pace, self.clock.monotonic_ms())
+
+    def _target_of(self, number: int) -> str:
+        found = (name for name in self.roster.usable if target_number(name) == number)
+        return next(found, "")
 
 
 async def sweep(state: EntryState, interval_s: float = 0.5) -> None:
-    """Forget the work of silent peers, until cancelled."""
+    """Forget the work of silent peers and what is known of former targets, until cancelled."""
     while True:
         await trio.sleep(interval_s)
+        state.forget_targets()
         state.board.forget_silent_peers()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
@@ -12,6 +12,9 @@
 _SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, inf)
 
 
+METRICS_PATH = "/metrics"
+
+
 class ServingMetrics:
     """What operators watch on an entry or a control host."""
 
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics_server.py
@@ -0,0 +1,41 @@
+"""The metrics of a serving node over HTTP, at an address of their own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
+from marigoldarch_node.serving.metrics import METRICS_PATH
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import trio
+
+    from marigoldarch.clock import Clock
+    from marigoldarch_node.serving.http_server import Exchange
+    from marigoldarch_node.serving.metrics import ServingMetrics
+    from marigoldarch_node.serving.settings import ServingSettings
+
+
+async def serve_metrics(
+    settings: ServingSettings,
+    metrics: ServingMetrics,
+    clock: Clock,
+    sizes: Callable[[], dict[str, float]],
+    nursery: trio.Nursery,
+) -> None:
+    """Begin to serve metrics, if the settings name a port for them."""
+    if not settings.metrics_port:
+        return
+
+    async def handle(exchange: Exchange) -> None:
+        if exchange.request.target.partition("?")[0] != METRICS_PATH:
+            await exchange.answer(404, [])
+            return
+        content, headers = metrics.render(sizes())
+        plain = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
+        await exchange.answer(200, plain, content)
+
+    server = HttpServer(ServerState(handle, ServerLimits, clock))
+    await nursery.start(server.serve, f"{settings.ip}:{settings.metrics_port}")
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -47,7 +47,7 @@
 """After this time of a stop new requests are refused: callers that keep a directory answer for
 three times its time to live have moved on by then."""
 
-PATIENCE_SHARE = 0.5
+PATIENCE_SHARE = 0.25
 """The part of the time left for which a request may wait for room before it is refused."""
 
 DEFAULT_RETRY_MS: Millis = 250.0
@@ -82,6 +82,7 @@
     customer: Customer | None
     version: int
     ends_ms: Millis
+    waited_before_ms: Millis
     history: AttemptHistory
 
     @property
@@ -140,7 +141,10 @@
         ends_ms = exchange.request.received_ms + min(patience_ms, route.timeout_ms)
         state.board.note_request(target_number(service.name))
         history = AttemptHistory(route)
-        return Call(exchange, facts, route, service, customer, table.version, ends_ms, history)
+        waited_ms = state.patience.waited_before_ms(route.name, patience_ms)
+        return Call(
+            exchange, facts, route, service, customer, table.version, ends_ms, waited_ms, history
+        )
 
     async def _serve(self, call: Call) -> str:
         """Attempt until there is a final answer; return how the request ended."""
@@ -190,6 +194,21 @@
                 await self._state.board.wait_for_change()
 
     def _give_up_waiting(self, call: Call, placement: Saturated) -> None:
+        """End a request that finds no room; log what that rests on."""
+        now_ms = self._now_ms()
+        found = self._state.candidates.find(call.service.name, set(), now_ms)
+        log.info(
+            "no room",
+            request=call.request_id,
+            service=call.service.name,
+            targets=len(found),
+            suspended=sum(item.is_suspended for item in found),
+            active=sum(item.load.active for item in found),
+            tried=sorted(call.history.failed_targets),
+            retry_after_ms=round(placement.retry_after_ms),
+            left_ms=round(call.ends_ms - now_ms),
+            view_age_ms=round(self._state.board.oldest_report_ms),
+        )
         if call.exchange.is_head_sent:
             call.exchange.cut()
             raise CallerGoneError
@@ -213,7 +232,7 @@
         job = Job(
             prompt.tokens,
             prompt.answer_tokens,
-            max(call.route.goal_ms - spent_ms, 1.0),
+            max(call.route.goal_ms - spent_ms - call.waited_before_ms, 1.0),
             call.ends_ms - now_ms,
             call.route.pause_goal_ms,
         )
--- a/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
@@ -48,12 +48,14 @@
         self._read: list[int] = []
         self._ended: list[int] = []
         self._suspended: list[int] = []
+        self._slow: dict[int, int] = {}
         self._requests: Counter[int] = Counter()
         self._peers: dict[str, _Peer] = {}
         self._whole_ms: Millis = float("-inf")
         self._has_news = trio.Event()
         self._changed = trio.Event()
         self.on_suspended: Callable[[int], None] = lambda _: None
+        self.on_slow: Callable[[int, float], None] = lambda _, __: None
 
     @property
     def view(self) -> PoolView:
@@ -115,6 +117,11 @@
         self._suspended.append(target)
         self._has_news.set()
 
+    def tell_slow(self, target: int, pace: float) -> None:
+        """Tell the peers how many times longer than by the formula a target works."""
+        self._slow[target] = round(pace * 100)
+        self._has_news.set()
+
     async def next_report(self) -> bytes:
         """Return the next report once there is news, all the work if that is due."""
         with trio.move_on_after(WHOLE_INTERVAL_MS / 1000.0):
@@ -136,9 +143,11 @@
             self._read,
             self._ended,
             self._suspended,
+            self._slow,
             dict(self._requests),
         )
         self._started, self._read, self._ended, self._suspended = [], [], [], []
+        self._slow = {}
         self._requests.clear()
         return msgspec.msgpack.encode(report)
 
@@ -181,6 +190,8 @@
             self._view.end(report.node, number, now_ms)
         for target in report.suspended:
             self.on_suspended(target)
+        for target, hundredths in report.slow.items():
+            self.on_slow(target, hundredths / 100.0)
         if report.ended:
             self._wake()
 
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shell of pass-through serving."""
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/event_log_tests.py
@@ -0,0 +1,83 @@
+"""Tests of the structured log: bounded, and never blocking."""
+
+from __future__ import annotations
+
+import os
+import time
+import unittest
+
+import logbook
+import msgspec
+
+from marigoldarch_node.serving.event_log import EventLog, LineWriter, StructuredHandler
+
+
+class EventLogTests(unittest.TestCase):
+    """Records and the lines they become."""
+
+    def setUp(self) -> None:
+        self.lines: list[dict[str, object]] = []
+        self.writer = LineWriter()
+        self.writer.put = lambda line: self.lines.append(msgspec.json.decode(line))
+        self.log = EventLog("part")
+
+    def write(self, count: int, **fields: object) -> None:
+        """Log the same event several times."""
+        with StructuredHandler(self.writer, "n1", lambda: 12.5).applicationbound():
+            for _ in range(count):
+                self.log.info("happened", **fields)
+
+    def test_line_has_time_node_part_event_and_fields(self) -> None:
+        self.write(1, target="t1", age_ms=4)
+        expected = {
+            "time": 12.5,
+            "node": "n1",
+            "level": "info",
+            "part": "part",
+            "event": "happened",
+            "target": "t1",
+            "age_ms": 4,
+        }
+        self.assertEqual(self.lines, [expected])
+
+    def test_repeats_are_bounded_but_lines_of_requests_are_kept(self) -> None:
+        self.write(500)
+        self.assertLess(len(self.lines), 50)
+        self.lines.clear()
+        self.write(500, request="r1")
+        self.assertEqual(len(self.lines), 500)
+
+
+class LineWriterTests(unittest.TestCase):
+    """A reader that does not read."""
+
+    def test_full_queue_drops_lines_and_counts_them(self) -> None:
+        reader, descriptor = os.pipe()
+        writer = LineWriter(descriptor, limit=100)
+        writer.start()
+        line = b"x" * 4096 + b"\n"
+        began_s = time.monotonic()
+        for _ in range(1000):
+            writer.put(line)
+        self.assertLess(time.monotonic() - began_s, 1.0)
+        self.assertGreater(writer.dropped, 0)
+        # A reader that is gone ends the write that waits, and with it the thread.
+        os.close(reader)
+        writer.stop()
+        os.close(descriptor)
+
+    def test_stop_writes_what_is_queued(self) -> None:
+        reader, descriptor = os.pipe()
+        writer = LineWriter(descriptor)
+        writer.start()
+        writer.put(b"last line\n")
+        writer.stop()
+        self.assertEqual(os.read(reader, 100), b"last line\n")
+        os.close(reader)
+        os.close(descriptor)
+
+    def test_handler_writes_nothing_below_its_level(self) -> None:
+        writer = LineWriter()
+        with StructuredHandler(writer, "n1").applicationbound():
+            logbook.Logger("part").debug("detail")
+        self.assertEqual(len(writer._lines), 0)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/http_server_tests.py
@@ -0,0 +1,129 @@
+"""Tests of the HTTP server towards callers."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from marigoldarch_node.serving.http_server import Exchange, ServerLimits
+from marigoldarch_node.tests.serving.support import open_stream, read_all, read_until, serving
+
+GET = b"GET /x?y=1 HTTP/1.1\r\nhost: a\r\n\r\n"
+LIMITS = ServerLimits(header_bytes=300, body_bytes=10, header_timeout_ms=200, idle_timeout_ms=300)
+
+
+async def echo(exchange: Exchange) -> None:
+    """Answer with what was asked."""
+    request = exchange.request
+    await exchange.answer(200, [], f"{request.method} {request.target} ".encode() + request.body)
+
+
+class HttpServerTests(unittest.TestCase):
+    """Raw bytes against a server."""
+
+    def talk(self, *sent: bytes, limits: ServerLimits | None = None) -> bytes:
+        """Send bytes, and return everything until the server closes."""
+
+        async def run() -> bytes:
+            async with serving(echo, limits) as (_, address):
+                stream = await open_stream(address)
+                for data in sent:
+                    await stream.send_all(data)
+                return await read_all(stream)
+
+        return trio.run(run)
+
+    def test_target_and_body_arrive_unchanged(self) -> None:
+        data = self.talk(
+            b"POST /%7Ea//b?c=%20 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
+            b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertTrue(data.endswith(b"POST /%7Ea//b?c=%20 abcde"), data)
+
+    def test_requests_sent_ahead_are_answered_in_their_order(self) -> None:
+        last = b"GET /z HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        data = self.talk(GET + GET + last)
+        self.assertEqual(data.count(b"GET /x?y=1"), 2)
+        self.assertTrue(data.endswith(b"GET /z "))
+
+    def test_limits_end_in_their_statuses(self) -> None:
+        long_header = b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 400 + b"\r\n\r\n"
+        self.assertIn(b" 431 ", self.talk(long_header, limits=LIMITS))
+        long_body = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 11\r\n\r\nabcdefghijk"
+        self.assertIn(b" 413 ", self.talk(long_body, limits=LIMITS))
+        self.assertIn(b" 408 ", self.talk(b"GET / HT", limits=LIMITS))
+        self.assertIn(b" 400 ", self.talk(b"nonsense\r\n\r\n", limits=LIMITS))
+
+    def test_idle_connection_is_closed_without_an_answer(self) -> None:
+        self.assertEqual(self.talk(limits=LIMITS), b"")
+
+    def test_caller_that_leaves_cancels_the_handler_at_once(self) -> None:
+        left = trio.Event()
+
+        async def wait(exchange: Exchange) -> None:
+            try:
+                await trio.sleep_forever()
+            finally:
+                left.set()
+
+        async def run() -> None:
+            async with serving(wait) as (_, address):
+                stream = await open_stream(address)
+                await stream.send_all(GET)
+                await trio.sleep(0.05)
+                await stream.aclose()
+                with trio.fail_after(0.5):
+                    await left.wait()
+
+        trio.run(run)
+
+    def test_cut_answer_looks_cut(self) -> None:
+        async def cut(exchange: Exchange) -> None:
+            await exchange.send_head(200, [])
+            await exchange.send_data(b"part")
+            exchange.cut()
+
+        async def run() -> bytes:
+            async with serving(cut) as (_, address):
+                stream = await open_stream(address)
+                await stream.send_all(GET)
+                return await read_all(stream)
+
+        data = trio.run(run)
+        self.assertIn(b"part", data)
+        self.assertNotIn(b"0\r\n\r\n", data)
+
+    def test_fault_of_a_handler_ends_its_connection_only(self) -> None:
+        async def fail(exchange: Exchange) -> None:
+            if exchange.request.target == "/bad":
+                raise ValueError("bad")
+            await exchange.answer(200, [], b"fine")
+
+        async def run() -> tuple[bytes, bytes]:
+            async with serving(fail) as (_, address):
+                bad, good = await open_stream(address), await open_stream(address)
+                await bad.send_all(b"GET /bad HTTP/1.1\r\nhost: a\r\n\r\n")
+                await good.send_all(GET)
+                return await read_all(bad), await read_until(good, b"fine")
+
+        bad, good = trio.run(run)
+        self.assertEqual(bad, b"")
+        self.assertIn(b"fine", good)
+
+    def test_closing_server_says_so_and_ends_idle_connections(self) -> None:
+        async def run() -> tuple[bytes, bytes]:
+            async with serving(echo) as (server, address):
+                busy, idle = await open_stream(address), await open_stream(address)
+                await idle.send_all(GET)
+                first = await read_until(idle, b"y=1 ")
+                server.begin_closing()
+                await busy.send_all(GET)
+                answer = await read_all(busy)
+                server.close_idle()
+                self.assertEqual(await read_all(idle), b"")
+                return first, answer
+
+        first, answer = trio.run(run)
+        self.assertNotIn(b"connection: close", first)
+        self.assertIn(b"connection: close", answer)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -0,0 +1,85 @@
+"""Servers and raw connections on loopback for the tests of serving."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager, suppress
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.clock import ManualClock
+from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from marigoldarch_node.serving.http_server import Exchange
+
+READ_S = 3.0
+
+
+async def free_address() -> str:
+    """Return a loopback address that nobody listens at."""
+    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    port = listener.socket.getsockname()[1]
+    await listener.aclose()
+    return f"127.0.0.1:{port}"
+
+
+@asynccontextmanager
+async def serving(
+    handler: Callable[[Exchange], Awaitable[None]], limits: ServerLimits | None = None
+) -> AsyncIterator[tuple[HttpServer, str]]:
+    """Run a server and yield it with its address."""
+    address = await free_address()
+    state = ServerState(handler, lambda: limits or ServerLimits(), ManualClock())
+    server = HttpServer(state)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve, address)
+        yield server, address
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def scripted(
+    talk: Callable[[trio.SocketStream], Awaitable[None]],
+) -> AsyncIterator[str]:
+    """Run a target that talks to each connection as a script says."""
+    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    port = listener.socket.getsockname()[1]
+
+    async def handle(stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await talk(stream)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, handle, [listener])
+        yield f"127.0.0.1:{port}"
+        nursery.cancel_scope.cancel()
+
+
+async def open_stream(address: str) -> trio.SocketStream:
+    """Open a raw connection."""
+    host, _, port = address.rpartition(":")
+    return await trio.open_tcp_stream(host, int(port))
+
+
+async def read_until(stream: trio.SocketStream, mark: bytes) -> bytes:
+    """Read until a mark or the end."""
+    data = b""
+    with trio.fail_after(READ_S):
+        while mark not in data:
+            chunk = await stream.receive_some(65_536)
+            if not chunk:
+                break
+            data += chunk
+    return data
+
+
+async def read_all(stream: trio.SocketStream) -> bytes:
+    """Read until the connection ends."""
+    data = b""
+    with trio.fail_after(READ_S):
+        while chunk := await stream.receive_some(65_536):
+            data += chunk
+    return data
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/work_board_tests.py
@@ -0,0 +1,95 @@
+"""Tests of what entries tell each other of their work."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+import trio
+
+from marigoldarch.clock import ManualClock
+from marigoldarch.serving.pool_view import RunningWork
+from marigoldarch.serving.retry_budget import RetryBudgetSettings
+from marigoldarch.serving.work_reports import WorkReport
+from marigoldarch_node.serving.work_board import PEER_SILENCE_MS, WorkBoard
+
+BUDGET = RetryBudgetSettings(slack=10.0, margin=1.0)
+WORK = RunningWork(0, 5, (7, 8), 100.0, 1000, 0, 250.0, 300.0, False)
+
+
+class WorkBoardTests(unittest.TestCase):
+    """Two entries."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(1000.0)
+        self.first = WorkBoard("e1", 1, self.clock, BUDGET)
+        self.second = WorkBoard("e2", 2, self.clock, BUDGET)
+
+    def report(self, board: WorkBoard) -> WorkReport:
+        """Return the next report of an entry."""
+        return msgspec.msgpack.decode(trio.run(board.next_report), type=WorkReport)
+
+    def active(self) -> int:
+        """Return how many requests the second entry knows on target 7."""
+        return self.second.view.load_of(7).active
+
+    def test_peer_hears_of_the_start_and_of_the_end(self) -> None:
+        number = self.first.start(WORK)
+        self.second.receive(self.report(self.first))
+        self.assertEqual(self.active(), 1)
+        self.first.end(number)
+        self.second.receive(self.report(self.first))
+        self.assertEqual(self.active(), 0)
+
+    def test_lost_report_is_made_good_by_a_whole_one(self) -> None:
+        self.second.receive(self.report(self.first))
+        number = self.first.start(WORK)
+        self.report(self.first)
+        self.clock.advance(1100.0)
+        self.first.note_request(5)
+        self.second.receive(self.report(self.first))
+        self.assertEqual(self.active(), 1)
+        self.first.end(number)
+        self.report(self.first)
+        self.clock.advance(1100.0)
+        self.first.note_request(5)
+        self.second.receive(self.report(self.first))
+        self.assertEqual(self.active(), 0)
+
+    def test_older_report_changes_nothing(self) -> None:
+        number = self.first.start(WORK)
+        before = self.report(self.first)
+        self.first.end(number)
+        after = self.report(self.first)
+        self.second.receive(after)
+        self.second.receive(before)
+        self.assertEqual(self.active(), 0)
+
+    def test_work_of_a_silent_or_restarted_entry_is_forgotten(self) -> None:
+        self.first.start(WORK)
+        self.second.receive(self.report(self.first))
+        self.clock.advance(PEER_SILENCE_MS)
+        self.second.forget_silent_peers()
+        self.assertEqual((self.active(), self.second.peers), (0, 0))
+        self.first.start(WORK)
+        self.second.receive(self.report(self.first))
+        restarted = WorkBoard("e1", 9, self.clock, BUDGET)
+        restarted.note_request(5)
+        self.second.receive(self.report(restarted))
+        self.assertEqual(self.active(), 0)
+
+    def test_repeats_of_peers_use_the_shared_budget(self) -> None:
+        for _ in range(10):
+            self.first.start(WORK._replace(is_repeat=True))
+        self.assertTrue(self.second.may_repeat(5))
+        self.second.receive(self.report(self.first))
+        self.assertFalse(self.second.may_repeat(5))
+
+    def test_peers_hear_of_targets_that_fail_or_are_slow(self) -> None:
+        heard: list[object] = []
+        self.second.on_suspended = heard.append
+        self.second.on_slow = lambda target, pace: heard.append((target, pace))
+        self.first.tell_suspended(7)
+        self.first.tell_slow(8, 4.5)
+        self.second.receive(self.report(self.first))
+        self.assertEqual(heard, [7, (8, 4.5)])
--- a/packages/marigoldarch/marigoldarch/serving/target_health.py
+++ b/packages/marigoldarch/marigoldarch/serving/target_health.py
@@ -105,6 +105,12 @@
         record.pace = before + weight * (sample - before)
         record.paced_ms = now_ms
 
+    def set_pace(self, target_id: str, pace: float, now_ms: Millis) -> None:
+        """Take the slowness that another entry has measured, if it is more than the own."""
+        if pace > self.pace_of(target_id, now_ms):
+            record = self._records.setdefault(target_id, _Record())
+            record.pace, record.paced_ms = min(pace, self._settings.longest_pace), now_ms
+
     def keep_only(self, target_ids: set[str]) -> None:
         """Forget the targets that are no more."""
         for target_id in self._records.keys() - target_ids:
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -29,7 +29,8 @@
     """Changes of one entry's work since its report before, or all of it if `is_whole`.
 
     `read` are works whose first token has come, `suspended` targets that the entry has just set
-    aside, `requests` how many requests it has taken by service since its last report.
+    aside, `slow` the measured slowness of targets in hundredths, `requests` how many requests it has
+    taken by service since its last report.
     """
 
     node: str
@@ -40,6 +41,7 @@
     read: list[int]
     ended: list[int]
     suspended: list[int]
+    slow: dict[int, int]
     requests: dict[int, int]
 
 
