--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -15,7 +15,6 @@
     Checkpoint,
     Effect,
     Exit,
-    LogRecord,
     OperatorReply,
     OrderTarget,
     Persist,
@@ -35,6 +34,7 @@
 from marigoldarch_node.logs import get_logger
 from marigoldarch_node.metrics import Metrics
 from marigoldarch_node.security.loaded import Security
+from marigoldarch_node.storage.batches import write_batch
 from marigoldarch_node.storage.folder import DataFolder
 from marigoldarch_node.timeline.recorder import Recorder
 
@@ -173,23 +173,10 @@
             batch = list(self._persists)
             self._persists.clear()
             began_s = time.perf_counter()
-            await trio.to_thread.run_sync(self._write_batch, batch)
+            await trio.to_thread.run_sync(write_batch, self._folder, batch)
             self.metrics.on_synced(time.perf_counter() - began_s)
             self._on_synced(batch[-1].persist_id)
 
-    def _write_batch(self, batch: list[Persist | Checkpoint]) -> None:
-        records: list[LogRecord] = []
-        for effect in batch:
-            match effect:
-                case Persist():
-                    records += effect.records
-                case Checkpoint():
-                    # A checkpoint holds all that was written before it.
-                    records.clear()
-                    self._folder.replace(list(effect.records))
-        if records:
-            self._folder.append(records)
-
     def _on_synced(self, persist_id: int) -> None:
         self._synced_id = persist_id
         still_held = [send for send in self._held if send.after > persist_id]
--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -4,7 +4,7 @@
 
 from contextlib import aclosing
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -56,6 +56,15 @@
 log = EventLog("attempts")
 
 
+class EntryTools(NamedTuple):
+    """What every attempt of an entry works with."""
+
+    state: EntryState
+    dialect: Dialect
+    connections: TargetConnections
+    office: TicketOffice
+
+
 @dataclass
 class AttemptPlan:
     """What to send where; `last_event` moves on with the events that reach the caller."""
@@ -75,19 +84,12 @@
 class Attempt:
     """One attempt of a call."""
 
-    def __init__(
-        self,
-        state: EntryState,
-        dialect: Dialect,
-        connections: TargetConnections,
-        office: TicketOffice,
-        plan: AttemptPlan,
-    ) -> None:
-        self._state = state
-        self._dialect = dialect
-        self._connections = connections
+    def __init__(self, tools: EntryTools, plan: AttemptPlan) -> None:
+        self._state = tools.state
+        self._dialect = tools.dialect
+        self._connections = tools.connections
+        self._office = tools.office
         self._plan = plan
-        self._office = office
         self._call = plan.call
         self._target_id = plan.forwarding.target_id
         self._number = 0
--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -14,12 +14,13 @@
 from marigoldarch.exceptions import DamagedLogError
 from marigoldarch.serving.declaration import check, describe
 from marigoldarch.serving.presence import HELLO_INTERVAL_MS, Hello, HostsKnown, NodeRole, Presence
-from marigoldarch.serving.targets import TARGET_SILENCE_MS, Target, TargetRegistry
-from marigoldarch.serving.watch import WATCH_MESSAGES, HostStatus, TargetSilent, TargetTold
+from marigoldarch.serving.targets import TARGET_SILENCE_MS
+from marigoldarch.serving.watch import WATCH_MESSAGES, HostStatus, TargetTold
 from marigoldarch.settings import ControlSettings
 from marigoldarch.store.messages import STORE_MESSAGES, TargetsHeard, TargetsNoted
 from marigoldarch.store.reducer import Document, Store, StoreSettings
 from marigoldarch_node.clock import SystemClock
+from marigoldarch_node.serving.datagrams import DatagramPort
 from marigoldarch_node.serving.dialect import (
     Announce,
     FindEntries,
@@ -28,7 +29,12 @@
     PutDeclaration,
 )
 from marigoldarch_node.serving.event_log import EventLog
-from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
+from marigoldarch_node.serving.http_server import (
+    JSON_HEADERS,
+    HttpServer,
+    ServerLimits,
+    ServerState,
+)
 from marigoldarch_node.serving.metrics import ServingMetrics
 from marigoldarch_node.serving.metrics_server import serve_metrics
 from marigoldarch_node.serving.peer_stream import (
@@ -38,8 +44,8 @@
     Subscription,
     role_of,
 )
-from marigoldarch_node.serving.sockets import open_datagrams, split_address
 from marigoldarch_node.serving.store_runtime import StoreRuntime
+from marigoldarch_node.serving.target_desk import TargetDesk
 from marigoldarch_node.storage.folder import DataFolder
 
 if TYPE_CHECKING:
@@ -53,19 +59,12 @@
 ANSWER_MS = 900.0
 """Callers of a control host go on to another after a second, see PROTOCOL.md."""
 
-CONFIRM_MS = 500.0
-"""How long to wait until another control host has noted that a target leaves."""
-
 ENTRY_KEEP_MS = 1000.0
 """How long callers may use an answer of the directory: a third of the time for which a stopping
 entry takes requests, as some keep it for three times as long."""
 
-RELAY_S = 0.15
-"""How often announcements that change nothing are told to the other control hosts."""
-
 INSTALLATION = "serving"
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
-JSON = [(b"content-type", b"application/json")]
 
 STORE_TIMING = ControlSettings(
     append_interval_ms=150.0,
@@ -93,7 +92,6 @@
         self._started_ms = self._clock.monotonic_ms()
         self._metrics = ServingMetrics()
         self._presence = Presence(self._started_ms)
-        self._registry = TargetRegistry()
         self._watchers = Subscribers(WATCH_MESSAGES)
         self._peers = Subscribers(STORE_MESSAGES)
         self._folder = DataFolder(data_folder, settings.node, INSTALLATION)
@@ -109,20 +107,18 @@
             store, self._folder, self._clock, self._metrics, self._peers.send
         )
         self._store.on_document = self._on_document
-        self._unrelayed: dict[str, Target] = {}
-        self._batch = 0
-        self._confirmations: dict[int, trio.Event] = {}
+        self._targets = TargetDesk(dialect, self._clock, self._metrics, self._watchers, self._peers)
         self._named_hosts: set[str] = set(settings.control_peers)
         self._subscribed: set[str] = set()
         self._serial = 0
         self._is_leaving = False
         self._nursery: trio.Nursery | None = None
-        self._datagrams: trio.socket.SocketType | None = None
+        self._datagrams: DatagramPort | None = None
 
     async def run(self) -> None:
         """Serve until cancelled."""
         settings = self._settings
-        self._datagrams = await open_datagrams(settings.peer_address)
+        self._datagrams = await DatagramPort.open(settings.peer_address, Hello | HostsKnown)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             limits = ServerLimits(body_bytes=MAX_DOCUMENT_BYTES)
@@ -136,9 +132,9 @@
                     await nursery.start(HttpServer(state).serve, address)
             await serve_metrics(settings, self._metrics, self._clock, self._sizes, nursery)
             nursery.start_soon(self._store.run, lambda: self._presence.control_hosts)
-            nursery.start_soon(self._receive_datagrams)
+            nursery.start_soon(self._datagrams.receive, self._on_datagram)
             nursery.start_soon(self._say_hello)
-            nursery.start_soon(self._relay_announcements)
+            nursery.start_soon(self._targets.relay)
 
     async def stop(self) -> None:
         """Hand leadership over and tell the others before the process ends."""
@@ -159,7 +155,7 @@
             "voters": len(replica.configuration.voters),
             "commit_index": replica.commit_index,
             "declaration_version": self._store.store.document.version,
-            "targets": len(self._registry.targets),
+            "targets": len(self._targets.targets),
             "watchers": len(self._watchers.names),
             "watch_bytes": self._watchers.sent_bytes,
             "log_bytes": self._peers.sent_bytes,
@@ -172,9 +168,7 @@
             await self._send_hello()
             self._tell_status()
             now_ms = self._clock.monotonic_ms()
-            for target in self._registry.expire(now_ms):
-                log.warning("target is silent", target=target.target_id, address=target.address)
-                self._watchers.send_to_all(TargetSilent(target.target_id))
+            self._targets.expire()
             self._presence.expire(now_ms)
             await trio.sleep(HELLO_INTERVAL_MS / 1000.0)
 
@@ -193,36 +187,21 @@
             is_leaving=self._is_leaving,
         )
         self._presence.hear(hello, self._clock.monotonic_ms())
-        data = msgspec.msgpack.encode(hello)
-        for host in self._known_hosts():
-            if host != settings.peer_address:
-                self._subscribe(host)
-                await self._send_datagram(data, host)
+        others = [host for host in self._known_hosts() if host != settings.peer_address]
+        for host in others:
+            self._subscribe(host)
+        await self._datagrams.send(hello, *others)
 
     def _known_hosts(self) -> list[str]:
         voters = {name.node for name in self._store.store.replica.configuration.members}
         return sorted({*self._presence.control_hosts, *self._named_hosts, *voters})
 
-    async def _send_datagram(self, data: bytes, address: str) -> None:
-        try:
-            await self._datagrams.sendto(data, split_address(address))
-        except OSError as error:
-            log.warning("datagram not sent", peer=address, reason=error.strerror)
-
-    async def _receive_datagrams(self) -> None:
-        decoder = msgspec.msgpack.Decoder(Hello | HostsKnown)
-        while True:
-            data, _ = await self._datagrams.recvfrom(65_536)
-            try:
-                message = decoder.decode(data)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
-                log.warning("undecodable datagram dropped", reason=str(error))
-                continue
-            match message:
-                case Hello():
-                    await self._on_hello(message)
-                case HostsKnown(hosts=hosts):
-                    self._named_hosts.update(hosts)
+    async def _on_datagram(self, message: Hello | HostsKnown) -> None:
+        match message:
+            case Hello():
+                await self._on_hello(message)
+            case HostsKnown(hosts=hosts):
+                self._named_hosts.update(hosts)
 
     async def _on_hello(self, hello: Hello) -> None:
         now_ms = self._clock.monotonic_ms()
@@ -232,7 +211,7 @@
             self._tell_status()
         if hello.serial % 4 == 1:
             known = HostsKnown(self._presence.live_host_names(now_ms))
-            await self._send_datagram(msgspec.msgpack.encode(known), hello.node)
+            await self._datagrams.send(known, hello.node)
 
     def _subscribe(self, host: str) -> None:
         if host in self._subscribed:
@@ -255,32 +234,25 @@
         if path == MESSAGES_PATH and role_of(exchange) == NodeRole.ENTRY:
             await self._watchers.serve(exchange, self._whole_watch())
         elif path == MESSAGES_PATH:
-            heard = TargetsHeard(0, tuple(self._registry.targets))
+            heard = TargetsHeard(0, tuple(self._targets.targets))
             await self._peers.serve(exchange, [heard])
         elif path == DOCUMENT_PATH:
             document = self._store.store.document
-            await exchange.answer(200, JSON, msgspec.json.encode(document))
+            await exchange.answer(200, JSON_HEADERS, msgspec.json.encode(document))
         else:
             await exchange.answer(404, [])
 
     def _on_peer_message(self, peer: str, message: object) -> None:
         match message:
-            case TargetsHeard(batch=batch, targets=targets):
-                for target in targets:
-                    self._take_target(target)
-                if batch:
-                    self._peers.send(peer, TargetsNoted(batch))
-            case TargetsNoted(batch=batch):
-                event = self._confirmations.get(batch)
-                if event is not None:
-                    event.set()
+            case TargetsHeard() | TargetsNoted():
+                self._targets.receive(peer, message)
             case _:
                 self._store.receive(peer, message)
 
     # Entries that watch
 
     def _whole_watch(self) -> list[object]:
-        told = [TargetTold(target) for target in self._registry.targets]
+        told = [TargetTold(target) for target in self._targets.targets]
         return [*told, self._status()]
 
     def _status(self) -> HostStatus:
@@ -300,56 +272,14 @@
     def _on_document(self, document: Document) -> None:
         self._tell_status()
 
-    # Targets
-
-    def _take_target(self, target: Target) -> bool:
-        """Take an announcement, own or another host's; tell the entries what is new."""
-        is_new = self._registry.announce(target, self._clock.monotonic_ms())
-        if is_new:
-            log.info(
-                "target announced",
-                target=target.target_id,
-                service=target.service,
-                address=target.address,
-                is_leaving=target.is_leaving,
-                is_gone=target.is_gone,
-                serial=target.serial,
-            )
-            self._watchers.send_to_all(TargetTold(target))
-        return is_new
-
-    async def _relay_announcements(self) -> None:
-        while True:
-            await trio.sleep(RELAY_S)
-            if self._unrelayed:
-                heard = TargetsHeard(0, tuple(self._unrelayed.values()))
-                self._unrelayed.clear()
-                self._peers.send_to_all(heard)
-
-    async def _confirm_elsewhere(self, target: Target) -> bool:
-        """Tell the other control hosts that a target leaves; return whether one has noted it."""
-        if not self._peers.names:
-            return len(self._store.store.replica.configuration.voters) <= 1
-        self._batch += 1
-        batch = self._batch
-        self._confirmations[batch] = trio.Event()
-        self._peers.send_to_all(TargetsHeard(batch, (target,)))
-        try:
-            with trio.move_on_after(CONFIRM_MS / 1000.0):
-                await self._confirmations[batch].wait()
-                return True
-            return False
-        finally:
-            del self._confirmations[batch]
-
     # Calls from outside
 
     async def _serve_control(self, exchange: Exchange) -> None:
         match self._dialect.read_control_call(exchange.request):
             case Announce(target_id=target_id):
-                await self._announce(exchange, target_id)
+                await self._targets.announce(exchange, target_id)
             case Leave(target_id=target_id):
-                await self._leave(exchange, target_id)
+                await self._targets.leave(exchange, target_id)
             case PutDeclaration():
                 await self._put(exchange)
             case GetDeclaration():
@@ -359,36 +289,6 @@
             case _:
                 await exchange.answer(404, [])
 
-    async def _announce(self, exchange: Exchange, target_id: str) -> None:
-        match self._dialect.read_announcement(target_id, exchange.request.body):
-            case Result(tag="ok", ok=target):
-                pass
-            case Result(error=fault):
-                log.warning("announcement unreadable", target=target_id, reason=fault.reason)
-                self._metrics.announcements.inc({"outcome": "unreadable"})
-                await exchange.answer(400, JSON, msgspec.json.encode({"error": fault.reason}))
-                return
-        is_new = self._take_target(target)
-        self._metrics.announcements.inc({"outcome": "taken"})
-        if is_new and target.is_leaving and not await self._confirm_elsewhere(target):
-            await exchange.answer(503, JSON, b"{}")
-            return
-        if not is_new:
-            self._unrelayed[target_id] = target
-        elif not target.is_leaving:
-            self._peers.send_to_all(TargetsHeard(0, (target,)))
-        await exchange.answer(200, JSON, b"{}")
-
-    async def _leave(self, exchange: Exchange, target_id: str) -> None:
-        gone = self._registry.leave(target_id, self._clock.monotonic_ms())
-        if gone is not None:
-            log.info("target has left", target=target_id, serial=gone.serial)
-            self._watchers.send_to_all(TargetTold(gone))
-            if not await self._confirm_elsewhere(gone):
-                await exchange.answer(503, JSON, b"{}")
-                return
-        await exchange.answer(200, JSON, b"{}")
-
     async def _put(self, exchange: Exchange) -> None:
         body = exchange.request.body
         match self._dialect.read_declaration(body).bind(check):
@@ -397,29 +297,33 @@
             case Result(error=fault):
                 log.warning("declaration refused", reason=describe(fault))
                 self._metrics.declarations.inc({"outcome": "invalid"})
-                await exchange.answer(400, JSON, msgspec.json.encode({"error": describe(fault)}))
+                await exchange.answer(
+                    400, JSON_HEADERS, msgspec.json.encode({"error": describe(fault)})
+                )
                 return
         text = base64.b85encode(zlib.compress(body)).decode()
         is_stored = await self._store.put(Document(version, text), ANSWER_MS)
         log.info("declaration put", version=version, is_stored=is_stored)
         self._metrics.declarations.inc({"outcome": "stored" if is_stored else "unsure"})
-        await exchange.answer(200 if is_stored else 503, JSON, b"{}")
+        await exchange.answer(200 if is_stored else 503, JSON_HEADERS, b"{}")
 
     async def _get(self, exchange: Exchange) -> None:
         document = await self._store.read(ANSWER_MS)
         if document is None or not document.version:
             log.warning("read refused", reason="no majority" if document is None else "empty")
-            await exchange.answer(503, JSON, b"{}")
+            await exchange.answer(503, JSON_HEADERS, b"{}")
             return
-        await exchange.answer(200, JSON, unpack_document(document))
+        await exchange.answer(200, JSON_HEADERS, unpack_document(document))
 
     async def _find_entries(self, exchange: Exchange, data_centre: str) -> None:
         now_ms = self._clock.monotonic_ms()
         addresses = self._presence.addresses(data_centre, now_ms, self._chooser)
         if not addresses or not self._presence.is_warm(now_ms):
-            await exchange.answer(503, JSON, b"{}")
+            await exchange.answer(503, JSON_HEADERS, b"{}")
             return
-        await exchange.answer(200, JSON, self._dialect.write_entries(addresses, ENTRY_KEEP_MS))
+        await exchange.answer(
+            200, JSON_HEADERS, self._dialect.write_entries(addresses, ENTRY_KEEP_MS)
+        )
 
 
 def _open(folder: DataFolder) -> DurableState:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -13,7 +13,9 @@
 from marigoldarch.serving.watch import WATCH_MESSAGES, HostStatus, TargetSilent, TargetTold
 from marigoldarch.serving.work_reports import WorkReport
 from marigoldarch.store.reducer import Document
+from marigoldarch_node.serving.attempt import EntryTools
 from marigoldarch_node.serving.control_host import unpack_document
+from marigoldarch_node.serving.datagrams import DatagramPort
 from marigoldarch_node.serving.dialect import AskReady
 from marigoldarch_node.serving.entry_state import EntryState, sweep
 from marigoldarch_node.serving.event_log import EventLog
@@ -21,7 +23,6 @@
 from marigoldarch_node.serving.metrics_server import serve_metrics
 from marigoldarch_node.serving.peer_stream import DOCUMENT_PATH, Subscription, fetch_body
 from marigoldarch_node.serving.proxy import STOP_ACCEPTING_MS, Proxy
-from marigoldarch_node.serving.sockets import open_datagrams, split_address
 from marigoldarch_node.serving.target_connections import AnswerError, TargetConnections
 from marigoldarch_node.serving.tickets import TicketOffice
 
@@ -49,7 +50,7 @@
         self._state = EntryState(settings, start_id)
         self._connections = TargetConnections(self._state.clock)
         self._office = TicketOffice(self._state.clock, dialect, self._connections)
-        proxy = Proxy(self._state, dialect, self._connections, self._office)
+        proxy = Proxy(EntryTools(self._state, dialect, self._connections, self._office))
         self._callers = HttpServer(ServerState(proxy.handle, self._state.limits, self._state.clock))
         self._hosts: set[str] = set(settings.control_peers)
         self._subscribed: dict[str, trio.CancelScope] = {}
@@ -59,19 +60,19 @@
         self._newer_version = trio.Event()
         self._serial = 0
         self._nursery: trio.Nursery | None = None
-        self._datagrams: trio.socket.SocketType | None = None
+        self._datagrams: DatagramPort | None = None
 
     async def run(self) -> None:
         """Serve until cancelled."""
         settings, state = self._settings, self._state
-        self._datagrams = await open_datagrams(settings.peer_address)
+        self._datagrams = await DatagramPort.open(settings.peer_address, WorkReport | HostsKnown)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             health = ServerState(self._serve_health, state.limits, state.clock)
             await nursery.start(HttpServer(health).serve, settings.health_address)
             await nursery.start(self._callers.serve, settings.caller_address)
             await serve_metrics(settings, state.metrics, state.clock, self._sizes, nursery)
-            nursery.start_soon(self._receive_datagrams)
+            nursery.start_soon(self._datagrams.receive, self._on_datagram)
             nursery.start_soon(self._say_hello)
             nursery.start_soon(self._report_work)
             nursery.start_soon(self._fetch_declarations)
@@ -143,38 +144,23 @@
             state.is_ready,
             state.stop_began_ms is not None,
         )
-        data = msgspec.msgpack.encode(hello)
-        for host in sorted(self._hosts):
+        hosts = sorted(self._hosts)
+        for host in hosts:
             self._watch(host)
-            await self._send_datagram(data, host)
+        await self._datagrams.send(hello, *hosts)
 
-    async def _send_datagram(self, data: bytes, address: str) -> None:
-        try:
-            await self._datagrams.sendto(data, split_address(address))
-        except OSError as error:
-            log.warning("datagram not sent", peer=address, reason=error.strerror)
-
-    async def _receive_datagrams(self) -> None:
-        decoder = msgspec.msgpack.Decoder(WorkReport | HostsKnown)
-        while True:
-            data, _ = await self._datagrams.recvfrom(65_536)
-            try:
-                message = decoder.decode(data)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
-                log.warning("undecodable datagram dropped", reason=str(error))
-                continue
-            match message:
-                case WorkReport():
-                    self._state.board.receive(message)
-                case HostsKnown(hosts=hosts):
-                    self._hosts.update(hosts)
+    async def _on_datagram(self, message: WorkReport | HostsKnown) -> None:
+        match message:
+            case WorkReport():
+                self._state.board.receive(message)
+            case HostsKnown(hosts=hosts):
+                self._hosts.update(hosts)
 
     async def _report_work(self) -> None:
         """Tell the other entries what this one starts and ends."""
         while True:
             data = await self._state.board.next_report()
-            for entry in self._entries:
-                await self._send_datagram(data, entry)
+            await self._datagrams.send_encoded(data, *self._entries)
 
     def _watch(self, host: str) -> None:
         if host in self._subscribed:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -25,6 +25,8 @@
 Headers = list[tuple[bytes, bytes]]
 
 READ_BYTES = 65_536
+JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
+
 MAX_CONNECTIONS = 3000
 """Below the descriptors of the hosts, 4,096 less 200 for files, with room for targets."""
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -28,7 +28,7 @@
     Saturated,
     choose_plain,
 )
-from marigoldarch_node.serving.attempt import Attempt, AttemptPlan, Delivered
+from marigoldarch_node.serving.attempt import Attempt, AttemptPlan, Delivered, EntryTools
 from marigoldarch_node.serving.dialect import CallFacts, Forwarding
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import CallerGoneError
@@ -37,11 +37,8 @@
     from marigoldarch.clock import Millis
     from marigoldarch.serving.attempts import AttemptOutcome
     from marigoldarch.serving.declaration import Customer, Route, Service
-    from marigoldarch_node.serving.dialect import Dialect
-    from marigoldarch_node.serving.entry_state import EntryState
     from marigoldarch_node.serving.http_server import Exchange
-    from marigoldarch_node.serving.target_connections import TargetConnections
-    from marigoldarch_node.serving.tickets import Ticket, TicketOffice
+    from marigoldarch_node.serving.tickets import Ticket
 
 STOP_ACCEPTING_MS: Millis = 3000.0
 """After this time of a stop new requests are refused: callers that keep a directory answer for
@@ -94,17 +91,10 @@
 class Proxy:
     """Serve the requests of callers."""
 
-    def __init__(
-        self,
-        state: EntryState,
-        dialect: Dialect,
-        connections: TargetConnections,
-        office: TicketOffice,
-    ) -> None:
-        self._state = state
-        self._dialect = dialect
-        self._connections = connections
-        self._office = office
+    def __init__(self, tools: EntryTools) -> None:
+        self._tools = tools
+        self._state = tools.state
+        self._dialect = tools.dialect
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request; whatever happens, the caller gets a final answer or a cut."""
@@ -152,7 +142,7 @@
         while True:
             placement = await self._find_place(call)
             plan = self._plan(call, placement, last_event)
-            attempt = Attempt(self._state, self._dialect, self._connections, self._office, plan)
+            attempt = Attempt(self._tools, plan)
             ended = await attempt.run()
             if isinstance(ended, Delivered):
                 return "delivered"
@@ -247,7 +237,7 @@
         tickets: list[Ticket] = []
         helpers = [target.address for target in placement.targets[1:]]
         if placement.held_tokens:
-            tickets = self._office.make(placement.targets[1:], placement.held_tokens)
+            tickets = self._tools.office.make(placement.targets[1:], placement.held_tokens)
             helpers = [f"{ticket.target.address}/{ticket.ticket_id}" for ticket in tickets]
         forwarding = Forwarding(
             placement.targets[0].target_id,
--- a/packages/marigoldarch-node/marigoldarch_node/serving/store_runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/store_runtime.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from marigoldarch.effects import Checkpoint, LogRecord, Persist, Record, Send
+from marigoldarch.effects import Checkpoint, Persist, Record, Send
 from marigoldarch.exceptions import StorageError
 from marigoldarch.store.reducer import (
     Document,
@@ -20,6 +20,7 @@
     StoreEffect,
 )
 from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.storage.batches import write_batch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -154,7 +155,7 @@
             batch = list(self._persists)
             began_s = time.perf_counter()
             try:
-                await trio.to_thread.run_sync(_write_batch, self._folder, batch)
+                await trio.to_thread.run_sync(write_batch, self._folder, batch)
             except StorageError as error:
                 log.error("the disk refuses a write", reason=str(error))
                 await trio.sleep(DISK_RETRY_S)
@@ -184,17 +185,3 @@
                 leader=replica.leader,
                 voters=[str(voter) for voter in replica.configuration.voters],
             )
-
-
-def _write_batch(folder: DataFolder, batch: list[Persist | Checkpoint]) -> None:
-    records: list[LogRecord] = []
-    for effect in batch:
-        match effect:
-            case Persist():
-                records += effect.records
-            case Checkpoint():
-                # A checkpoint holds all that was written before it.
-                records.clear()
-                folder.replace(list(effect.records))
-    if records:
-        folder.append(records)
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_desk.py
@@ -0,0 +1,150 @@
+"""A control host's desk for targets: announcements, leavings, and who has to hear of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+from expression import Result
+
+from marigoldarch.serving.targets import Target, TargetRegistry
+from marigoldarch.serving.watch import TargetSilent, TargetTold
+from marigoldarch.store.messages import TargetsHeard, TargetsNoted
+from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.http_server import JSON_HEADERS
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Clock, Millis
+    from marigoldarch_node.serving.dialect import Dialect
+    from marigoldarch_node.serving.http_server import Exchange
+    from marigoldarch_node.serving.metrics import ServingMetrics
+    from marigoldarch_node.serving.peer_stream import Subscribers
+
+CONFIRM_MS: Millis = 500.0
+"""How long to wait until another control host has noted that a target leaves."""
+
+RELAY_S = 0.15
+"""How often announcements that change nothing are told to the other control hosts."""
+
+log = EventLog("targets")
+
+
+class TargetDesk:
+    """The targets that announce themselves here or at another control host."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        clock: Clock,
+        metrics: ServingMetrics,
+        watchers: Subscribers,
+        peers: Subscribers,
+    ) -> None:
+        self._dialect = dialect
+        self._clock = clock
+        self._metrics = metrics
+        self._watchers = watchers
+        self._peers = peers
+        self._registry = TargetRegistry()
+        self._unrelayed: dict[str, Target] = {}
+        self._batch = 0
+        self._confirmations: dict[int, trio.Event] = {}
+
+    @property
+    def targets(self) -> list[Target]:
+        """Return every target that is heard of."""
+        return self._registry.targets
+
+    async def announce(self, exchange: Exchange, target_id: str) -> None:
+        """Answer a target that announces itself."""
+        match self._dialect.read_announcement(target_id, exchange.request.body):
+            case Result(tag="ok", ok=target):
+                pass
+            case Result(error=fault):
+                log.warning("announcement unreadable", target=target_id, reason=fault.reason)
+                self._metrics.announcements.inc({"outcome": "unreadable"})
+                body = msgspec.json.encode({"error": fault.reason})
+                await exchange.answer(400, JSON_HEADERS, body)
+                return
+        is_new = self._take(target)
+        self._metrics.announcements.inc({"outcome": "taken"})
+        if is_new and target.is_leaving and not await self._confirm_elsewhere(target):
+            await exchange.answer(503, JSON_HEADERS, b"{}")
+            return
+        if not is_new:
+            self._unrelayed[target_id] = target
+        elif not target.is_leaving:
+            self._peers.send_to_all(TargetsHeard(0, (target,)))
+        await exchange.answer(200, JSON_HEADERS, b"{}")
+
+    async def leave(self, exchange: Exchange, target_id: str) -> None:
+        """Answer a target that has left."""
+        gone = self._registry.leave(target_id, self._clock.monotonic_ms())
+        if gone is not None:
+            log.info("target has left", target=target_id, serial=gone.serial)
+            self._watchers.send_to_all(TargetTold(gone))
+            if not await self._confirm_elsewhere(gone):
+                await exchange.answer(503, JSON_HEADERS, b"{}")
+                return
+        await exchange.answer(200, JSON_HEADERS, b"{}")
+
+    def receive(self, peer: str, message: TargetsHeard | TargetsNoted) -> None:
+        """Take what another control host tells of targets."""
+        match message:
+            case TargetsHeard(batch=batch, targets=targets):
+                for target in targets:
+                    self._take(target)
+                if batch:
+                    self._peers.send(peer, TargetsNoted(batch))
+            case TargetsNoted(batch=batch):
+                event = self._confirmations.get(batch)
+                if event is not None:
+                    event.set()
+
+    def expire(self) -> None:
+        """Tell the entries of targets that have fallen silent."""
+        for target in self._registry.expire(self._clock.monotonic_ms()):
+            log.warning("target is silent", target=target.target_id, address=target.address)
+            self._watchers.send_to_all(TargetSilent(target.target_id))
+
+    async def relay(self) -> None:
+        """Tell the other control hosts of renewals, until cancelled."""
+        while True:
+            await trio.sleep(RELAY_S)
+            if self._unrelayed:
+                heard = TargetsHeard(0, tuple(self._unrelayed.values()))
+                self._unrelayed.clear()
+                self._peers.send_to_all(heard)
+
+    def _take(self, target: Target) -> bool:
+        """Take an announcement; tell the entries what is new, and return whether it is."""
+        is_new = self._registry.announce(target, self._clock.monotonic_ms())
+        if is_new:
+            log.info(
+                "target announced",
+                target=target.target_id,
+                service=target.service,
+                address=target.address,
+                is_leaving=target.is_leaving,
+                is_gone=target.is_gone,
+                serial=target.serial,
+            )
+            self._watchers.send_to_all(TargetTold(target))
+        return is_new
+
+    async def _confirm_elsewhere(self, target: Target) -> bool:
+        """Tell the other control hosts that a target leaves; return whether one has noted it.
+
+        Without that, the loss of this host would take the fact with it.
+        """
+        self._batch += 1
+        batch = self._batch
+        confirmed = self._confirmations[batch] = trio.Event()
+        self._peers.send_to_all(TargetsHeard(batch, (target,)))
+        try:
+            with trio.move_on_after(CONFIRM_MS / 1000.0):
+                await confirmed.wait()
+            return confirmed.is_set()
+        finally:
+            del self._confirmations[batch]
--- a/packages/marigoldarch/marigoldarch/control/reducer.py
+++ b/packages/marigoldarch/marigoldarch/control/reducer.py
@@ -4,6 +4,7 @@
 
 from marigoldarch.clock import Millis
 from marigoldarch.control.commands import RESULTS
+from marigoldarch.control.delivery import deliver
 from marigoldarch.control.durable import DurableState
 from marigoldarch.control.leadership import Leadership
 from marigoldarch.control.machine import StateMachine
@@ -168,26 +169,7 @@
 ) -> list[Effect]:
     if replica is None:
         return []
-    match message:
-        case VoteRequest():
-            return replica.on_vote_request(sender, message, now_ms)
-        case LeadershipTransfer():
-            return replica.on_leadership_transfer(sender, message, now_ms)
-        case VoteReply():
-            return replica.on_vote_reply(sender, message, now_ms)
-        case AppendRequest():
-            return replica.on_append_request(sender, message, now_ms)
-        case AppendReply():
-            return replica.on_append_reply(sender, message, now_ms)
-        case SnapshotPiece():
-            return replica.on_snapshot_piece(sender, message, now_ms)
-        case SnapshotReply():
-            return replica.on_snapshot_reply(sender, message, now_ms)
-        case BootstrapQuery():
-            return replica.on_bootstrap_query(sender, message)
-        case BootstrapReply():
-            return replica.on_bootstrap_reply(sender, message, now_ms)
-    return []
+    return deliver(replica, sender, message, now_ms)
 
 
 def _on_leader_request(
--- a/packages/marigoldarch/marigoldarch/store/messages.py
+++ b/packages/marigoldarch/marigoldarch/store/messages.py
@@ -5,17 +5,7 @@
 from dataclasses import dataclass
 
 from marigoldarch.codec import Codec
-from marigoldarch.messages import (
-    AppendReply,
-    AppendRequest,
-    BootstrapQuery,
-    BootstrapReply,
-    LeadershipTransfer,
-    SnapshotPiece,
-    SnapshotReply,
-    VoteReply,
-    VoteRequest,
-)
+from marigoldarch.control.delivery import REPLICA_MESSAGES
 from marigoldarch.serving.targets import Target
 
 
@@ -65,18 +55,6 @@
     batch: int
 
 
-REPLICA_MESSAGES = (
-    VoteRequest,
-    LeadershipTransfer,
-    VoteReply,
-    AppendRequest,
-    AppendReply,
-    SnapshotPiece,
-    SnapshotReply,
-    BootstrapQuery,
-    BootstrapReply,
-)
-
 STORE_MESSAGES = Codec(
     (*REPLICA_MESSAGES, PutRequest, PutReply, ReadRequest, ReadReply, TargetsHeard, TargetsNoted)
 )
--- a/packages/marigoldarch/marigoldarch/store/reducer.py
+++ b/packages/marigoldarch/marigoldarch/store/reducer.py
@@ -7,20 +7,10 @@
 
 from marigoldarch.clock import Millis
 from marigoldarch.control.commands import COMMANDS, Configure, Entry, PutDocument
+from marigoldarch.control.delivery import deliver
 from marigoldarch.control.replica import Replica
 from marigoldarch.control.replication import NEVER_MS
 from marigoldarch.effects import Effect, Record, Send
-from marigoldarch.messages import (
-    AppendReply,
-    AppendRequest,
-    BootstrapQuery,
-    BootstrapReply,
-    LeadershipTransfer,
-    SnapshotPiece,
-    SnapshotReply,
-    VoteReply,
-    VoteRequest,
-)
 from marigoldarch.settings import ControlSettings
 from marigoldarch.store.membership import KnownHost, next_change
 from marigoldarch.store.messages import PutReply, PutRequest, ReadReply, ReadRequest
@@ -170,32 +160,9 @@
                 if waiting is not None and waiting.index is None:
                     waiting.index = index
             case _:
-                effects += self._on_replica_message(sender, message, now_ms)
+                effects += deliver(self._replica, sender, message, now_ms)
         return effects + self._follow_log(now_ms)
 
-    def _on_replica_message(self, sender: str, message: object, now_ms: Millis) -> list[Effect]:
-        replica = self._replica
-        match message:
-            case VoteRequest():
-                return replica.on_vote_request(sender, message, now_ms)
-            case VoteReply():
-                return replica.on_vote_reply(sender, message, now_ms)
-            case AppendRequest():
-                return replica.on_append_request(sender, message, now_ms)
-            case AppendReply():
-                return replica.on_append_reply(sender, message, now_ms)
-            case SnapshotPiece():
-                return replica.on_snapshot_piece(sender, message, now_ms)
-            case SnapshotReply():
-                return replica.on_snapshot_reply(sender, message, now_ms)
-            case LeadershipTransfer():
-                return replica.on_leadership_transfer(sender, message, now_ms)
-            case BootstrapQuery():
-                return replica.on_bootstrap_query(sender, message)
-            case BootstrapReply():
-                return replica.on_bootstrap_reply(sender, message, now_ms)
-        return []
-
     def _serve_waiting(self, now_ms: Millis) -> list[StoreEffect]:
         """Send what waits to the leader, and drop what nobody waits for any more."""
         effects: list[StoreEffect] = []
