Bound the cost of placing a long prompt, and wait a moment for the first declaration

After all nodes start again, requests were refused in the second before the first declaration came, which costs callers their one retry. Change: the 24 targets with the least to read are considered; requests wait up to 0.7 s for the first declaration; election timeouts of the control hosts from 500..900 to 350..700 ms.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -67,13 +67,14 @@
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 
 STORE_TIMING = ControlSettings(
-    append_interval_ms=150.0,
-    election_timeout_min_ms=500.0,
-    election_timeout_max_ms=900.0,
+    append_interval_ms=100.0,
+    election_timeout_min_ms=350.0,
+    election_timeout_max_ms=700.0,
     snapshot_entries=12,
     log_tail_entries=6,
 )
-"""The log holds whole documents, so it is compacted after few entries."""
+"""The log holds whole documents, so it is compacted after few entries. The hosts lie a millisecond
+apart: a leader that three appends are missing from is replaced."""
 
 log = EventLog("control")
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -53,6 +53,7 @@
         self.patience = Patience()
         self.stop_began_ms: Millis | None = None
         self._table: RoutingTable | None = None
+        self._has_table = trio.Event()
         self._heard_ms: Millis = 0.0
 
     @property
@@ -80,6 +81,7 @@
         if table.version <= before:
             return
         self._table = table
+        self._has_table.set()
         self.patience.keep_only({route.name for route in table.declaration.routes})
         log.info(
             "declaration in force",
@@ -88,6 +90,12 @@
             routes=len(table.declaration.routes),
         )
 
+    async def wait_for_table(self, timeout_ms: Millis) -> RoutingTable | None:
+        """Return the declaration in force, waiting for the first one after a start."""
+        with trio.move_on_after(timeout_ms / 1000.0):
+            await self._has_table.wait()
+        return self._table
+
     def limits(self) -> ServerLimits:
         """Return what callers may send under the declaration in force."""
         if self._table is None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -37,6 +37,7 @@
     from marigoldarch.clock import Millis
     from marigoldarch.serving.attempts import AttemptOutcome
     from marigoldarch.serving.declaration import Customer, Route, Service
+    from marigoldarch.serving.routing import RoutingTable
     from marigoldarch_node.serving.http_server import Exchange
     from marigoldarch_node.serving.tickets import Ticket
 
@@ -44,6 +45,10 @@
 """After this time of a stop new requests are refused: callers that keep a directory answer for
 three times its time to live have moved on by then."""
 
+START_PATIENCE_MS: Millis = 700.0
+"""How long a request waits for the first declaration after a start: the longest election timeout of
+the control hosts."""
+
 PATIENCE_SHARE = 0.25
 """The part of the time left for which a request may wait for room before it is refused."""
 
@@ -102,7 +107,7 @@
         call: Call | None = None
         outcome = "caller gone"
         try:
-            call = self._admit(exchange, facts)
+            call = self._admit(exchange, facts, await self._find_table())
             outcome = await self._serve(call)
         except RefusalError as refusal:
             outcome = f"refused: {refusal.reason}"
@@ -112,11 +117,20 @@
         finally:
             self._log_end(exchange, facts, call, outcome)
 
-    def _admit(self, exchange: Exchange, facts: CallFacts) -> Call:
-        """Return the request with its route, or raise `RefusalError` where nothing allows it."""
-        state, table = self._state, self._state.table
+    async def _find_table(self) -> RoutingTable:
+        """Return the declaration in force.
+
+        Load pattern: all nodes start again at once, and callers come before the first declaration
+        does. It is a moment away, so they wait for it rather than spend their retry.
+        """
+        table = self._state.table or await self._state.wait_for_table(START_PATIENCE_MS)
         if table is None:
             raise RefusalError(503, "no declaration yet", DEFAULT_RETRY_MS)
+        return table
+
+    def _admit(self, exchange: Exchange, facts: CallFacts, table: RoutingTable) -> Call:
+        """Return the request with its route, or raise `RefusalError` where nothing allows it."""
+        state = self._state
         route = table.find_route(facts.host, facts.path)
         if route is None:
             raise RefusalError(404, "no route")
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import NamedTuple
 
 from marigoldarch.clock import Millis
@@ -24,6 +25,10 @@
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
 """How many targets may read one prompt; PROTOCOL.md allows 16 helpers."""
 
+MOST_CONSIDERED = 24
+"""Long prompts are placed among so many targets, those with the least to read: more than may read one
+prompt, so that the cost of a decision does not grow with the pool."""
+
 LONG_READING_MS: Millis = 150.0
 """Reading beyond this counts as long work: with a pass of about 50 ms it nears the shortest pause
 goal of the deployments' sheets, 250 ms."""
@@ -137,7 +142,10 @@
     def place(self, job: Job, candidates: list[Candidate], now_ms: Millis) -> Placement | Saturated:
         """Return the choice of the lowest cost, or when to come back."""
         alone_ms = reading_ms(self._engine, job.prompt_tokens)
-        best = self._place_in_time(job, candidates, alone_ms, now_ms)
+        considered = candidates
+        if alone_ms >= LONG_READING_MS / 2:
+            considered = _least_read(candidates, now_ms)
+        best = self._place_in_time(job, considered, alone_ms, now_ms)
         if best is None:
             return Saturated(self._free_in_ms(candidates, 1, now_ms))
         if best.first_token_ms > job.goal_ms and alone_ms > LONG_READING_MS:
@@ -189,7 +197,10 @@
             if item.load.reads_until_ms <= now_ms + IDLE_MS and not item.is_suspended
         ]
         is_spare = active <= LATE_LOAD * slots and len(idle) >= len(candidates) // 2
-        chosen = self._choose(job, idle, alone_ms / parts, parts, now_ms) if is_spare else None
+        chosen: list[_Scored] | None = None
+        if is_spare:
+            considered = _least_read(idle, now_ms)
+            chosen = self._choose(job, considered, alone_ms / parts, parts, now_ms)
         if chosen is None:
             return Saturated(self._free_in_ms(candidates, len(candidates) // 2, now_ms))
         return self._placement(job, chosen, max(scored.first_token_ms for scored in chosen))
@@ -293,6 +304,17 @@
         return max(wait_ms, pass_ms(self._engine, 1, 0))
 
 
+def _least_read(candidates: list[Candidate], now_ms: Millis) -> list[Candidate]:
+    if len(candidates) <= MOST_CONSIDERED:
+        return candidates
+
+    def key(item: Candidate) -> tuple[bool, float, int, float]:
+        wait_ms = max(0.0, item.load.reads_until_ms - now_ms)
+        return (item.is_suspended, wait_ms * item.pace, item.load.active, -item.order)
+
+    return heapq.nsmallest(MOST_CONSIDERED, candidates, key=key)
+
+
 def choose_plain(candidates: list[Candidate]) -> Candidate | None:
     """Return the target of a plain service with the most free places, near ones first.
 
