Weigh paused streams against a long prompt, and tell nodes only of changes

Change: a long prompt may break one stream for each 30,000 of its tokens, else it waits or is refused; the list of nodes is told when it changes; the end of short reading is not told; the caller's own time of giving up bounds late work (it was taken from what was left of the goal: a wrong bound, found by a test).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format bench capacity settings-page fuzz bench-decisions
+.PHONY: setup demo test lint format bench capacity settings-page fuzz bench-decisions bench-serving
 
 setup: $(VENV)/.stamp
 
@@ -44,3 +44,8 @@
 
 bench-decisions: setup
 	$(BIN)/python -m marigoldarch_fakes.bench.decisions
+
+# Compares placements under load patterns, and prints what decisions cost.
+bench-serving: setup
+	$(BIN)/python -m marigoldarch_fakes.serving_bench > reports/serving.txt
+	$(BIN)/python -m marigoldarch_fakes.serving_bench.costs >> reports/serving.txt
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/__main__.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/__main__.py
@@ -38,6 +38,7 @@
         "round robin": lambda: policies.round_robin(spec),
         "outstanding": lambda: policies.least_outstanding(spec),
         "short queue": lambda: policies.shortest_queue(spec),
+        "no helpers": lambda: policies.without_helpers(spec, weights),
         "own": lambda: policies.own(spec, weights),
     }
 
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/policies.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/policies.py
@@ -23,6 +23,12 @@
     return EnginePlacer(spec, weights).place
 
 
+def without_helpers(spec: EngineSpec, weights: PlacementWeights) -> Policy:
+    """Return the project's placement where one engine reads each prompt."""
+    placer = EnginePlacer(spec, weights._replace(helper=1000.0))
+    return placer.place
+
+
 def round_robin(spec: EngineSpec) -> Policy:
     """Return the placement that takes one engine after the other."""
     numbers = itertools.count()
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
@@ -134,6 +134,7 @@
             max(arrival.kind.goal_ms - spent_ms, 1.0),
             left_ms,
             arrival.kind.pause_ms,
+            max(2000.0, 4 * arrival.kind.goal_ms, 8 * arrival.kind.pause_ms) - spent_ms,
         )
         per_centre = max(1, len(self._targets) // 3 - 1)
         candidates = [
--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -15,7 +15,7 @@
 from marigoldarch.serving.declaration import check, describe
 from marigoldarch.serving.presence import HELLO_INTERVAL_MS, Hello, HostsKnown, NodeRole, Presence
 from marigoldarch.serving.targets import TARGET_SILENCE_MS
-from marigoldarch.serving.watch import WATCH_MESSAGES, HostStatus, TargetTold
+from marigoldarch.serving.watch import WATCH_MESSAGES, HostStatus, NodesTold, TargetTold
 from marigoldarch.settings import ControlSettings
 from marigoldarch.store.messages import STORE_MESSAGES, TargetsHeard, TargetsNoted
 from marigoldarch.store.reducer import Document, Store, StoreSettings
@@ -111,6 +111,7 @@
         self._targets = TargetDesk(dialect, self._clock, self._metrics, self._watchers, self._peers)
         self._named_hosts: set[str] = set(settings.control_peers)
         self._subscribed: set[str] = set()
+        self._told_nodes = NodesTold((), ())
         self._serial = 0
         self._is_leaving = False
         self._nursery: trio.Nursery | None = None
@@ -211,7 +212,7 @@
             log.info("node is new", peer=hello.node, role=str(hello.role))
             self._tell_status()
         if hello.serial % 4 == 1:
-            known = HostsKnown(self._presence.live_host_names(now_ms))
+            known = HostsKnown(self._presence.live_host_names())
             await self._datagrams.send(known, hello.node)
 
     def _subscribe(self, host: str) -> None:
@@ -254,7 +255,7 @@
 
     def _whole_watch(self) -> list[object]:
         told = [TargetTold(target) for target in self._targets.targets]
-        return [*told, self._status()]
+        return [*told, self._nodes(), self._status()]
 
     def _status(self) -> HostStatus:
         now_ms = self._clock.monotonic_ms()
@@ -262,11 +263,18 @@
             self._store.store.document.version,
             now_ms >= self._started_ms + TARGET_SILENCE_MS,
             self._settings.data_centre,
-            tuple(self._presence.live_host_names(now_ms)),
-            tuple(self._presence.entry_nodes(now_ms)),
         )
 
+    def _nodes(self) -> NodesTold:
+        now_ms = self._clock.monotonic_ms()
+        hosts = tuple(sorted(self._presence.live_host_names()))
+        return NodesTold(hosts, tuple(sorted(self._presence.entry_nodes(now_ms))))
+
     def _tell_status(self) -> None:
+        nodes = self._nodes()
+        if nodes != self._told_nodes:
+            self._told_nodes = nodes
+            self._watchers.send_to_all(nodes)
         self._watchers.send_to_all(self._status())
         self._peers.send_to_all(TargetsHeard(0, ()))
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -10,7 +10,13 @@
 
 from marigoldarch.serving.presence import HELLO_INTERVAL_MS, Hello, HostsKnown, NodeRole
 from marigoldarch.serving.routing import RoutingTable
-from marigoldarch.serving.watch import WATCH_MESSAGES, HostStatus, TargetSilent, TargetTold
+from marigoldarch.serving.watch import (
+    WATCH_MESSAGES,
+    HostStatus,
+    NodesTold,
+    TargetSilent,
+    TargetTold,
+)
 from marigoldarch.serving.work_reports import WorkReport
 from marigoldarch.store.reducer import Document
 from marigoldarch_node.serving.attempt import EntryTools
@@ -56,7 +62,7 @@
         self._subscribed: dict[str, trio.CancelScope] = {}
         self._versions: dict[str, int] = {}
         self._near: set[str] = set()
-        self._entries: set[str] = set()
+        self._entries: dict[str, set[str]] = {}
         self._newer_version = trio.Event()
         self._serial = 0
         self._nursery: trio.Nursery | None = None
@@ -160,7 +166,8 @@
         """Tell the other entries what this one starts and ends."""
         while True:
             data = await self._state.board.next_report()
-            await self._datagrams.send_encoded(data, *self._entries)
+            others = set().union(*self._entries.values())
+            await self._datagrams.send_encoded(data, *others)
 
     def _watch(self, host: str) -> None:
         if host in self._subscribed:
@@ -182,12 +189,17 @@
         else:
             self._state.roster.disconnect(host)
             self._versions.pop(host, None)
+            if len(self._entries) > 1:
+                self._entries.pop(host, None)
 
     def _on_watch_message(self, host: str, message: object) -> None:
         self._state.hear_host()
         match message:
             case HostStatus():
                 self._on_status(host, message)
+            case NodesTold(hosts=hosts, entries=entries):
+                self._hosts.update(hosts)
+                self._entries[host] = set(entries) - {self._settings.peer_address}
             case TargetTold(target=target):
                 self._state.roster.tell(host, target)
             case TargetSilent(target_id=target_id):
@@ -199,8 +211,6 @@
         if status.data_centre == self._settings.data_centre:
             self._near.add(host)
         self._versions[host] = status.version
-        self._hosts.update(status.hosts)
-        self._entries = {name for name in status.entries if name != self._settings.peer_address}
         table = self._state.table
         if status.version > (table.version if table else 0):
             self._newer_version.set()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -20,6 +20,7 @@
     TryAgain,
 )
 from marigoldarch.serving.candidates import target_number
+from marigoldarch.serving.patience import abandon_ms
 from marigoldarch.serving.placement import (
     EnginePlacer,
     Job,
@@ -239,6 +240,7 @@
             max(call.route.goal_ms - spent_ms - call.waited_before_ms, 1.0),
             call.ends_ms - now_ms,
             call.route.pause_goal_ms,
+            abandon_ms(call.route) - spent_ms,
         )
         return EnginePlacer(engine, PlacementWeights()).place(job, found, now_ms)
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
@@ -20,11 +20,14 @@
 COALESCE_S = 0.008
 """Changes of this time travel in one datagram: a sixth of an engine's pass."""
 
-WHOLE_INTERVAL_MS: Millis = 1000.0
+WHOLE_INTERVAL_MS: Millis = 1500.0
 """How often an entry tells all its work, which makes lost datagrams good."""
 
-PEER_SILENCE_MS: Millis = 3500.0
-"""The work of a peer that was not heard of for three whole reports is forgotten."""
+PEER_SILENCE_MS: Millis = 4000.0
+"""The work of a peer of which two whole reports are missing is forgotten."""
+
+READING_WORTH_TELLING_MS: Millis = 100.0
+"""That shorter reading has ended is not told: it is over by the time that the formula gives."""
 
 
 class _Peer(NamedTuple):
@@ -101,9 +104,10 @@
 
     def finish_reading(self, number: int) -> None:
         """Note the first token of work of this entry."""
-        self._view.finish_reading(self._node, number, self._clock.monotonic_ms())
-        self._read.append(number)
-        self._has_news.set()
+        reading_ms = self._view.finish_reading(self._node, number, self._clock.monotonic_ms())
+        if reading_ms >= READING_WORTH_TELLING_MS:
+            self._read.append(number)
+            self._has_news.set()
 
     def end(self, number: int) -> None:
         """Remove work of this entry."""
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -33,12 +33,13 @@
 """Reading beyond this counts as long work: with a pass of about 50 ms it nears the shortest pause
 goal of the deployments' sheets, 250 ms."""
 
+TOKENS_PER_STREAM = 30_000
+"""A prompt may make one running stream pause too long for each of these tokens. The sheets value
+182,000 tokens like 18 short streams; for each that pauses two more begin while it is read."""
+
 IDLE_MS: Millis = 50.0
 """An engine that has read everything within a pass counts as one that nothing waits for."""
 
-ABANDON_FACTOR = 4.0
-"""Callers give a stream up that has not begun after four goals, see PROTOCOL.md."""
-
 LATE_POOL_DIVISOR = 4
 """Late work reads on this part of the pool at most."""
 
@@ -46,7 +47,7 @@
 """Late work is placed while at most this part of all slots is taken."""
 
 LATE_SHARE = 0.7
-"""The part of the time until then in which late work has to be read."""
+"""The part of the time until its caller gives up in which late work has to be read."""
 
 MEMORY_SHARE = 0.92
 """The part of an engine's memory that is planned for; the rest covers longer answers."""
@@ -61,7 +62,7 @@
     beyond_goal: float = 4.0
     """For each goal's length beyond it."""
 
-    broken_pause: float = 0.4
+    broken_pause: float = 0.8
     """For each running stream whose longest pause would be exceeded."""
 
     made_late: float = 1.5
@@ -84,13 +85,17 @@
 
 
 class Job(NamedTuple):
-    """A request to place; times are left from now on."""
+    """A request to place; times are left from now on.
+
+    `begin_by_ms` is when its caller gives up if nothing has come.
+    """
 
     prompt_tokens: int
     answer_tokens: int
     goal_ms: Millis
     deadline_ms: Millis
     pause_goal_ms: Millis
+    begin_by_ms: Millis
 
 
 class Candidate(NamedTuple):
@@ -128,6 +133,7 @@
 
 class _Scored(NamedTuple):
     cost: float
+    broken_streams: int
     first_token_ms: Millis
     candidate: Candidate
 
@@ -146,10 +152,11 @@
         if alone_ms >= LONG_READING_MS / 2:
             considered = _least_read(candidates, now_ms)
         best = self._place_in_time(job, considered, alone_ms, now_ms)
+        is_late = best is None or best.first_token_ms > job.goal_ms
+        if is_late and alone_ms > LONG_READING_MS:
+            return self._place_late(job, candidates, alone_ms, now_ms)
         if best is None:
             return Saturated(self._free_in_ms(candidates, 1, now_ms))
-        if best.first_token_ms > job.goal_ms and alone_ms > LONG_READING_MS:
-            return self._place_late(job, candidates, alone_ms, now_ms)
         if best.first_token_ms > job.deadline_ms:
             return Saturated(best.first_token_ms - job.goal_ms)
         return best
@@ -164,7 +171,7 @@
             if parts > len(candidates) or (parts > 1 and alone_ms < LONG_READING_MS / 2):
                 break
             chosen = self._choose(job, candidates, alone_ms / parts, parts, now_ms)
-            if chosen is None:
+            if chosen is None or self._breaks_too_much(job, chosen):
                 continue
             first_ms = max(scored.first_token_ms for scored in chosen)
             cost = sum(scored.cost for scored in chosen) + self._cost_of_time(job, first_ms)
@@ -174,6 +181,16 @@
                 best = self._placement(job, chosen, first_ms)
         return best
 
+    def _breaks_too_much(self, job: Job, chosen: list[_Scored]) -> bool:
+        """Return whether more streams would pause too long than the prompt is worth.
+
+        Load pattern: short streams fill all engines, and long prompts keep coming.
+        """
+        if reading_ms(self._engine, job.prompt_tokens) < LONG_READING_MS:
+            return False
+        broken = sum(scored.broken_streams for scored in chosen)
+        return broken * TOKENS_PER_STREAM > job.prompt_tokens
+
     def _place_late(
         self, job: Job, candidates: list[Candidate], alone_ms: Millis, now_ms: Millis
     ) -> Placement | Saturated:
@@ -184,7 +201,7 @@
         engines that end its reading early enough, at most a quarter of the pool, and only while
         most slots are free.
         """
-        limit_ms = LATE_SHARE * min(job.deadline_ms, ABANDON_FACTOR * job.goal_ms)
+        limit_ms = LATE_SHARE * min(job.deadline_ms, job.begin_by_ms)
         most = len(candidates) // LATE_POOL_DIVISOR
         parts = next((count for count in PART_COUNTS if alone_ms / count <= limit_ms), None)
         if parts is None or parts > most:
@@ -254,9 +271,10 @@
         write_ms = pass_ms(self._engine, load.active + 1, load.context_tokens)
         under_way_ms = write_ms / 2 if load.active else 0.0
         first_ms = (wait_ms + under_way_ms + part_ms + write_ms) * candidate.pace
-        cost = 0.0
+        broken = 0
         if (wait_ms + part_ms + write_ms) * candidate.pace > load.tightest_pause_ms:
-            cost += weights.broken_pause * (load.active - len(load.unread))
+            broken = load.active - len(load.unread)
+        cost = weights.broken_pause * broken
         is_long = part_ms > LONG_READING_MS / 2
         cost += weights.order * (1.0 - candidate.order if is_long else candidate.order)
         if is_help:
@@ -267,7 +285,7 @@
             cost += 0.0 if candidate.is_near else weights.other_data_centre
         if candidate.is_suspended:
             cost += weights.suspended
-        return _Scored(cost, first_ms, candidate)
+        return _Scored(cost, broken, first_ms, candidate)
 
     def _cost_of_overtaking(self, load: TargetLoad, part_ms: Millis) -> float:
         read_ms = load.reads_until_ms
--- a/packages/marigoldarch/marigoldarch/serving/pool_view.py
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -118,11 +118,13 @@
         self._placed[key] = _Placed(work, reads_until)
         return True
 
-    def finish_reading(self, entry: str, number: int, now_ms: Millis) -> None:
-        """Note that the first token has come: whatever was read before it is read."""
+    def finish_reading(self, entry: str, number: int, now_ms: Millis) -> Millis:
+        """Note that the first token has come; return how long the reading should have taken."""
         placed = self._placed.get((entry, number))
-        if placed is not None:
-            self._stop_reading((entry, number), placed, now_ms)
+        if placed is None:
+            return 0.0
+        self._stop_reading((entry, number), placed, now_ms)
+        return placed.work.reading_ms
 
     def end(self, entry: str, number: int, now_ms: Millis) -> None:
         """Remove work that has ended."""
--- a/packages/marigoldarch/marigoldarch/serving/presence.py
+++ b/packages/marigoldarch/marigoldarch/serving/presence.py
@@ -103,10 +103,6 @@
         self._entries[hello.node] = EntryPresence(hello, now_ms)
         return is_new
 
-    def hear_of_host(self, node: str) -> bool:
-        """Take another host's word that a control host exists; return whether it is new."""
-        return node not in self._hosts
-
     def expire(self, now_ms: Millis) -> bool:
         """Forget nodes that were silent for long; return whether any was."""
         entries = [
@@ -131,8 +127,8 @@
             if now_ms < entry.heard_ms + ENTRY_ALIVE_MS and not entry.hello.is_leaving
         ]
 
-    def live_host_names(self, now_ms: Millis) -> list[str]:
-        """Return the control hosts that were heard of within their forgetting time."""
+    def live_host_names(self) -> list[str]:
+        """Return the control hosts that are known and do not leave."""
         return [name for name, host in self._hosts.items() if not host.is_leaving]
 
     def addresses(self, data_centre: str, now_ms: Millis, chooser: random.Random) -> list[str]:
--- a/packages/marigoldarch/marigoldarch/serving/watch.py
+++ b/packages/marigoldarch/marigoldarch/serving/watch.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True)
 class HostStatus:
-    """A sign of life: the version that the host knows to be in force, and the nodes it knows.
+    """A sign of life: the version that the host knows to be in force.
 
     With `has_all_targets` the host has listened for long enough to list every target.
     """
@@ -18,6 +18,12 @@
     version: int
     has_all_targets: bool
     data_centre: str
+
+
+@dataclass(frozen=True)
+class NodesTold:
+    """The control hosts and entries that the host knows; told when they change."""
+
     hosts: tuple[str, ...]
     entries: tuple[str, ...]
 
@@ -36,6 +42,6 @@
     target_id: str
 
 
-WatchMessage = HostStatus | TargetTold | TargetSilent
+WatchMessage = HostStatus | NodesTold | TargetTold | TargetSilent
 
-WATCH_MESSAGES = Codec((HostStatus, TargetTold, TargetSilent))
+WATCH_MESSAGES = Codec((HostStatus, NodesTold, TargetTold, TargetSilent))
--- a/packages/marigoldarch/marigoldarch/tests/serving/patience_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/patience_tests.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from marigoldarch.serving.patience import LEAST_WAIT_MS, Patience
+from marigoldarch.serving.patience import LEAST_WAIT_MS, Patience, abandon_ms
+from marigoldarch.tests.serving.support import route
 
 
 class PatienceTests(unittest.TestCase):
@@ -21,6 +22,10 @@
         patience_ms = 10_000.0 - LEAST_WAIT_MS + 1.0
         self.assertEqual(self.patience.waited_before_ms("quiz", patience_ms), 0.0)
 
+    def test_stream_is_given_up_after_the_longest_of_three_times(self) -> None:
+        self.assertEqual(abandon_ms(route(goal_ms=300.0, pause_goal_ms=100.0)), 2000.0)
+        self.assertEqual(abandon_ms(route(goal_ms=3000.0, pause_goal_ms=1000.0)), 12_000.0)
+
     def test_routes_are_apart_and_forgotten(self) -> None:
         self.assertEqual(self.patience.waited_before_ms("review", 5_000.0), 0.0)
         self.patience.keep_only({"review"})
--- a/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
@@ -16,8 +16,8 @@
 from marigoldarch.serving.pool_view import RunningWork, TargetLoad
 from marigoldarch.tests.serving.support import ENGINE, candidate, target
 
-QUIZ = Job(5000, 1300, 300.0, 10_000.0, 250.0)
-REVIEW = Job(182_000, 650, 3000.0, 15_000.0, 1000.0)
+QUIZ = Job(5000, 1300, 300.0, 10_000.0, 250.0, 2000.0)
+REVIEW = Job(182_000, 650, 3000.0, 15_000.0, 1000.0, 12_000.0)
 
 
 def load(*pauses_ms: float, reads_until_ms: float = 0.0, context_tokens: int = 6000) -> TargetLoad:
@@ -67,7 +67,7 @@
     def test_short_work_fills_the_engines_from_one_end_and_long_work_from_the_other(self) -> None:
         engines = [candidate(f"t{number}", order=number / 9) for number in range(10)]
         self.assertEqual(self.names(QUIZ, *engines), ["t0"])
-        long_job = Job(45_000, 800, 1500.0, 10_000.0, 600.0)
+        long_job = Job(45_000, 800, 1500.0, 10_000.0, 600.0, 6000.0)
         self.assertIn("t9", self.names(long_job, *engines))
 
     def test_full_engine_runs_nothing_more(self) -> None:
@@ -93,6 +93,37 @@
         self.assertIsInstance(found, Saturated)
         self.assertGreater(found.retry_after_ms, 10_000.0)
 
+    def test_long_prompt_waits_when_short_streams_fill_all_engines(self) -> None:
+        streaming = [candidate(f"s{number}", load(*[250.0] * 6)) for number in range(16)]
+        self.assertIsInstance(self.place(REVIEW, *streaming), Saturated)
+
+    def test_late_long_prompt_gets_few_engines_and_only_idle_ones(self) -> None:
+        late = REVIEW._replace(goal_ms=100.0)
+        busy = [candidate(f"b{n}", load(1000.0, reads_until_ms=900.0)) for n in range(6)]
+        idle = [candidate(f"i{n}") for n in range(10)]
+        found = self.place(late, *busy, *idle)
+        self.assertLessEqual(len(found.targets), 4)
+        self.assertTrue(all(item.target_id.startswith("i") for item in found.targets))
+
+    def test_late_long_prompt_is_refused_while_most_engines_read(self) -> None:
+        late = REVIEW._replace(goal_ms=100.0)
+        busy = [candidate(f"b{n}", load(1000.0, reads_until_ms=900.0)) for n in range(12)]
+        found = self.place(late, *busy, *[candidate(f"i{n}") for n in range(4)])
+        self.assertIsInstance(found, Saturated)
+
+    def test_prompt_larger_than_one_memory_is_held_by_several(self) -> None:
+        job = Job(500_000, 600, 3000.0, 15_000.0, 1000.0, 12_000.0)
+        found = self.place(job, *[candidate(f"i{n}") for n in range(16)])
+        self.assertGreater(found.held_tokens, 0)
+        rest = job.prompt_tokens - found.held_tokens * (len(found.targets) - 1)
+        self.assertLessEqual(rest, ENGINE.memory_tokens)
+
+    def test_part_that_would_make_another_prompt_late_goes_elsewhere(self) -> None:
+        pending = load(1000.0, reads_until_ms=2900.0)
+        pending.unread[("e", 0)] = 3000.0
+        engines = [candidate("p", pending), *[candidate(f"i{n}") for n in range(8)]]
+        self.assertNotIn("p", self.names(REVIEW, *engines))
+
     def test_slow_engine_is_avoided(self) -> None:
         slow = candidate("slow", pace=5.0)
         self.assertEqual(self.names(QUIZ, slow, candidate("t", order=1.0)), ["t"])
