--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -264,6 +264,8 @@
                 if events and self._events > events:
                     self._measure_pace(chunk_ms, now_ms, self._events - events)
                 if self._events > events:
+                    if events:
+                        self._call.note_pause(now_ms - chunk_ms)
                     chunk_ms = now_ms
         if splitter.has_rest:
             return None, self._broken(FailureReason.CUT)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -23,9 +23,6 @@
     from marigoldarch.serving.routing import RoutingTable
     from marigoldarch_node.serving.settings import ServingSettings
 
-SLOW_PACE = 1.8
-"""From this slowness on the peers are told: below it a pass under way explains a sample."""
-
 TELL_SLOW_MS: Millis = 500.0
 """How often the peers are told of one target."""
 
@@ -121,7 +118,7 @@
         self.health.note_pace(target_id, ratio, now_ms)
         pace = self.health.pace_of(target_id, now_ms)
         due_ms = self._told_slow_ms.get(target_id, 0.0) + TELL_SLOW_MS
-        if pace < SLOW_PACE or now_ms < due_ms:
+        if pace == 1.0 or now_ms < due_ms:
             return
         if target_id not in self._told_slow_ms:
             log.warning("target is slow", target=target_id, pace=round(pace, 1))
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -87,6 +87,11 @@
     ends_ms: Millis
     waited_before_ms: Millis
     history: AttemptHistory
+    longest_pause_ms: Millis = 0.0
+
+    def note_pause(self, pause_ms: Millis) -> None:
+        """Remember the longest pause between events."""
+        self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
 
     @property
     def request_id(self) -> str:
@@ -314,6 +319,7 @@
             fields["attempts"] = call.history.sent + call.history.unsent
             if call.facts.prompt is not None:
                 fields["tokens"] = call.facts.prompt.tokens
+                fields["longest_pause_ms"] = round(call.longest_pause_ms)
         else:
             table = self._state.table
             fields["version"] = table.version if table else 0
--- a/packages/marigoldarch/marigoldarch/serving/target_health.py
+++ b/packages/marigoldarch/marigoldarch/serving/target_health.py
@@ -28,6 +28,9 @@
     pace_half_life_ms: Millis = 2000.0
     """A measured slowness halves in this time without samples, so that it is measured again."""
 
+    least_pace: float = 1.8
+    """Below this a target counts as sound: prompts that other entries have read there explain it."""
+
     longest_pace: float = 20.0
 
 
@@ -54,7 +57,15 @@
         return record is not None and now_ms < record.suspended_until_ms
 
     def pace_of(self, target_id: str, now_ms: Millis) -> float:
-        """Return how many times longer than by the formula a target works, at least 1."""
+        """Return how many times longer than by the formula a target works, 1 if it is sound.
+
+        Small differences count as none: otherwise targets that are measured would look slower than
+        idle ones, and short work would spread over all of them.
+        """
+        pace = self._measured_pace(target_id, now_ms)
+        return pace if pace >= self._settings.least_pace else 1.0
+
+    def _measured_pace(self, target_id: str, now_ms: Millis) -> float:
         record = self._records.get(target_id)
         if record is None:
             return 1.0
@@ -99,7 +110,7 @@
     def note_pace(self, target_id: str, ratio: float, now_ms: Millis) -> None:
         """Take a measured duration over that of the formula."""
         record = self._records.setdefault(target_id, _Record())
-        before = self.pace_of(target_id, now_ms)
+        before = self._measured_pace(target_id, now_ms)
         sample = min(max(ratio, 1.0), self._settings.longest_pace)
         weight = self._settings.pace_weight
         record.pace = before + weight * (sample - before)
--- a/packages/marigoldarch/marigoldarch/tests/serving/target_health_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/target_health_tests.py
@@ -49,6 +49,11 @@
         half = self.health.pace_of("t", SETTINGS.pace_half_life_ms)
         self.assertAlmostEqual(half, 3.0, delta=0.1)
 
+    def test_target_that_is_measured_looks_no_slower_than_an_idle_one(self) -> None:
+        for _ in range(20):
+            self.health.note_pace("t", 1.5, 0.0)
+        self.assertEqual(self.health.pace_of("t", 0.0), 1.0)
+
     def test_targets_that_are_no_more_are_forgotten(self) -> None:
         self.health.note_failure("t", 0.0, is_unreachable=True)
         self.health.keep_only({"other"})
