--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -273,12 +273,12 @@
         first_ms = (wait_ms + under_way_ms + part_ms + write_ms) * candidate.pace
         broken = 0
         if (wait_ms + part_ms + write_ms) * candidate.pace > load.tightest_pause_ms:
-            broken = load.active - len(load.unread)
+            broken = load.active - len(load.pending(now_ms))
         cost = weights.broken_pause * broken
         is_long = part_ms > LONG_READING_MS / 2
         cost += weights.order * (1.0 - candidate.order if is_long else candidate.order)
         if is_help:
-            cost += self._cost_of_overtaking(load, part_ms)
+            cost += self._cost_of_overtaking(load, part_ms, now_ms)
         else:
             slots = max(1, min(self._engine.slots, candidate.target.slots))
             cost += weights.fullness * ((load.active + 1) / slots) ** 12
@@ -287,12 +287,12 @@
             cost += weights.suspended
         return _Scored(cost, broken, first_ms, candidate)
 
-    def _cost_of_overtaking(self, load: TargetLoad, part_ms: Millis) -> float:
-        read_ms = load.reads_until_ms
+    def _cost_of_overtaking(self, load: TargetLoad, part_ms: Millis, now_ms: Millis) -> float:
+        pending = load.pending(now_ms)
         made_late = sum(
-            1 for due_ms in load.unread.values() if read_ms <= due_ms < read_ms + part_ms
+            item.expected_ms <= item.late_ms < item.expected_ms + part_ms for item in pending
         )
-        others = len(load.unread) - made_late
+        others = len(pending) - made_late
         return self._weights.made_late * made_late + self._weights.overtaken * others
 
     def _cost_of_time(self, job: Job, first_ms: Millis) -> float:
--- a/packages/marigoldarch/marigoldarch/serving/pool_view.py
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -44,18 +44,25 @@
     reads_until_ms: dict[TargetNumber, Millis]
 
 
+class Unread(NamedTuple):
+    """A request whose first token has not come: when it is expected, and when it is late."""
+
+    expected_ms: Millis
+    late_ms: Millis
+
+
 @dataclass
 class TargetLoad:
     """The work on one target.
 
     Parts read for other targets go ahead of the own requests' prompts: `helps_until_ms` is when
-    the former are read, `reads_until_ms` when everything is. `unread` are the instants at which own
-    requests whose first token has not come are late.
+    the former are read, `reads_until_ms` when everything is. `unread` are own requests whose first
+    token has not come, as far as that was told.
     """
 
     runs: dict[WorkKey, RunningWork] = field(default_factory=dict)
     helps: dict[WorkKey, RunningWork] = field(default_factory=dict)
-    unread: dict[WorkKey, Millis] = field(default_factory=dict)
+    unread: dict[WorkKey, Unread] = field(default_factory=dict)
     helps_until_ms: Millis = 0.0
     reads_until_ms: Millis = 0.0
 
@@ -64,6 +71,13 @@
         """Return how many requests run here."""
         return len(self.runs)
 
+    def pending(self, now_ms: Millis) -> list[Unread]:
+        """Return the requests that are probably still read.
+
+        The end of short reading is not told; it counts as over when it is expected to be.
+        """
+        return [item for item in self.unread.values() if item.expected_ms > now_ms]
+
     @property
     def tightest_pause_ms(self) -> Millis:
         """Return the shortest pause that a stream here may have, infinite without streams."""
@@ -112,8 +126,10 @@
                 load.helps_until_ms = max(load.helps_until_ms, now_ms) + work.reading_ms
             else:
                 load.runs[key] = work
-                load.unread[key] = now_ms + work.goal_in_ms
             load.reads_until_ms = max(load.reads_until_ms, now_ms) + work.reading_ms
+            if not position:
+                late_ms = now_ms + work.goal_in_ms
+                load.unread[key] = Unread(load.reads_until_ms, late_ms)
             reads_until[target] = load.reads_until_ms
         self._placed[key] = _Placed(work, reads_until)
         return True
--- a/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
@@ -13,7 +13,7 @@
     Saturated,
     choose_plain,
 )
-from marigoldarch.serving.pool_view import RunningWork, TargetLoad
+from marigoldarch.serving.pool_view import RunningWork, TargetLoad, Unread
 from marigoldarch.tests.serving.support import ENGINE, candidate, target
 
 QUIZ = Job(5000, 1300, 300.0, 10_000.0, 250.0, 2000.0)
@@ -120,7 +120,7 @@
 
     def test_part_that_would_make_another_prompt_late_goes_elsewhere(self) -> None:
         pending = load(1000.0, reads_until_ms=2900.0)
-        pending.unread[("e", 0)] = 3000.0
+        pending.unread[("e", 0)] = Unread(2900.0, 3000.0)
         engines = [candidate("p", pending), *[candidate(f"i{n}") for n in range(8)]]
         self.assertNotIn("p", self.names(REVIEW, *engines))
 
--- a/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
@@ -42,6 +42,11 @@
         self.view.end("e1", 1, 300.0)
         self.assertEqual(self.view.load_of(7).active, 0)
 
+    def test_reading_whose_end_is_not_told_counts_as_over_when_it_is_expected(self) -> None:
+        self.view.start("e1", work(1, 7), 0.0)
+        self.assertEqual(len(self.view.load_of(7).pending(50.0)), 1)
+        self.assertEqual(len(self.view.load_of(7).pending(100.0)), 0)
+
     def test_work_is_counted_once_however_often_it_is_told(self) -> None:
         self.assertTrue(self.view.start("e1", work(1, 7), 0.0))
         self.assertFalse(self.view.start("e1", work(1, 7), 10.0))
