--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -176,7 +176,7 @@
             self._own_tokens(),
             placement.held_tokens,
             call.route.pause_goal_ms if call.route.is_stream else 0.0,
-            max(0.0, call.route.goal_ms - self._spent_ms() - call.waited_before_ms),
+            max(0.0, call.route.goal_ms - self._spent_ms()),
             call.history.is_repeat,
         )
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -8,7 +8,6 @@
 import trio
 
 from marigoldarch.serving.candidates import CandidateSource, target_number
-from marigoldarch.serving.patience import Patience
 from marigoldarch.serving.retry_budget import RetryBudgetSettings
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
 from marigoldarch.serving.targets import TargetRoster
@@ -47,7 +46,6 @@
         self.candidates = CandidateSource(
             settings.data_centre, self.roster, self.board.view, self.health
         )
-        self.patience = Patience()
         self.stop_began_ms: Millis | None = None
         self._table: RoutingTable | None = None
         self._has_table = trio.Event()
@@ -79,7 +77,6 @@
             return
         self._table = table
         self._has_table.set()
-        self.patience.keep_only({route.name for route in table.declaration.routes})
         log.info(
             "declaration in force",
             version=table.version,
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -85,7 +85,6 @@
     customer: Customer | None
     version: int
     ends_ms: Millis
-    waited_before_ms: Millis
     history: AttemptHistory
     longest_pause_ms: Millis = 0.0
 
@@ -151,10 +150,7 @@
         ends_ms = exchange.request.received_ms + min(patience_ms, route.timeout_ms)
         state.board.note_request(target_number(service.name))
         history = AttemptHistory(route)
-        waited_ms = state.patience.waited_before_ms(route.name, patience_ms)
-        return Call(
-            exchange, facts, route, service, customer, table.version, ends_ms, waited_ms, history
-        )
+        return Call(exchange, facts, route, service, customer, table.version, ends_ms, history)
 
     async def _serve(self, call: Call) -> str:
         """Attempt until there is a final answer; return how the request ended."""
@@ -242,7 +238,7 @@
         job = Job(
             prompt.tokens,
             prompt.answer_tokens,
-            max(call.route.goal_ms - spent_ms - call.waited_before_ms, 1.0),
+            max(call.route.goal_ms - spent_ms, 1.0),
             call.ends_ms - now_ms,
             call.route.pause_goal_ms,
             abandon_ms(call.route) - spent_ms,
