Expect engines to read the newest part for another target first

Change: the view puts older parts off and knows when the last part of each prompt is read; placement counts the prompts that a part puts off, those that others read included. A part is planned to wait for what is there. The test of reading whose end is not told has 90 ms now: from 100 ms on the end is told, and such reading goes on until then; a second test says so.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from marigoldarch.serving.pool_view import PoolView, RunningWork
+from marigoldarch.serving.pool_view import READING_WORTH_TELLING_MS, PoolView, RunningWork
 from marigoldarch.serving.retry_budget import RetryBudget, RetryBudgetSettings
 from marigoldarch.serving.work_reports import WorkReport, WorkStarted
 
@@ -26,9 +26,6 @@
 PEER_SILENCE_MS: Millis = 4000.0
 """The work of a peer of which two whole reports are missing is forgotten."""
 
-READING_WORTH_TELLING_MS: Millis = 100.0
-"""That shorter reading has ended is not told: it is over by the time that the formula gives."""
-
 
 class _Peer(NamedTuple):
     start_id: int
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -65,10 +65,10 @@
     broken_pause: float = 0.8
     """For each running stream whose longest pause would be exceeded."""
 
-    made_late: float = 1.5
+    made_late: float = 2.5
     """For each prompt that a part read for another target overtakes, and so makes late."""
 
-    overtaken: float = 0.1
+    overtaken: float = 0.3
     """For each prompt that is overtaken and stays in time, or was late before."""
 
     helper: float = 0.005
@@ -264,21 +264,24 @@
     def _score(
         self, candidate: Candidate, part_ms: Millis, now_ms: Millis, *, is_help: bool
     ) -> _Scored:
-        """Return what a part costs on a target; parts for another target overtake own prompts."""
+        """Return what a part costs on a target.
+
+        A part for another target goes first, but later ones go before it; it is planned to wait
+        for what is there.
+        """
         weights, load = self._weights, candidate.load
-        until_ms = load.helps_until_ms if is_help else load.reads_until_ms
-        wait_ms = max(0.0, until_ms - now_ms)
+        wait_ms = max(0.0, load.reads_until_ms - now_ms)
         write_ms = pass_ms(self._engine, load.active + 1, load.context_tokens)
         under_way_ms = write_ms / 2 if load.active else 0.0
         first_ms = (wait_ms + under_way_ms + part_ms + write_ms) * candidate.pace
         broken = 0
         if (wait_ms + part_ms + write_ms) * candidate.pace > load.tightest_pause_ms:
-            broken = load.active - len(load.pending(now_ms))
+            broken = load.writers(now_ms)
         cost = weights.broken_pause * broken
         is_long = part_ms > LONG_READING_MS / 2
         cost += weights.order * (1.0 - candidate.order if is_long else candidate.order)
         if is_help:
-            cost += self._cost_of_overtaking(load, part_ms, now_ms)
+            cost += overtaking_cost(weights, load, part_ms, now_ms)
         else:
             slots = max(1, min(self._engine.slots, candidate.target.slots))
             cost += weights.fullness * ((load.active + 1) / slots) ** 12
@@ -287,14 +290,6 @@
             cost += weights.suspended
         return _Scored(cost, broken, first_ms, candidate)
 
-    def _cost_of_overtaking(self, load: TargetLoad, part_ms: Millis, now_ms: Millis) -> float:
-        pending = load.pending(now_ms)
-        made_late = sum(
-            item.expected_ms <= item.late_ms < item.expected_ms + part_ms for item in pending
-        )
-        others = len(pending) - made_late
-        return self._weights.made_late * made_late + self._weights.overtaken * others
-
     def _cost_of_time(self, job: Job, first_ms: Millis) -> float:
         goal_ms = max(job.goal_ms * self._weights.goal_margin, 1.0)
         beyond = max(0.0, first_ms / goal_ms - 1.0)
@@ -322,6 +317,26 @@
         return max(wait_ms, pass_ms(self._engine, 1, 0))
 
 
+def overtaking_cost(
+    weights: PlacementWeights, load: TargetLoad, part_ms: Millis, now_ms: Millis
+) -> float:
+    """Return the cost for the prompts whose first tokens a part for another target puts off.
+
+    Load pattern: large prompts come faster than they are read. An engine reads the newest part
+    first, so a part that older ones wait for may be put off again and again.
+    """
+    made_late = put_off = 0
+    for item in load.pending(now_ms):
+        end_ms = max(item.here_ms, now_ms) + part_ms
+        if end_ms <= item.expected_ms:
+            continue
+        if item.expected_ms <= item.late_ms < end_ms:
+            made_late += 1
+        else:
+            put_off += 1
+    return weights.made_late * made_late + weights.overtaken * put_off
+
+
 def _least_read(candidates: list[Candidate], now_ms: Millis) -> list[Candidate]:
     if len(candidates) <= MOST_CONSIDERED:
         return candidates
--- a/packages/marigoldarch/marigoldarch/serving/pool_view.py
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -17,6 +17,9 @@
 TargetNumber = int
 """The number under which a target travels, see `work_reports.number_of`."""
 
+READING_WORTH_TELLING_MS: Millis = 100.0
+"""That shorter reading has ended is not told: it is over by the time that the formula gives."""
+
 
 class RunningWork(NamedTuple):
     """One attempt: the first target runs it, the others read a part of its prompt.
@@ -37,16 +40,35 @@
     is_repeat: bool
 
 
-class _Placed(NamedTuple):
-    """Work with the instants at which its targets have read their parts."""
+@dataclass
+class _Placed:
+    """Work, and when each of its targets is expected to have read its part.
+
+    `late_ms` is the instant from which its first token is late.
+    """
 
     work: RunningWork
-    reads_until_ms: dict[TargetNumber, Millis]
+    late_ms: Millis
+    ends_ms: dict[TargetNumber, Millis] = field(default_factory=dict)
+
+    @property
+    def expected_ms(self) -> Millis:
+        """Return when the last part is read."""
+        return max(self.ends_ms.values())
+
+    def is_pending(self, now_ms: Millis) -> bool:
+        """Return whether it is probably still read.
+
+        The end of short reading is not told; it counts as over when it is expected to be.
+        """
+        return self.expected_ms > now_ms or self.work.reading_ms >= READING_WORTH_TELLING_MS
 
 
 class Unread(NamedTuple):
-    """A request whose first token has not come: when it is expected, and when it is late."""
+    """A prompt that a target has not read: when the target's part of it is expected to be read, when
+    the last part anywhere is, and when its first token is late."""
 
+    here_ms: Millis
     expected_ms: Millis
     late_ms: Millis
 
@@ -55,15 +77,14 @@
 class TargetLoad:
     """The work on one target.
 
-    Parts read for other targets go ahead of the own requests' prompts: `helps_until_ms` is when
-    the former are read, `reads_until_ms` when everything is. `unread` are own requests whose first
-    token has not come, as far as that was told.
+    `reads_until_ms` is when everything is read that is known now. An engine reads the newest part
+    for another target first, then the older ones, then its own requests' prompts.
     """
 
+    number: TargetNumber = 0
     runs: dict[WorkKey, RunningWork] = field(default_factory=dict)
     helps: dict[WorkKey, RunningWork] = field(default_factory=dict)
-    unread: dict[WorkKey, Unread] = field(default_factory=dict)
-    helps_until_ms: Millis = 0.0
+    unread: dict[WorkKey, _Placed] = field(default_factory=dict)
     reads_until_ms: Millis = 0.0
 
     @property
@@ -72,11 +93,21 @@
         return len(self.runs)
 
     def pending(self, now_ms: Millis) -> list[Unread]:
-        """Return the requests that are probably still read.
-
-        The end of short reading is not told; it counts as over when it is expected to be.
-        """
-        return [item for item in self.unread.values() if item.expected_ms > now_ms]
+        """Return the prompts of which a part is probably still to be read here."""
+        return [
+            Unread(placed.ends_ms[self.number], max(placed.expected_ms, now_ms), placed.late_ms)
+            for placed in self.unread.values()
+            if placed.is_pending(now_ms)
+        ]
+
+    def writers(self, now_ms: Millis) -> int:
+        """Return how many requests that run here have probably begun to write."""
+        reading = sum(
+            1
+            for key, placed in self.unread.items()
+            if key in self.runs and placed.is_pending(now_ms)
+        )
+        return len(self.runs) - reading
 
     @property
     def tightest_pause_ms(self) -> Millis:
@@ -118,20 +149,20 @@
         key = (entry, work.number)
         if key in self._placed:
             return False
-        reads_until: dict[TargetNumber, Millis] = {}
+        placed = _Placed(work, now_ms + work.goal_in_ms)
         for position, target in enumerate(work.targets):
-            load = self._loads.setdefault(target, TargetLoad())
+            load = self._loads.setdefault(target, TargetLoad(target))
+            behind_ms = max(load.reads_until_ms, now_ms)
             if position:
+                _overtake(load, work.reading_ms, now_ms)
                 load.helps[key] = work
-                load.helps_until_ms = max(load.helps_until_ms, now_ms) + work.reading_ms
+                placed.ends_ms[target] = now_ms + work.reading_ms
             else:
                 load.runs[key] = work
-            load.reads_until_ms = max(load.reads_until_ms, now_ms) + work.reading_ms
-            if not position:
-                late_ms = now_ms + work.goal_in_ms
-                load.unread[key] = Unread(load.reads_until_ms, late_ms)
-            reads_until[target] = load.reads_until_ms
-        self._placed[key] = _Placed(work, reads_until)
+                placed.ends_ms[target] = behind_ms + work.reading_ms
+            load.reads_until_ms = behind_ms + work.reading_ms
+            load.unread[key] = placed
+        self._placed[key] = placed
         return True
 
     def finish_reading(self, entry: str, number: int, now_ms: Millis) -> Millis:
@@ -158,17 +189,27 @@
 
     def _stop_reading(self, key: WorkKey, placed: _Placed, now_ms: Millis) -> None:
         """Take the reading that is still to do out of the targets' backlogs."""
-        for target, until_ms in placed.reads_until_ms.items():
+        for target, end_ms in placed.ends_ms.items():
             load = self._loads[target]
-            load.unread.pop(key, None)
-            left_ms = min(until_ms - now_ms, placed.work.reading_ms)
-            if left_ms > 0:
-                load.reads_until_ms -= left_ms
-                if key in load.helps:
-                    load.helps_until_ms -= left_ms
-            placed.reads_until_ms[target] = min(until_ms, now_ms)
+            if load.unread.pop(key, None) is None:
+                continue
+            left_ms = min(end_ms - now_ms, placed.work.reading_ms)
+            if left_ms <= 0:
+                continue
+            load.reads_until_ms -= left_ms
+            for other in load.unread.values():
+                if other.ends_ms[target] > end_ms:
+                    other.ends_ms[target] -= left_ms
 
     def keep_only(self, entry: str, numbers: set[int], now_ms: Millis) -> None:
         """Remove the work of an entry that its whole list no longer has."""
         for key in [key for key in self._placed if key[0] == entry and key[1] not in numbers]:
             self.end(entry, key[1], now_ms)
+
+
+def _overtake(load: TargetLoad, reading_ms: Millis, now_ms: Millis) -> None:
+    """Put off what a target has to read, for a part that goes first."""
+    for placed in load.unread.values():
+        if placed.is_pending(now_ms):
+            end_ms = max(placed.ends_ms[load.number], now_ms)
+            placed.ends_ms[load.number] = end_ms + reading_ms
--- a/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
@@ -12,8 +12,9 @@
     PlacementWeights,
     Saturated,
     choose_plain,
+    overtaking_cost,
 )
-from marigoldarch.serving.pool_view import RunningWork, TargetLoad, Unread
+from marigoldarch.serving.pool_view import PoolView, RunningWork, TargetLoad
 from marigoldarch.tests.serving.support import ENGINE, candidate, target
 
 QUIZ = Job(5000, 1300, 300.0, 10_000.0, 250.0, 2000.0)
@@ -119,11 +120,25 @@
         self.assertLessEqual(rest, ENGINE.memory_tokens)
 
     def test_part_that_would_make_another_prompt_late_goes_elsewhere(self) -> None:
-        pending = load(1000.0, reads_until_ms=2900.0)
-        pending.unread[("e", 0)] = Unread(2900.0, 3000.0)
-        engines = [candidate("p", pending), *[candidate(f"i{n}") for n in range(8)]]
+        view = PoolView()
+        view.start("e", RunningWork(1, 1, (1,), 2900.0, 182_000, 0, 1000.0, 3000.0, False), 0.0)
+        engines = [candidate("p", view.load_of(1)), *[candidate(f"i{n}") for n in range(8)]]
         self.assertNotIn("p", self.names(REVIEW, *engines))
 
+    def test_part_does_not_put_off_the_last_part_of_an_older_prompt(self) -> None:
+        view = PoolView()
+        view.start("e", RunningWork(1, 1, (1, 2), 2300.0, 368_000, 0, 1000.0, 3000.0, False), 0.0)
+        helping = candidate("p", view.load_of(2))
+        engines = [helping, *[candidate(f"i{n}") for n in range(8)]]
+        self.assertNotIn("p", self.names(REVIEW, *engines))
+
+    def test_part_may_overtake_one_that_another_engine_is_later_with(self) -> None:
+        view = PoolView()
+        view.start("e", RunningWork(1, 1, (1, 2), 500.0, 90_000, 0, 1000.0, 3000.0, False), 0.0)
+        view.start("e", RunningWork(2, 1, (3, 1), 2000.0, 90_000, 0, 1000.0, 9000.0, False), 0.0)
+        self.assertEqual(overtaking_cost(PlacementWeights(), view.load_of(2), 1000.0, 0.0), 0.0)
+        self.assertGreater(overtaking_cost(PlacementWeights(), view.load_of(1), 1000.0, 0.0), 0.0)
+
     def test_slow_engine_is_avoided(self) -> None:
         slow = candidate("slow", pace=5.0)
         self.assertEqual(self.names(QUIZ, slow, candidate("t", order=1.0)), ["t"])
--- a/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
@@ -43,9 +43,36 @@
         self.assertEqual(self.view.load_of(7).active, 0)
 
     def test_reading_whose_end_is_not_told_counts_as_over_when_it_is_expected(self) -> None:
-        self.view.start("e1", work(1, 7), 0.0)
+        self.view.start("e1", work(1, 7, reading_ms=90.0), 0.0)
         self.assertEqual(len(self.view.load_of(7).pending(50.0)), 1)
-        self.assertEqual(len(self.view.load_of(7).pending(100.0)), 0)
+        self.assertEqual(len(self.view.load_of(7).pending(90.0)), 0)
+
+    def test_reading_whose_end_is_told_goes_on_until_then(self) -> None:
+        self.view.start("e1", work(1, 7), 0.0)
+        self.assertEqual(len(self.view.load_of(7).pending(500.0)), 1)
+        self.assertEqual(self.view.load_of(7).writers(500.0), 0)
+        self.view.finish_reading("e1", 1, 500.0)
+        self.assertEqual(self.view.load_of(7).writers(500.0), 1)
+
+    def test_newest_part_for_another_target_goes_first(self) -> None:
+        self.view.start("e1", work(1, 7, 8, reading_ms=2000.0), 0.0)
+        self.view.start("e2", work(1, 9, 8, reading_ms=1300.0), 1000.0)
+        older, newer = self.view.load_of(8).pending(1000.0)
+        self.assertEqual(older.expected_ms, 3300.0)
+        self.assertEqual(newer.expected_ms, 2300.0)
+
+    def test_prompt_is_expected_when_its_last_part_is_read(self) -> None:
+        self.view.start("e1", work(1, 8, reading_ms=700.0), 0.0)
+        self.view.start("e1", work(2, 8, 9, reading_ms=100.0), 0.0)
+        (part,) = self.view.load_of(9).pending(0.0)
+        self.assertEqual((part.here_ms, part.expected_ms), (100.0, 800.0))
+
+    def test_part_that_is_read_early_brings_forward_what_is_behind_it(self) -> None:
+        self.view.start("e1", work(1, 7, 8, reading_ms=1000.0), 0.0)
+        self.view.start("e2", work(1, 8, reading_ms=500.0), 0.0)
+        self.view.finish_reading("e1", 1, 600.0)
+        (own,) = self.view.load_of(8).pending(600.0)
+        self.assertEqual(own.expected_ms, 1100.0)
 
     def test_work_is_counted_once_however_often_it_is_told(self) -> None:
         self.assertTrue(self.view.start("e1", work(1, 7), 0.0))
