Wait longer for silent targets that show signs of life, and log each placement

Ruled out: dead engines (other streams of the same target began within a second of each of the seven). A prompt that is dear to read again waits while its target has reading to do or has sent anything, for as long as the kernel's probes need to end a dead connection; a short one goes elsewhere as before, and a suspended target has no excuse. One watch per attempt in the place of a timer per event. Each placement has its line in the log, with targets, backlog and the age of the view.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -23,6 +23,7 @@
 from marigoldarch.serving.pool_view import RunningWork
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import CallerGoneError
+from marigoldarch_node.serving.silence_watch import SilenceWatch
 from marigoldarch_node.serving.target_connections import (
     AnswerError,
     AnswerHead,
@@ -42,17 +43,6 @@
     from marigoldarch_node.serving.target_connections import TargetConnections
     from marigoldarch_node.serving.tickets import Ticket, TicketOffice
 
-FIRST_EVENT_FACTOR = 3.0
-FIRST_EVENT_EXTRA_MS: Millis = 600.0
-"""A stream that has not begun after three times its expected wait and this much more is given to
-another target; this much covers a lost packet and the pass under way."""
-
-PAUSE_FACTOR = 4.0
-LEAST_PAUSE_LIMIT_MS: Millis = 900.0
-MOST_PAUSE_LIMIT_MS: Millis = 4000.0
-"""A stream that pauses for longer than four pause goals, within these bounds, counts as stalled:
-callers give it up after eight, and after 2 s at the earliest."""
-
 log = EventLog("attempts")
 
 
@@ -93,6 +83,7 @@
         self._call = plan.call
         self._target_id = plan.forwarding.target_id
         self._number = 0
+        self._watch = SilenceWatch(tools.state, plan.call, plan.placement)
         self._held: tuple[AnswerHead, bytes] | None = None
         self._sent_ms: Millis = 0.0
         self._events = 0
@@ -140,7 +131,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.send, self._request())
-                with trio.move_on_after(self._time_left_ms() / 1000.0):
+                with trio.move_on_after(self._time_left_ms() / 1000.0) as scope:
+                    if self._watch.is_needed:
+                        nursery.start_soon(self._watch.run, scope)
                     head, ended = await self._relay(connection)
                 nursery.cancel_scope.cancel()
         finally:
@@ -157,6 +150,8 @@
     def _judge(self, ended: Delivered | AttemptOutcome | None) -> Delivered | AttemptOutcome:
         """Take note of what the attempt shows of its target."""
         now_ms = self._state.clock.monotonic_ms()
+        if ended is None and self._watch.has_given_up:
+            ended = self._broken(FailureReason.STALLED)
         match ended:
             case None:
                 return self._broken(FailureReason.TIMEOUT)
@@ -204,10 +199,8 @@
     ) -> tuple[AnswerHead | None, Delivered | AttemptOutcome]:
         """Read the answer; return its head if it was read to its end, and how it ended."""
         try:
-            with trio.move_on_after(self._first_limit_ms() / 1000.0) as scope:
-                head = await connection.read_head()
-            if scope.cancelled_caught:
-                return None, self._broken(FailureReason.STALLED)
+            self._watch.wait()
+            head = await connection.read_head()
             marks = self._dialect.read_answer(head)
             if marks.is_event_stream and 200 <= head.status < 300:
                 return await self._relay_stream(connection, head, marks)
@@ -251,14 +244,11 @@
         chunk_ms = self._state.clock.monotonic_ms()
         async with aclosing(connection.chunks()) as chunks:
             while True:
-                limit_ms = self._pause_limit_ms() if self._events else self._first_limit_ms()
-                with trio.move_on_after(limit_ms / 1000.0) as scope:
-                    data = await anext(chunks, None)
-                if scope.cancelled_caught:
-                    return None, self._broken(FailureReason.STALLED)
+                data = await anext(chunks, None)
+                events = self._events
+                self._watch.hear()
                 if data is None:
                     break
-                events = self._events
                 await self._pass_on(head, splitter, data)
                 now_ms = self._state.clock.monotonic_ms()
                 if events and self._events > events:
@@ -267,6 +257,7 @@
                     if events:
                         self._call.note_pause(now_ms - chunk_ms)
                     chunk_ms = now_ms
+                self._watch.wait(has_begun=self._events > 0)
         if splitter.has_rest:
             return None, self._broken(FailureReason.CUT)
         if not self._call.exchange.is_head_sent:
@@ -308,23 +299,6 @@
             return StreamBroken(reason, self._plan.last_event or 0)
         return OutcomeUnknown(reason)
 
-    def _first_limit_ms(self) -> Millis:
-        """Return how long to wait for the answer to begin; without a second attempt, to the end."""
-        call = self._call
-        has_more = call.history.sent + 1 < call.route.attempt_limit
-        if not call.route.is_stream or not call.route.may_repeat or not has_more:
-            return self._time_left_ms()
-        expected_ms = self._plan.placement.first_token_ms
-        return max(FIRST_EVENT_FACTOR * expected_ms + FIRST_EVENT_EXTRA_MS, call.route.goal_ms)
-
-    def _pause_limit_ms(self) -> Millis:
-        route = self._call.route
-        has_more = self._call.history.sent + 1 < route.attempt_limit
-        if not route.may_repeat or not has_more:
-            return self._time_left_ms()
-        limit_ms = PAUSE_FACTOR * route.pause_goal_ms
-        return min(max(limit_ms, LEAST_PAUSE_LIMIT_MS), MOST_PAUSE_LIMIT_MS)
-
     def _note_refusal(self, marks: AnswerMarks) -> None:
         """Note which target refused: the first, or a helper that the answer names."""
         at_fault = self._target_id
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -158,6 +158,7 @@
         while True:
             placement = await self._find_place(call)
             plan = self._plan(call, placement, last_event)
+            self._log_placement(call, placement)
             attempt = Attempt(self._tools, plan)
             ended = await attempt.run()
             if isinstance(ended, Delivered):
@@ -284,6 +285,22 @@
     def _now_ms(self) -> Millis:
         return self._state.clock.monotonic_ms()
 
+    def _log_placement(self, call: Call, placement: Placement) -> None:
+        now_ms = self._now_ms()
+        first = placement.targets[0]
+        load = self._state.board.view.load_of(target_number(first.target_id))
+        log.info(
+            "placed",
+            request=call.request_id,
+            target=first.target_id,
+            helpers=[target.target_id for target in placement.targets[1:]],
+            expected_ms=round(placement.first_token_ms),
+            active=load.active,
+            backlog_ms=round(max(0.0, load.reads_until_ms - now_ms)),
+            pace=round(self._state.health.pace_of(first.target_id, now_ms), 1),
+            view_age_ms=round(self._state.board.oldest_report_ms),
+        )
+
     def _log_attempt(
         self, call: Call, plan: AttemptPlan, ended: AttemptOutcome, step: NextStep
     ) -> None:
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/silence_watch.py
@@ -0,0 +1,90 @@
+"""The watch over one attempt at a stream: it ends the attempt when its target is silent for too long."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.serving.candidates import target_number
+from marigoldarch.serving.engine_formula import reading_ms
+from marigoldarch.serving.silence import (
+    Silence,
+    first_event_patience_ms,
+    given_up_at_ms,
+    pause_patience_ms,
+)
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.serving.placement import Placement
+    from marigoldarch_node.serving.entry_state import EntryState
+    from marigoldarch_node.serving.proxy import Call
+
+LOOK_MS: Millis = 300.0
+"""How often the signs of life are looked at: a third of the shortest patience."""
+
+
+class SilenceWatch:
+    """Times the waiting for one target; waiting for the caller does not count."""
+
+    def __init__(self, state: EntryState, call: Call, placement: Placement) -> None:
+        self._state = state
+        self._call = call
+        self._expected_ms = placement.first_token_ms
+        self._target_id = placement.targets[0].target_id
+        self._since_ms: Millis | None = None
+        self._has_begun = False
+        self._has_given_up = False
+
+    @property
+    def has_given_up(self) -> bool:
+        """Return whether the target has been given up."""
+        return self._has_given_up
+
+    @property
+    def is_needed(self) -> bool:
+        """Return whether another target could go on; otherwise only the time left ends the wait."""
+        route, history = self._call.route, self._call.history
+        has_more = history.sent + 1 < route.attempt_limit
+        return route.is_stream and route.may_repeat and has_more
+
+    def wait(self, *, has_begun: bool = False) -> None:
+        """Note that the target is waited for from now on, for another event once some have come."""
+        self._has_begun = has_begun
+        self._since_ms = self._state.clock.monotonic_ms()
+
+    def hear(self) -> None:
+        """Note that the target has sent something."""
+        self._since_ms = None
+        self._state.health.note_heard(self._target_id, self._state.clock.monotonic_ms())
+
+    async def run(self, scope: trio.CancelScope) -> None:
+        """Cancel the scope once the target is given up."""
+        while True:
+            now_ms = self._state.clock.monotonic_ms()
+            left_ms = LOOK_MS
+            if self._since_ms is not None:
+                left_ms = min(given_up_at_ms(self._silence(self._since_ms)) - now_ms, LOOK_MS)
+            if left_ms <= 0:
+                self._has_given_up = True
+                scope.cancel()
+                return
+            await trio.sleep(left_ms / 1000.0)
+
+    def _silence(self, since_ms: Millis) -> Silence:
+        call, state = self._call, self._state
+        if self._has_begun:
+            patience_ms = pause_patience_ms(call.route.pause_goal_ms)
+        else:
+            patience_ms = first_event_patience_ms(self._expected_ms, call.route.goal_ms)
+        prompt, engine = call.facts.prompt, call.service.engine
+        restart_ms = reading_ms(engine, prompt.tokens) if prompt and engine else 0.0
+        return Silence(
+            since_ms,
+            patience_ms,
+            state.board.view.load_of(target_number(self._target_id)).reads_until_ms,
+            state.health.heard_ms(self._target_id),
+            restart_ms,
+            state.health.is_suspended(self._target_id, state.clock.monotonic_ms()),
+        )
--- a/packages/marigoldarch/marigoldarch/serving/target_health.py
+++ b/packages/marigoldarch/marigoldarch/serving/target_health.py
@@ -40,6 +40,7 @@
     suspensions: int = 0
     suspended_until_ms: float = 0.0
     last_failure_ms: float = 0.0
+    heard_ms: float = float("-inf")
     pace: float = 1.0
     paced_ms: float = 0.0
 
@@ -72,6 +73,15 @@
         age_ms = max(0.0, now_ms - record.paced_ms)
         return 1.0 + (record.pace - 1.0) * 0.5 ** (age_ms / self._settings.pace_half_life_ms)
 
+    def heard_ms(self, target_id: str) -> Millis:
+        """Return when a target last sent anything, minus infinity if it never did."""
+        record = self._records.get(target_id)
+        return record.heard_ms if record else float("-inf")
+
+    def note_heard(self, target_id: str, now_ms: Millis) -> None:
+        """Take a sign of life, which says nothing of whether the answer is good."""
+        self._records.setdefault(target_id, _Record()).heard_ms = now_ms
+
     def note_success(self, target_id: str, now_ms: Millis) -> None:
         """Take a good answer."""
         record = self._records.get(target_id)
