--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/engine.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/engine.py
@@ -79,7 +79,7 @@
         self._queue.sort(key=lambda item: item.urgency)
 
     def help(self, generation: Generation) -> None:
-        """Read a part of another engine's prompt, ahead of own reading."""
+        """Read a part of another engine's prompt, ahead of older parts and of whole prompts."""
         self._readings.insert(0, self._part_of(generation, is_help=True))
 
     def cancel(self, generation: Generation) -> None:
@@ -140,7 +140,8 @@
             if self.active and self.memory_used + needed > self._spec.memory_tokens:
                 return
             self._queue.pop(0)
-            self._readings.append(self._part_of(generation, is_help=False))
+            part = self._part_of(generation, is_help=False)
+            self._readings.insert(0 if generation.parts > 1 else len(self._readings), part)
 
     def _part_of(self, generation: Generation, *, is_help: bool) -> Reading:
         whole_ms = reading_ms(self._spec, generation.prompt_tokens)
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -66,7 +66,7 @@
     """For each running stream whose longest pause would be exceeded."""
 
     made_late: float = 2.5
-    """For each prompt that a part read for another target overtakes, and so makes late."""
+    """For each prompt that a part overtakes, and so makes late."""
 
     overtaken: float = 0.3
     """For each prompt that is overtaken and stays in time, or was late before."""
@@ -239,7 +239,7 @@
     ) -> list[_Scored] | None:
         """Return `parts` targets of the lowest cost; the first has room to run the job."""
         runners = [
-            self._score(item, part_ms, now_ms, is_help=False)
+            self._score(item, part_ms, parts, now_ms, is_help=False)
             for item in candidates
             if self._can_run(job, item, parts)
         ]
@@ -249,7 +249,7 @@
         if parts == 1:
             return [runner]
         helpers = [
-            self._score(item, part_ms, now_ms, is_help=True)
+            self._score(item, part_ms, parts, now_ms, is_help=True)
             for item in candidates
             if item is not runner.candidate and self._can_help(job, item, parts)
         ]
@@ -262,12 +262,12 @@
         return scored.cost + self._cost_of_time(job, scored.first_token_ms)
 
     def _score(
-        self, candidate: Candidate, part_ms: Millis, now_ms: Millis, *, is_help: bool
+        self, candidate: Candidate, part_ms: Millis, parts: int, now_ms: Millis, *, is_help: bool
     ) -> _Scored:
         """Return what a part costs on a target.
 
-        A part for another target goes first, but later ones go before it; it is planned to wait
-        for what is there.
+        A part goes before what is there, but later ones go before it; it is planned to wait for what
+        is there.
         """
         weights, load = self._weights, candidate.load
         wait_ms = max(0.0, load.reads_until_ms - now_ms)
@@ -280,9 +280,9 @@
         cost = weights.broken_pause * broken
         is_long = part_ms > LONG_READING_MS / 2
         cost += weights.order * (1.0 - candidate.order if is_long else candidate.order)
-        if is_help:
+        if parts > 1:
             cost += overtaking_cost(weights, load, part_ms, now_ms)
-        else:
+        if not is_help:
             slots = max(1, min(self._engine.slots, candidate.target.slots))
             cost += weights.fullness * ((load.active + 1) / slots) ** 12
             cost += 0.0 if candidate.is_near else weights.other_data_centre
@@ -320,7 +320,7 @@
 def overtaking_cost(
     weights: PlacementWeights, load: TargetLoad, part_ms: Millis, now_ms: Millis
 ) -> float:
-    """Return the cost for the prompts whose first tokens a part for another target puts off.
+    """Return the cost for the prompts whose first tokens a part of another prompt puts off.
 
     Load pattern: large prompts come faster than they are read. An engine reads the newest part
     first, so a part that older ones wait for may be put off again and again.
--- a/packages/marigoldarch/marigoldarch/serving/pool_view.py
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -39,6 +39,11 @@
     goal_in_ms: Millis
     is_repeat: bool
 
+    @property
+    def is_read_in_parts(self) -> bool:
+        """Return whether several targets read the prompt."""
+        return len(self.targets) > 1
+
 
 @dataclass
 class _Placed:
@@ -77,8 +82,8 @@
 class TargetLoad:
     """The work on one target.
 
-    `reads_until_ms` is when everything is read that is known now. An engine reads the newest part
-    for another target first, then the older ones, then its own requests' prompts.
+    `reads_until_ms` is when everything is read that is known now. An engine reads the newest part of
+    a prompt that is read in parts first, then the older ones, then whole prompts.
     """
 
     number: TargetNumber = 0
@@ -152,16 +157,15 @@
         placed = _Placed(work, now_ms + work.goal_in_ms)
         for position, target in enumerate(work.targets):
             load = self._loads.setdefault(target, TargetLoad(target))
-            behind_ms = max(load.reads_until_ms, now_ms)
-            if position:
+            until_ms = max(load.reads_until_ms, now_ms) + work.reading_ms
+            if work.is_read_in_parts:
                 _overtake(load, work.reading_ms, now_ms)
-                load.helps[key] = work
                 placed.ends_ms[target] = now_ms + work.reading_ms
             else:
-                load.runs[key] = work
-                placed.ends_ms[target] = behind_ms + work.reading_ms
-            load.reads_until_ms = behind_ms + work.reading_ms
+                placed.ends_ms[target] = until_ms
+            load.reads_until_ms = until_ms
             load.unread[key] = placed
+            (load.helps if position else load.runs)[key] = work
         self._placed[key] = placed
         return True
 
