--- a/packages/marigoldarch-node/marigoldarch_node/storage/folder.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/folder.py
@@ -8,6 +8,7 @@
 
 from marigoldarch.control.durable import DurableState, replay
 from marigoldarch.exceptions import DiskFullError, ForeignDataFolderError, StorageError
+from marigoldarch_node.storage.files import NEW_SUFFIX, sync_folder, write_all, write_synced
 from marigoldarch_node.storage.identity import (
     decode_identity,
     encode_identity,
@@ -22,7 +23,6 @@
 
 IDENTITY_FILE = "identity.json"
 LOG_FILE = "log"
-NEW_SUFFIX = ".new"
 DAMAGED_FILE = "log.damaged"
 
 _FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
@@ -60,7 +60,7 @@
         data = encode_frame(records)
         self._check_usable()
         try:
-            _write_all(self._descriptor, data)
+            write_all(self._descriptor, data)
             os.fdatasync(self._descriptor)
             self._synced_bytes += len(data)
         except OSError as error:
@@ -73,7 +73,7 @@
         self._check_usable()
         path = self._path / LOG_FILE
         try:
-            self._write_synced(path, data)
+            write_synced(path, data)
             os.close(self._descriptor)
             self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
             self._synced_bytes = len(data)
@@ -102,7 +102,7 @@
         try:
             os.replace(self._path / LOG_FILE, self._path / DAMAGED_FILE)
             (self._path / IDENTITY_FILE).unlink(missing_ok=True)
-            self._sync_folder()
+            sync_folder(self._path)
         except OSError as error:
             raise _typed(error, "cannot set the damaged log aside") from error
 
@@ -123,7 +123,7 @@
         if (self._path / LOG_FILE).exists():
             raise ForeignDataFolderError("the data folder holds a log without an identity")
         identity = new_identity(self._installation, self._node)
-        self._write_synced(path, encode_identity(identity))
+        write_synced(path, encode_identity(identity))
         return identity.replica_id
 
     def _open_log(self, replica_id: str) -> DurableState:
@@ -136,35 +136,9 @@
             os.ftruncate(self._descriptor, scan.intact_bytes)
         os.fsync(self._descriptor)
         self._synced_bytes = scan.intact_bytes
-        self._sync_folder()
+        sync_folder(self._path)
         return replay(scan.records, replica_id)
 
-    def _write_synced(self, path: Path, data: bytes) -> None:
-        """Write a file under another name, sync it, and move it into place."""
-        new_path = path.with_name(path.name + NEW_SUFFIX)
-        descriptor = os.open(new_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        try:
-            _write_all(descriptor, data)
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-        os.replace(new_path, path)
-        self._sync_folder()
-
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self._path, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
-
-def _write_all(descriptor: int, data: bytes) -> None:
-    """Write all bytes: a nearly full disk may take only some of them at a time."""
-    view = memoryview(data)
-    while view:
-        view = view[os.write(descriptor, view) :]
-
 
 def _typed(error: OSError, what: str) -> StorageError:
     if error.errno in _FULL:
--- a/packages/marigoldarch-node/marigoldarch_node/storage/target_file.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/target_file.py
@@ -1,14 +1,13 @@
 """The targets that a control host knew when it last wrote them down.
 
 Load pattern: all nodes start again at once, and targets announce themselves only every second or
-so. A control host begins with the targets of its file. The file is a hint: it is not synced, a
-damaged one counts as none, and a request for a target that is no more is refused by whoever has its
-address now.
+so. A control host begins with the targets of its file. The file is a hint: it may be some seconds
+old, a damaged one counts as none, and a request for a target that is no more is refused by whoever
+has its address now.
 """
 
 from __future__ import annotations
 
-import os
 import zlib
 from typing import TYPE_CHECKING
 
@@ -16,12 +15,12 @@
 
 from marigoldarch.exceptions import StorageError
 from marigoldarch.serving.targets import Target
+from marigoldarch_node.storage.files import write_synced
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 FILE = "targets"
-NEW_SUFFIX = ".new"
 CHECKSUM_BYTES = 4
 
 
@@ -34,10 +33,8 @@
     def save(self, targets: list[Target]) -> None:
         """Replace the file; raise `StorageError` when the disk refuses."""
         body = msgspec.msgpack.encode(targets)
-        new = self._path.with_name(FILE + NEW_SUFFIX)
         try:
-            new.write_bytes(_checksum(body) + body)
-            os.replace(new, self._path)
+            write_synced(self._path, _checksum(body) + body)
         except OSError as error:
             raise StorageError(f"cannot write the targets: {error}") from error
 
