--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -131,9 +131,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.send, self._request())
-                with trio.move_on_after(self._time_left_ms() / 1000.0) as scope:
-                    if self._watch.is_needed:
-                        nursery.start_soon(self._watch.run, scope)
+                if self._watch.is_needed:
+                    nursery.start_soon(self._watch.run)
+                with trio.move_on_after(self._time_left_ms() / 1000.0):
                     head, ended = await self._relay(connection)
                 nursery.cancel_scope.cancel()
         finally:
@@ -150,8 +150,6 @@
     def _judge(self, ended: Delivered | AttemptOutcome | None) -> Delivered | AttemptOutcome:
         """Take note of what the attempt shows of its target."""
         now_ms = self._state.clock.monotonic_ms()
-        if ended is None and self._watch.has_given_up:
-            ended = self._broken(FailureReason.STALLED)
         match ended:
             case None:
                 return self._broken(FailureReason.TIMEOUT)
@@ -199,8 +197,10 @@
     ) -> tuple[AnswerHead | None, Delivered | AttemptOutcome]:
         """Read the answer; return its head if it was read to its end, and how it ended."""
         try:
-            self._watch.wait()
-            head = await connection.read_head()
+            with self._watch.waiting(has_begun=False):
+                head = await connection.read_head()
+            if self._watch.has_given_up:
+                return None, self._broken(FailureReason.STALLED)
             marks = self._dialect.read_answer(head)
             if marks.is_event_stream and 200 <= head.status < 300:
                 return await self._relay_stream(connection, head, marks)
@@ -244,11 +244,13 @@
         chunk_ms = self._state.clock.monotonic_ms()
         async with aclosing(connection.chunks()) as chunks:
             while True:
-                data = await anext(chunks, None)
-                events = self._events
-                self._watch.hear()
+                with self._watch.waiting(has_begun=self._events > 0):
+                    data = await anext(chunks, None)
+                if self._watch.has_given_up:
+                    return None, self._broken(FailureReason.STALLED)
                 if data is None:
                     break
+                events = self._events
                 await self._pass_on(head, splitter, data)
                 now_ms = self._state.clock.monotonic_ms()
                 if events and self._events > events:
@@ -257,7 +259,6 @@
                     if events:
                         self._call.note_pause(now_ms - chunk_ms)
                     chunk_ms = now_ms
-                self._watch.wait(has_begun=self._events > 0)
         if splitter.has_rest:
             return None, self._broken(FailureReason.CUT)
         if not self._call.exchange.is_head_sent:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/silence_watch.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/silence_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import trio
@@ -16,6 +17,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from marigoldarch.clock import Millis
     from marigoldarch.serving.placement import Placement
     from marigoldarch_node.serving.entry_state import EntryState
@@ -35,12 +38,12 @@
         self._target_id = placement.targets[0].target_id
         self._since_ms: Millis | None = None
         self._has_begun = False
-        self._has_given_up = False
+        self._wait = trio.CancelScope()
 
     @property
     def has_given_up(self) -> bool:
-        """Return whether the target has been given up."""
-        return self._has_given_up
+        """Return whether the last wait ended with nothing."""
+        return self._wait.cancelled_caught
 
     @property
     def is_needed(self) -> bool:
@@ -49,27 +52,33 @@
         has_more = history.sent + 1 < route.attempt_limit
         return route.is_stream and route.may_repeat and has_more
 
-    def wait(self, *, has_begun: bool = False) -> None:
-        """Note that the target is waited for from now on, for another event once some have come."""
+    @contextmanager
+    def waiting(self, *, has_begun: bool) -> Iterator[None]:
+        """Wait for the target within; giving up cancels this block and nothing else.
+
+        What has come from the target is passed on even if it was given up at the same instant, as
+        after a pause of the whole process.
+        """
         self._has_begun = has_begun
         self._since_ms = self._state.clock.monotonic_ms()
+        try:
+            with trio.CancelScope() as self._wait:
+                yield
+        finally:
+            self._since_ms = None
+        if not self._wait.cancelled_caught:
+            self._state.health.note_heard(self._target_id, self._state.clock.monotonic_ms())
 
-    def hear(self) -> None:
-        """Note that the target has sent something."""
-        self._since_ms = None
-        self._state.health.note_heard(self._target_id, self._state.clock.monotonic_ms())
-
-    async def run(self, scope: trio.CancelScope) -> None:
-        """Cancel the scope once the target is given up."""
+    async def run(self) -> None:
+        """Give the target up once it has been silent for too long."""
         while True:
             now_ms = self._state.clock.monotonic_ms()
             left_ms = LOOK_MS
             if self._since_ms is not None:
                 left_ms = min(given_up_at_ms(self._silence(self._since_ms)) - now_ms, LOOK_MS)
             if left_ms <= 0:
-                self._has_given_up = True
-                scope.cancel()
-                return
+                self._wait.cancel()
+                left_ms = LOOK_MS
             await trio.sleep(left_ms / 1000.0)
 
     def _silence(self, since_ms: Millis) -> Silence:
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/silence_watch_tests.py
@@ -0,0 +1,103 @@
+"""Tests of the watch over a silent target."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+import trio
+import trio.testing
+
+from marigoldarch.clock import ManualClock
+from marigoldarch.serving.attempts import AttemptHistory
+from marigoldarch.serving.declaration import RepeatRule, Route, WeightedService
+from marigoldarch.serving.placement import Placement
+from marigoldarch.serving.pool_view import PoolView
+from marigoldarch.serving.target_health import HealthSettings, TargetHealth
+from marigoldarch.serving.targets import Target
+from marigoldarch_node.serving.silence_watch import SilenceWatch
+
+ROUTE = Route(
+    name="quiz",
+    host="desk.example",
+    path_prefix="/quiz/",
+    services=(WeightedService("engines", 1.0),),
+    repeat_rule=RepeatRule.RUN_ONCE,
+    is_stream=True,
+    is_resumable=True,
+    has_prompt=True,
+    is_public=False,
+    timeout_ms=10_000.0,
+    goal_ms=300.0,
+    pause_goal_ms=250.0,
+    attempt_limit=2,
+    rank=1,
+)
+TARGET = Target("t", 1000, 1, "engines", "t:80", "dc1", 8, is_leaving=False)
+LONG_S = 5.0
+
+
+class SilenceWatchTests(unittest.TestCase):
+    """A watch whose clock the test sets."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.health = TargetHealth(HealthSettings())
+        board = SimpleNamespace(view=PoolView())
+        state = SimpleNamespace(clock=self.clock, health=self.health, board=board)
+        call = SimpleNamespace(
+            route=ROUTE,
+            history=AttemptHistory(ROUTE),
+            facts=SimpleNamespace(prompt=None),
+            service=SimpleNamespace(engine=None),
+        )
+        self.watch = SilenceWatch(state, call, Placement((TARGET,), 50.0, 0.0))
+
+    def test_silent_target_is_given_up(self) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                with trio.fail_after(LONG_S), self.watch.waiting(has_begun=False):
+                    self.clock.advance(60_000.0)
+                    nursery.start_soon(self.watch.run)
+                    await trio.sleep_forever()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertTrue(self.watch.has_given_up)
+        self.assertEqual(self.health.heard_ms("t"), float("-inf"))
+
+    def test_what_comes_as_the_target_is_given_up_is_kept_and_passed_on(self) -> None:
+        passed_on: list[int] = []
+
+        async def main() -> None:
+            send, receive = trio.open_memory_channel[int](1)
+            async with trio.open_nursery() as nursery:
+                with trio.fail_after(LONG_S):
+                    with self.watch.waiting(has_begun=True):
+                        nursery.start_soon(self.watch.run)
+                        await trio.testing.wait_all_tasks_blocked()
+                        self.clock.advance(60_000.0)
+                        send.send_nowait(3)
+                        found = await receive.receive()
+                        await trio.sleep(0)
+                    if not self.watch.has_given_up:
+                        for _ in range(5):
+                            await trio.sleep(0.1)
+                        passed_on.append(found)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(passed_on, [] if self.watch.has_given_up else [3])
+
+    def test_waiting_for_the_caller_does_not_count(self) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                with self.watch.waiting(has_begun=True):
+                    pass
+                nursery.start_soon(self.watch.run)
+                self.clock.advance(60_000.0)
+                await trio.sleep(0.4)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertFalse(self.watch.has_given_up)
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -114,12 +114,13 @@
 
 @dataclass
 class AttemptHistory:
-    """The attempts of one request so far."""
+    """The attempts of one request so far; `has_begun` once part of a stream has reached the caller."""
 
     route: Route
     sent: int = 0
     unsent: int = 0
     may_have_run: bool = False
+    has_begun: bool = False
     failed_targets: set[str] = field(default_factory=set)
 
     @property
@@ -138,6 +139,7 @@
             case OutcomeUnknown() | TargetFailed() | StreamBroken():
                 self.sent += 1
                 self.may_have_run = True
+                self.has_begun = self.has_begun or isinstance(outcome, StreamBroken)
 
     def next_step(self, outcome: AttemptOutcome, budget: Budget) -> NextStep:
         """Return what follows the newest attempt, which was noted before."""
@@ -149,7 +151,9 @@
             case RefusedByTarget(retry_after_ms=retry_after_ms):
                 return TryAgain() if may_move else self._give_up(retry_after_ms, budget)
             case TargetFailed():
-                return TryAgain() if may_move and self.route.may_repeat else DeliverFailure()
+                if may_move and self.route.may_repeat:
+                    return TryAgain()
+                return CutStream() if self.has_begun else DeliverFailure()
             case OutcomeUnknown():
                 if may_send and self.route.may_repeat:
                     return TryAgain()
--- a/packages/marigoldarch/marigoldarch/tests/serving/attempts_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/attempts_tests.py
@@ -82,6 +82,10 @@
         failed = TargetFailed(500)
         self.assertEqual(steps(lookup, ROOM, failed, failed), [TryAgain(), DeliverFailure()])
 
+    def test_failure_after_the_answer_has_begun_cuts_the_stream(self) -> None:
+        stream = route(attempt_limit=2)
+        self.assertEqual(steps(stream, ROOM, BROKEN, TargetFailed(500)), [TryAgain(), CutStream()])
+
     def test_spent_budget_ends_retries(self) -> None:
         self.assertEqual(steps(route(), SPENT, RESET), [Fail(False)])
         self.assertEqual(steps(route(), SPENT, SHED), [Refuse(120.0)])
