Send reports of work once to each data centre of many entries

Every report went to each of the 71 other entries; at the target size that does not fit (docs/CAPACITY.md). Change: a report goes to the entries of its own data centre, to those of small ones, and to one relay in each other, which passes it on; the relay changes with every whole report. The decision is pure (serving/report_routes.py).

--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from marigoldarch.serving.presence import HELLO_INTERVAL_MS, Hello, HostsKnown, NodeRole
+from marigoldarch.serving.report_routes import EntryNode, relay_targets, report_routes
 from marigoldarch.serving.routing import RoutingTable
 from marigoldarch.serving.watch import (
     WATCH_MESSAGES,
@@ -17,7 +18,7 @@
     TargetSilent,
     TargetTold,
 )
-from marigoldarch.serving.work_reports import WorkReport
+from marigoldarch.serving.work_reports import RelayedReport, WorkReport
 from marigoldarch.store.reducer import Document
 from marigoldarch_node.serving.attempt import EntryTools
 from marigoldarch_node.serving.control_host import unpack_document
@@ -43,6 +44,9 @@
 STOP_MARGIN_MS = 400.0
 """How long before the end of its grace a stopping entry ends, with what is still open."""
 
+EntryMessage = WorkReport | RelayedReport | HostsKnown
+"""What an entry takes as datagrams."""
+
 log = EventLog("entry")
 
 
@@ -62,7 +66,8 @@
         self._subscribed: dict[str, trio.CancelScope] = {}
         self._versions: dict[str, int] = {}
         self._near: set[str] = set()
-        self._entries: dict[str, set[str]] = {}
+        self._entries: dict[str, set[EntryNode]] = {}
+        self._own = EntryNode(settings.peer_address, settings.data_centre)
         self._newer_version = trio.Event()
         self._serial = 0
         self._nursery: trio.Nursery | None = None
@@ -71,7 +76,7 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         settings, state = self._settings, self._state
-        self._datagrams = await DatagramPort.open(settings.peer_address, WorkReport | HostsKnown)
+        self._datagrams = await DatagramPort.open(settings.peer_address, EntryMessage)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             health = ServerState(self._serve_health, state.limits, state.clock)
@@ -155,10 +160,12 @@
             self._watch(host)
         await self._datagrams.send(hello, *hosts)
 
-    async def _on_datagram(self, message: WorkReport | HostsKnown) -> None:
+    async def _on_datagram(self, message: EntryMessage) -> None:
         match message:
             case WorkReport():
                 self._state.board.receive(message)
+            case RelayedReport(report=data):
+                await self._pass_on(data)
             case HostsKnown(hosts=hosts):
                 self._hosts.update(hosts)
 
@@ -166,8 +173,23 @@
         """Tell the other entries what this one starts and ends."""
         while True:
             data = await self._state.board.next_report()
-            others = set().union(*self._entries.values())
-            await self._datagrams.send_encoded(data, *others)
+            routes = report_routes(self._own, self._known_entries(), self._state.board.turn)
+            await self._datagrams.send_encoded(data, *routes.direct)
+            if routes.relays:
+                await self._datagrams.send(RelayedReport(data), *routes.relays)
+
+    async def _pass_on(self, data: bytes) -> None:
+        """Take the report of an entry elsewhere, and pass it on in this data centre."""
+        try:
+            report = msgspec.msgpack.decode(data, type=WorkReport)
+        except msgspec.MsgspecError as error:
+            log.warning("relayed report dropped", reason=str(error))
+            return
+        await self._datagrams.send_encoded(data, *relay_targets(self._own, self._known_entries()))
+        self._state.board.receive(report)
+
+    def _known_entries(self) -> set[EntryNode]:
+        return set().union(*self._entries.values())
 
     def _watch(self, host: str) -> None:
         if host in self._subscribed:
@@ -199,7 +221,7 @@
                 self._on_status(host, message)
             case NodesTold(hosts=hosts, entries=entries):
                 self._hosts.update(hosts)
-                self._entries[host] = set(entries) - {self._settings.peer_address}
+                self._entries[host] = set(entries)
             case TargetTold(target=target):
                 self._state.roster.tell(host, target)
             case TargetSilent(target_id=target_id):
--- a/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/work_board.py
@@ -43,6 +43,7 @@
         self._view = PoolView()
         self._budget = RetryBudget(budget)
         self._serial = 0
+        self._turn = 0
         self._number = 0
         self._started: list[RunningWork] = []
         self._read: list[int] = []
@@ -67,6 +68,11 @@
         """Return how many other entries are heard of."""
         return len(self._peers)
 
+    @property
+    def turn(self) -> int:
+        """Return how many reports of all the work there have been."""
+        return self._turn
+
     @property
     def oldest_report_ms(self) -> Millis:
         """Return the age of the oldest report that the view rests on."""
@@ -133,6 +139,7 @@
         is_whole = now_ms >= self._whole_ms + WHOLE_INTERVAL_MS
         if is_whole:
             self._whole_ms = now_ms
+            self._turn += 1
         self._has_news = trio.Event()
         works = self._view.works_of(self._node) if is_whole else self._started
         report = WorkReport(
--- a/packages/marigoldarch/marigoldarch/serving/presence.py
+++ b/packages/marigoldarch/marigoldarch/serving/presence.py
@@ -11,6 +11,7 @@
 
 from marigoldarch.clock import Millis
 from marigoldarch.identifiers import ReplicaName
+from marigoldarch.serving.report_routes import EntryNode
 from marigoldarch.store.membership import KnownHost
 
 HELLO_INTERVAL_MS: Millis = 500.0
@@ -119,10 +120,10 @@
             del self._hosts[name]
         return bool(entries or hosts)
 
-    def entry_nodes(self, now_ms: Millis) -> list[str]:
+    def entry_nodes(self, now_ms: Millis) -> list[EntryNode]:
         """Return the entries that tell each other of their work."""
         return [
-            name
+            EntryNode(name, entry.hello.data_centre)
             for name, entry in self._entries.items()
             if now_ms < entry.heard_ms + ENTRY_ALIVE_MS and not entry.hello.is_leaving
         ]
--- a/packages/marigoldarch/marigoldarch/serving/watch.py
+++ b/packages/marigoldarch/marigoldarch/serving/watch.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from marigoldarch.codec import Codec
+from marigoldarch.serving.report_routes import EntryNode
 from marigoldarch.serving.targets import Target
 
 
@@ -25,7 +26,7 @@
     """The control hosts and entries that the host knows; told when they change."""
 
     hosts: tuple[str, ...]
-    entries: tuple[str, ...]
+    entries: tuple[EntryNode, ...]
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -45,6 +45,12 @@
     requests: dict[int, int]
 
 
+class RelayedReport(msgspec.Struct, array_like=True, frozen=True, tag="relay"):
+    """An encoded `WorkReport` that the receiver passes on in its data centre."""
+
+    report: bytes
+
+
 def number_of(name: str) -> int:
     """Return the number under which a name travels."""
     return zlib.crc32(name.encode())
