Let a reader close the pipe of a command early

Change: a closed pipe ends the output, not the command. Before: the new test fails (a traceback); after: it passes.

--- a/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
+++ b/packages/marigoldarch-cli/marigoldarch_cli/__main__.py
@@ -16,7 +16,7 @@
 from marigoldarch_cli.commands import history as history_command
 from marigoldarch_cli.commands import repair as repair_command
 from marigoldarch_cli.commands import timeline as timeline_command
-from marigoldarch_cli.output import answer_text
+from marigoldarch_cli.output import answer_text, show
 
 EXIT_FAILURE = 1
 
@@ -93,7 +93,7 @@
 def _finish(result: Result[str, MarigoldarchError]) -> None:
     match result:
         case Result(tag="ok", ok=text):
-            print(text)
+            show(text)
         case Result(error=problem):
             print(f"marigoldarch: {problem}", file=sys.stderr)
             sys.exit(EXIT_FAILURE)
--- a/packages/marigoldarch-cli/marigoldarch_cli/output.py
+++ b/packages/marigoldarch-cli/marigoldarch_cli/output.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import sys
 from typing import Any
 
 import msgspec
@@ -24,3 +26,12 @@
     if answer.status >= FIRST_ERROR_STATUS:
         return Error(RequestError(f"the node refuses: {encode_json(answer.body).decode()}"))
     return Ok(format_json(answer.body))
+
+
+def show(text: str) -> None:
+    """Print a text; a reader that closes the pipe early, as `grep -q` does, is no error."""
+    try:
+        print(text, flush=True)
+    except BrokenPipeError:
+        # The interpreter flushes standard output once more at its end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/packages/marigoldarch-cli/marigoldarch_cli/tests/output_tests.py
+++ b/packages/marigoldarch-cli/marigoldarch_cli/tests/output_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 import unittest
 
 from expression import Result
@@ -23,3 +25,17 @@
                 self.assertIn("unknown_operator_key", str(problem))
             case _:
                 self.fail("a refusal must be an error")
+
+
+class ShowTests(unittest.TestCase):
+    """Output that a pipe takes."""
+
+    def test_reader_that_has_had_enough_is_no_error(self) -> None:
+        program = "from marigoldarch_cli.output import show; show('x' * 5_000_000)"
+        with subprocess.Popen(
+            [sys.executable, "-c", program], stdout=subprocess.PIPE, stderr=subprocess.PIPE
+        ) as process:
+            self.assertEqual(process.stdout.read(1), b"x")
+            process.stdout.close()
+            self.assertEqual(process.stderr.read(), b"")
+            self.assertEqual(process.wait(), 0)
