--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/silence_watch_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/silence_watch_tests.py
@@ -10,30 +10,14 @@
 
 from marigoldarch.clock import ManualClock
 from marigoldarch.serving.attempts import AttemptHistory
-from marigoldarch.serving.declaration import RepeatRule, Route, WeightedService
 from marigoldarch.serving.placement import Placement
 from marigoldarch.serving.pool_view import PoolView
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
-from marigoldarch.serving.targets import Target
+from marigoldarch.tests.serving.support import route, target
 from marigoldarch_node.serving.silence_watch import SilenceWatch
 
-ROUTE = Route(
-    name="quiz",
-    host="desk.example",
-    path_prefix="/quiz/",
-    services=(WeightedService("engines", 1.0),),
-    repeat_rule=RepeatRule.RUN_ONCE,
-    is_stream=True,
-    is_resumable=True,
-    has_prompt=True,
-    is_public=False,
-    timeout_ms=10_000.0,
-    goal_ms=300.0,
-    pause_goal_ms=250.0,
-    attempt_limit=2,
-    rank=1,
-)
-TARGET = Target("t", 1000, 1, "engines", "t:80", "dc1", 8, is_leaving=False)
+ROUTE = route()
+TARGET = target("t")
 LONG_S = 5.0
 
 
