--- a/packages/marigoldarch/marigoldarch/tests/control/rounds.py
+++ b/packages/marigoldarch/marigoldarch/tests/control/rounds.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import random
-import sys
 from collections import Counter
 
 from marigoldarch.clock import Millis
@@ -17,6 +16,7 @@
 from marigoldarch.messages import Propose, ProposeReply
 from marigoldarch.settings import ControlSettings
 from marigoldarch.tests.cluster import MemoryCluster
+from marigoldarch.tests.rounds_command import play_rounds
 
 ROUND_MS: Millis = 20_000.0
 STEP_MS: Millis = 10.0
@@ -198,24 +198,5 @@
                 assert view.teams[team].revision == revision, f"{team} changed on {name}"
 
 
-def main() -> None:
-    """Run rounds and print what they did."""
-    count, first_seed = int(sys.argv[1]), int(sys.argv[2])
-    faults: Counter[str] = Counter()
-    acknowledged = 0
-    failed: list[int] = []
-    for seed in range(first_seed, first_seed + count):
-        item = Round(seed)
-        try:
-            item.run()
-        except AssertionError as error:
-            failed.append(seed)
-            print(f"seed {seed}: {error}", flush=True)
-        faults.update(item.faults)
-        acknowledged += len(item.acknowledged)
-    print(f"{count} rounds, {len(failed)} failed {failed}, {acknowledged} acknowledged changes")
-    print(f"faults: {dict(faults)}")
-
-
 if __name__ == "__main__":
-    main()
+    play_rounds(Round, lambda item: len(item.acknowledged), "acknowledged changes")
--- a/packages/marigoldarch/marigoldarch/tests/store/rounds.py
+++ b/packages/marigoldarch/marigoldarch/tests/store/rounds.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import random
-import sys
 from collections import Counter
 
 from marigoldarch.clock import Millis
+from marigoldarch.tests.rounds_command import play_rounds
 from marigoldarch.tests.store.cluster import StoreCluster
 
 ROUND_MS: Millis = 25_000.0
@@ -200,24 +200,5 @@
         assert self.acknowledged > 0, "nothing was acknowledged"
 
 
-def main() -> None:
-    """Run rounds and print what they did."""
-    count, first_seed = int(sys.argv[1]), int(sys.argv[2])
-    faults: Counter[str] = Counter()
-    failed: list[int] = []
-    versions = 0
-    for seed in range(first_seed, first_seed + count):
-        item = StoreRound(seed)
-        try:
-            item.run()
-        except AssertionError as error:
-            failed.append(seed)
-            print(f"seed {seed}: {error}", flush=True)
-        faults.update(item.faults)
-        versions += len(item.sent)
-    print(f"{count} rounds, {len(failed)} failed {failed}, {versions} versions sent")
-    print(f"faults: {dict(faults)}")
-
-
 if __name__ == "__main__":
-    main()
+    play_rounds(StoreRound, lambda item: len(item.sent), "versions sent")
