Heed targets that leave or ask for a wait in their answers

Cause: a target that says Server-Leaving was used until its announcement came round, and one that refused with Retry-After got the next request at once (both steps of the end-to-end test fail on the code before).

A mark that a target leaves belongs to one start of it; entries tell each other what they were given first hand. A wait holds for the entry that was asked, is looked at again right before a request is sent, and ends with one request that the others follow. The refusal to a caller carries the shortest wait if all targets wait. Neither counts in an answer that may be from elsewhere.

Ruled out: taking a wait as a suspension (a suspended target is chosen when no other can run the request); counting any answer's head.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -21,6 +21,7 @@
 from marigoldarch.serving.engine_formula import decode_pass_ms
 from marigoldarch.serving.event_stream import EventSplitter
 from marigoldarch.serving.pool_view import RunningAttempt
+from marigoldarch.serving.response_origin import ResponseOrigin
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import CallerDisconnectedError
 from marigoldarch_node.serving.stall_detector import StallDetector
@@ -132,6 +133,10 @@
             self._state.record_failure(self._target_id, is_unreachable=True)
             return NotSent(FailureReason.UNREACHABLE)
         self._sent_ms = self._state.clock.monotonic_ms()
+        obstacle = self._obstacle_to_sending(target)
+        if obstacle is not None:
+            connection.connection.close()
+            return NotSent(obstacle)
         head: ResponseHead | None = None
         outcome: Delivered | AttemptOutcome | None = None
         try:
@@ -143,11 +148,23 @@
                     head, outcome = await self._relay(connection)
                 nursery.cancel_scope.cancel()
         finally:
+            self._state.waits.note_end(target.start, self._work_number)
             self._connections.release(connection, head)
         if self._has_caller_disconnected:
             raise CallerDisconnectedError
         return self._record_outcome(outcome)
 
+    def _obstacle_to_sending(self, target: Target) -> FailureReason | None:
+        """Return why nothing may be sent to the target any more.
+
+        It may have said so, in a response to another request, since it was chosen.
+        """
+        if self._state.target_view.is_leaving(target):
+            return FailureReason.TARGET_LEAVES
+        if not self._state.waits.admit(target.start, self._work_number, self._sent_ms):
+            return FailureReason.TARGET_WAITS
+        return None
+
     async def deliver_withheld_failure(self) -> None:
         """Send the target's error response, which was withheld in case another attempt followed."""
         head, body = self._withheld_failure
@@ -217,6 +234,7 @@
             if self._stall_detector.is_stalled:
                 return None, self._incomplete_outcome(FailureReason.STALLED)
             response_info = self._dialect.read_response(head)
+            self._record_signals(connection, response_info)
             if response_info.is_event_stream and 200 <= head.status < 300:
                 return await self._relay_stream(connection, head, response_info)
             return await self._relay_whole(connection, head, response_info)
@@ -229,6 +247,19 @@
             self._has_caller_disconnected = True
             return None, self._incomplete_outcome(FailureReason.CUT)
 
+    def _record_signals(self, connection: TargetConnection, response_info: ResponseInfo) -> None:
+        """Record what the head of a response says of the target."""
+        origin = ResponseOrigin(
+            self._call.request_id,
+            response_info.request_id,
+            not connection.is_reused,
+            response_info.is_misdirected,
+        )
+        target = self._plan.placement.targets[0]
+        self._state.record_signals(target, response_info, origin)
+        if not response_info.wait_ms:
+            self._state.waits.note_end(target.start, self._work_number)
+
     async def _relay_whole(
         self, connection: TargetConnection, head: ResponseHead, response_info: ResponseInfo
     ) -> tuple[ResponseHead | None, Delivered | AttemptOutcome]:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
@@ -95,7 +95,10 @@
     """The decoded headers of a target's response.
 
     With `proves_not_run` the target has not run the request and never will. `failed_target` names
-    the target that caused a refusal, by id or address; it is empty if the response names none.
+    the target that caused a refusal, by id or address; it is empty if the response names none. With
+    `is_misdirected`, another target than the intended one has responded. With `is_leaving` the
+    target accepts no requests for much longer. `wait_ms` is how long it wants no request from this
+    node, None if it does not ask for a wait. `unreadable_headers` are names with invalid values.
     """
 
     request_id: str
@@ -104,6 +107,10 @@
     is_event_stream: bool
     retry_after_ms: Millis | None
     failed_target: str
+    is_misdirected: bool = False
+    is_leaving: bool = False
+    wait_ms: Millis | None = None
+    unreadable_headers: tuple[str, ...] = ()
 
 
 class UnreadableAnnouncement(NamedTuple):
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -63,7 +63,7 @@
         self._start_id = start_id
         self._state = EntryState(settings, start_id)
         self._connections = TargetConnectionPool(self._state.clock)
-        self._reservations = ReservationManager(self._state.clock, dialect, self._connections)
+        self._reservations = ReservationManager(self._state, dialect, self._connections)
         proxy = Proxy(EntryContext(self._state, dialect, self._connections, self._reservations))
         self._caller_server = HttpServer(
             ServerState(proxy.handle, self._state.limits, self._state.clock)
@@ -131,6 +131,8 @@
             "control_host_silence_ms": state.control_host_silence_ms,
             "declaration_version": state.table.version if state.table else 0,
             "tickets": self._reservations.lease_count,
+            "leaving_targets": len(state.target_view.leaving),
+            "waiting_targets": state.waits.count,
         }
 
     async def _serve_health(self, exchange: Exchange) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -8,9 +8,11 @@
 import trio
 
 from marigoldarch.serving.candidates import CandidateSource, cached_name_hash
+from marigoldarch.serving.response_origin import ResponseOrigin, is_from_target
 from marigoldarch.serving.retry_budget import RetryBudgetSettings
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
-from marigoldarch.serving.targets import MergedTargetView
+from marigoldarch.serving.target_waits import TargetWaits, WaitSettings
+from marigoldarch.serving.targets import MergedTargetView, TargetStart
 from marigoldarch_node.clock import SystemClock
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import ServerLimits
@@ -20,6 +22,8 @@
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
     from marigoldarch.serving.routing import RoutingTable
+    from marigoldarch.serving.targets import Target
+    from marigoldarch_node.serving.dialect import ResponseInfo
     from marigoldarch_node.serving.settings import ServingSettings
 
 SLOW_REPORT_INTERVAL_MS: Millis = 500.0
@@ -33,18 +37,23 @@
 
     def __init__(self, settings: ServingSettings, start_id: int) -> None:
         bounds = settings.bounds
+        self.settings = settings
         self.clock = SystemClock()
         self.rng = random.Random(start_id)
         self.target_view = MergedTargetView()
         self.health = TargetHealth(HealthSettings())
+        # Only the spread differs between entries; it takes nothing from `rng`.
+        spread = random.Random(f"waits/{start_id}").random()
+        self.waits = TargetWaits(WaitSettings(bounds.max_target_wait_ms, spread))
         self.metrics = ServingMetrics()
         budget = RetryBudgetSettings(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms)
         self.workload = SharedWorkload(settings.peer_address, start_id, self.clock, budget)
         self.workload.on_suspended = self._on_peer_suspension
         self.workload.on_slow = self._on_peer_slowdown
+        self.workload.on_leaving = self._on_peer_leaving
         self._slow_reported_ms: dict[str, Millis] = {}
         self.candidates = CandidateSource(
-            settings.data_centre, self.target_view, self.workload.view, self.health
+            settings.data_centre, self.target_view, self.workload.view, self.health, self.waits
         )
         self.stop_began_ms: Millis | None = None
         self._table: RoutingTable | None = None
@@ -127,8 +136,43 @@
         self._slow_reported_ms[target_id] = now_ms
         self.workload.report_slow_target(cached_name_hash(target_id), slowdown)
 
+    def record_signals(
+        self, target: Target, response: ResponseInfo, origin: ResponseOrigin
+    ) -> None:
+        """Record whether a target says in a response that it is leaving or asks for a wait.
+
+        Responses that may be from elsewhere have no effect.
+        """
+        for name in response.unreadable_headers:
+            log.warning("header ignored", target=target.target_id, header=name)
+        if not (response.is_leaving or response.wait_ms):
+            return
+        if not is_from_target(origin):
+            log.warning("signal ignored", target=target.target_id, answer_to=origin.echoed_id)
+            return
+        now_ms = self.clock.monotonic_ms()
+        if response.is_leaving and self.target_view.mark_leaving(target.start, now_ms):
+            self.metrics.target_signals.inc({"signal": "leaving"})
+            log.info("target leaves", target=target.target_id, born_ms=target.born_ms)
+            self.workload.report_leaving_target(cached_name_hash(target.target_id), target.born_ms)
+        if response.wait_ms:
+            wait_ms = self.waits.ask(target.start, response.wait_ms, now_ms)
+            self.metrics.target_signals.inc({"signal": "wait"})
+            log.info(
+                "target asks for a wait",
+                target=target.target_id,
+                asked_ms=round(response.wait_ms),
+                wait_ms=round(wait_ms),
+            )
+
     def prune_targets(self) -> None:
-        """Drop the report times of targets that are no longer usable."""
+        """Drop what is known of targets that are no longer usable."""
+        now_ms = self.clock.monotonic_ms()
+        self.waits.forget_old(now_ms)
+        self.target_view.forget_departed(now_ms)
+        self.workload.keep_leaving_targets(
+            {cached_name_hash(start.target_id) for start in self.target_view.leaving}
+        )
         for target_id in self._slow_reported_ms.keys() - self.target_view.usable.keys():
             del self._slow_reported_ms[target_id]
 
@@ -144,6 +188,15 @@
         if target_id:
             self.health.note_peer_slowdown(target_id, slowdown, self.clock.monotonic_ms())
 
+    def _on_peer_leaving(self, target_hash: int, born_ms: int) -> None:
+        """Stop using a target that has told another entry that it is leaving."""
+        target_id = self._find_target_id(target_hash)
+        start = TargetStart(target_id, born_ms)
+        if not target_id or self.target_view.usable[target_id].start != start:
+            return
+        if self.target_view.mark_leaving(start, self.clock.monotonic_ms()):
+            log.info("target leaves", target=target_id, born_ms=born_ms, told_by="peer")
+
     def _find_target_id(self, target_hash: int) -> str:
         """Return the usable target whose id has this hash, empty if there is none."""
         matches = (
--- a/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
@@ -12,17 +12,20 @@
 
 import trio
 
+from marigoldarch.serving.response_origin import ResponseOrigin
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.target_connections import ResponseError, UnreachableError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from marigoldarch.clock import Clock, Millis
+    from marigoldarch.clock import Millis
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.dialect import Dialect
+    from marigoldarch_node.serving.entry_state import EntryState
     from marigoldarch_node.serving.target_connections import (
         ResponseHead,
+        TargetConnection,
         TargetConnectionPool,
         TargetRequest,
     )
@@ -59,8 +62,11 @@
 class ReservationManager:
     """Reserves, renews and releases the memory of an entry's attempts."""
 
-    def __init__(self, clock: Clock, dialect: Dialect, connections: TargetConnectionPool) -> None:
-        self._clock = clock
+    def __init__(
+        self, state: EntryState, dialect: Dialect, connections: TargetConnectionPool
+    ) -> None:
+        self._state = state
+        self._clock = state.clock
         self._dialect = dialect
         self._connections = connections
         self._leases: dict[str, _Lease] = {}
@@ -85,7 +91,8 @@
             request = self._dialect.reservation(
                 reservation.target, reservation.reservation_id, reservation.tokens, LEASE_MS
             )
-            if await self._send_request(reservation.target, request) != 200:
+            is_waiting = self._wait_left_ms(reservation.target) > 0
+            if is_waiting or await self._send_request(reservation.target, request) != 200:
                 refused.append(reservation.target)
 
         due_ms = self._clock.monotonic_ms() + RENEWAL_INTERVAL_MS
@@ -97,7 +104,10 @@
         return refused[0] if refused else None
 
     def release(self, reservations: list[MemoryReservation]) -> None:
-        """Release memory soon; where that fails, the target frees it at the end of the lease."""
+        """Release memory soon; where that fails, the target frees it at the end of the lease.
+
+        Nothing is sent to targets that have asked for a wait, whose leases end by themselves.
+        """
         for reservation in reservations:
             lease = self._leases.get(reservation.reservation_id)
             if lease is not None:
@@ -126,7 +136,12 @@
         if status != 200 and not lease.is_released:
             log.warning("lease not renewed", target=reservation.target.target_id, status=status)
 
+    def _wait_left_ms(self, target: Target) -> Millis:
+        return self._state.waits.left_ms(target.start, self._clock.monotonic_ms())
+
     async def _release_one(self, reservation: MemoryReservation) -> None:
+        if self._wait_left_ms(reservation.target) > 0:
+            return
         request = self._dialect.release(reservation.target, reservation.reservation_id)
         status = await self._send_request(reservation.target, request)
         if status != 200:
@@ -146,9 +161,18 @@
                 async for _ in connection.chunks():
                     pass
                 head = response
+                self._record_signals(target, connection, response)
             except ResponseError:
                 return 0
             finally:
                 self._connections.release(connection, head)
             return head.status
         return 0
+
+    def _record_signals(
+        self, target: Target, connection: TargetConnection, head: ResponseHead
+    ) -> None:
+        """Record what the response to an order says of its target; orders have no request id."""
+        response_info = self._dialect.read_response(head)
+        origin = ResponseOrigin("", "", not connection.is_reused, response_info.is_misdirected)
+        self._state.record_signals(target, response_info, origin)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
@@ -23,6 +23,9 @@
         self.requests = self._counter("requests_total", "Requests by route, outcome and status.")
         self.attempts = self._counter("attempts_total", "Attempts by service and outcome.")
         self.refusals = self._counter("refusals_total", "Requests not run, by reason.")
+        self.target_signals = self._counter(
+            "target_signals_total", "Responses in which targets leave or ask for a wait, by signal."
+        )
         self.announcements = self._counter("announcements_total", "Announcements by outcome.")
         self.declarations = self._counter("declarations_total", "Declarations by outcome.")
         self.first_response = Histogram(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -28,6 +28,8 @@
     PlacementWeights,
     Saturated,
     choose_least_loaded,
+    refusal_retry_after_ms,
+    shortest_wait_ms,
 )
 from marigoldarch_node.serving.attempt import Attempt, AttemptPlan, Delivered, EntryContext
 from marigoldarch_node.serving.dialect import ForwardingInfo, RequestInfo
@@ -191,7 +193,7 @@
                     return "stream cut"
                 case Refuse(retry_after_ms=retry_after_ms):
                     raise RefusalError(
-                        503, "no target ran it", retry_after_ms or DEFAULT_RETRY_AFTER_MS
+                        503, "no target ran it", self._retry_after_ms(call, retry_after_ms)
                     )
                 case Fail(is_timeout=is_timeout):
                     if call.exchange.is_head_sent:
@@ -224,6 +226,7 @@
             service=call.service.name,
             targets=len(candidates),
             suspended=sum(item.is_suspended for item in candidates),
+            waiting=sum(item.wait_ms > 0 for item in candidates),
             active=sum(item.load.active for item in candidates),
             tried=sorted(call.history.failed_targets),
             retry_after_ms=round(placement.retry_after_ms),
@@ -247,10 +250,12 @@
             # No other target is left; the ones that broke off may still complete the request.
             candidates = self._state.candidates.find(call.service.name, set(), now_ms)
         if not candidates:
-            return Saturated(DEFAULT_RETRY_AFTER_MS)
+            return Saturated(self._retry_after_ms(call, None))
         prompt, engine = call.request_info.prompt, call.service.engine
         if engine is None or prompt is None:
             chosen = choose_least_loaded(candidates)
+            if chosen is None:
+                return Saturated(shortest_wait_ms(candidates))
             return Placement((chosen.target,), 0.0, 0.0)
         elapsed_ms = now_ms - call.exchange.request.received_ms
         placement_request = PlacementRequest(
@@ -263,6 +268,11 @@
         )
         return EnginePlacer(engine, PlacementWeights()).place(placement_request, candidates, now_ms)
 
+    def _retry_after_ms(self, call: Call, told_ms: Millis | None) -> Millis:
+        """Return when the caller should come back if none of the service's targets ran the request."""
+        candidates = self._state.candidates.find(call.service.name, set(), self._now_ms())
+        return refusal_retry_after_ms(candidates, told_ms, DEFAULT_RETRY_AFTER_MS)
+
     def _plan_attempt(
         self, call: Call, placement: Placement, last_event: int | None
     ) -> AttemptPlan:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
@@ -16,7 +16,7 @@
 
 
 class Bounds(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Limits that the infrastructure sets: time to stop, and the retry budget."""
+    """Limits that the infrastructure sets: time to stop, the retry budget, and targets' waits."""
 
     stop_grace_ms: float = 8000.0
     """How long a node may take to stop before the infrastructure kills it."""
@@ -29,6 +29,9 @@
 
     retry_window_ms: float = 10_000.0
 
+    max_target_wait_ms: float = 60_000.0
+    """The longest wait that a target may ask for, so that a faulty value does not disable it."""
+
 
 class ServingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The settings of one node; addresses are `IP:PORT`, empty where nothing is served."""
@@ -88,5 +91,7 @@
         address = getattr(settings, name)
         if address and not address.rpartition(":")[2].isdigit():
             raise ConfigurationError(f"{name}: use IP:PORT, not {address!r}")
+    if not settings.bounds.max_target_wait_ms > 0:
+        raise ConfigurationError("bounds.max_target_wait_ms: use more than 0")
     if settings.tolerated_losses < 0:
         raise ConfigurationError("tolerated_losses: use 0 or more")
--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -42,9 +42,10 @@
 class SharedWorkload:
     """All running work that this entry knows of, its own and that of its peers.
 
-    It also keeps the retry budget that the entries share, and exchanges which targets are suspended
-    or slow: `on_suspended` and `on_slow` are called with the reports of peers, `on_slow` with the
-    ratio of measured to predicted duration. Targets and services are given as hashes of their names.
+    It also keeps the retry budget that the entries share, and exchanges which targets are suspended,
+    slow or leaving: `on_suspended`, `on_slow` and `on_leaving` are called with the reports of peers,
+    `on_slow` with the ratio of measured to predicted duration, `on_leaving` with the instant of the
+    target's start. Targets and services are given as hashes of their names.
     """
 
     def __init__(self, node: str, start_id: int, clock: Clock, budget: RetryBudgetSettings) -> None:
@@ -61,6 +62,8 @@
         self._ended: list[int] = []
         self._suspended: list[int] = []
         self._slow: dict[int, int] = {}
+        self._leaving: dict[int, int] = {}
+        self._unreported_leaving: dict[int, int] = {}
         self._requests: Counter[int] = Counter()
         self._peers: dict[str, _Peer] = {}
         self._last_full_report_ms: Millis = float("-inf")
@@ -68,6 +71,7 @@
         self._work_ended = trio.Event()
         self.on_suspended: Callable[[int], None] = lambda _: None
         self.on_slow: Callable[[int, float], None] = lambda _, __: None
+        self.on_leaving: Callable[[int, int], None] = lambda _, __: None
 
     @property
     def view(self) -> PoolView:
@@ -140,6 +144,16 @@
         self._slow[target] = round(slowdown * 100)
         self._has_changes.set()
 
+    def report_leaving_target(self, target: int, born_ms: int) -> None:
+        """Tell the peers that a target has said in a response that it is leaving."""
+        self._leaving[target] = self._unreported_leaving[target] = born_ms
+        self._has_changes.set()
+
+    def keep_leaving_targets(self, targets: set[int]) -> None:
+        """Drop all other targets from those that full reports list as leaving."""
+        for target in self._leaving.keys() - targets:
+            del self._leaving[target]
+
     async def next_report(self) -> bytes:
         """Return the next encoded report: changes once there are any, all work when that is due."""
         with trio.move_on_after(FULL_REPORT_INTERVAL_MS / 1000.0):
@@ -164,9 +178,10 @@
             self._suspended,
             self._slow,
             dict(self._requests),
+            dict(self._leaving) if is_full else self._unreported_leaving,
         )
         self._started, self._prefilled, self._ended, self._suspended = [], [], [], []
-        self._slow = {}
+        self._slow, self._unreported_leaving = {}, {}
         self._requests.clear()
         return msgspec.msgpack.encode(report)
 
@@ -211,6 +226,8 @@
             self.on_suspended(target)
         for target, hundredths in report.slow.items():
             self.on_slow(target, hundredths / 100.0)
+        for target, born_ms in report.leaving.items():
+            self.on_leaving(target, born_ms)
         if report.ended:
             self._notify_waiters()
 
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -31,6 +31,8 @@
     STALLED = "stalled"
     CUT = "cut"
     NO_MEMORY = "no memory"
+    TARGET_WAITS = "target waits"
+    TARGET_LEAVES = "target leaves"
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/serving/candidates.py
+++ b/packages/marigoldarch/marigoldarch/serving/candidates.py
@@ -12,6 +12,7 @@
     from marigoldarch.clock import Millis
     from marigoldarch.serving.pool_view import PoolView
     from marigoldarch.serving.target_health import TargetHealth
+    from marigoldarch.serving.target_waits import TargetWaits
     from marigoldarch.serving.targets import MergedTargetView, Target
 
 cached_name_hash = lru_cache(maxsize=65_536)(name_hash)
@@ -19,15 +20,21 @@
 
 
 class CandidateSource:
-    """Builds the candidates of a service from an entry's targets, their load and their health."""
+    """Builds the candidates of a service from an entry's targets, their load and their state."""
 
     def __init__(
-        self, data_centre: str, targets: MergedTargetView, view: PoolView, health: TargetHealth
+        self,
+        data_centre: str,
+        targets: MergedTargetView,
+        view: PoolView,
+        health: TargetHealth,
+        waits: TargetWaits,
     ) -> None:
         self._data_centre = data_centre
         self._targets = targets
         self._view = view
         self._health = health
+        self._waits = waits
         self._generation = -1
         self._targets_by_service: dict[str, list[tuple[Target, float]]] = {}
 
@@ -49,6 +56,7 @@
             target.data_centre == self._data_centre,
             self._health.is_suspended(target_id, now_ms),
             fill_order,
+            self._waits.left_ms(target.start, now_ms),
         )
 
     def _refresh(self) -> None:
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -118,7 +118,7 @@
 
     `slowdown` is how many times longer than by the engine formula it works. `is_local` says that it
     is in the entry's data centre. `fill_order` is its position, from 0 to 1, in the order in which
-    all entries fill the targets.
+    all entries fill the targets. The target has asked for no request for another `wait_ms`.
     """
 
     target: Target
@@ -127,6 +127,7 @@
     is_local: bool
     is_suspended: bool
     fill_order: float
+    wait_ms: Millis = 0.0
 
 
 class Placement(NamedTuple):
@@ -170,9 +171,9 @@
     ) -> Placement | Saturated:
         """Return the placement with the lowest cost, or after how long to try again."""
         whole_prefill_ms = prefill_ms(self._engine, request.prompt_tokens)
-        considered = candidates
+        considered = open_candidates(candidates)
         if whole_prefill_ms >= LONG_PREFILL_MS / 2:
-            considered = _shortest_backlogs(candidates, now_ms)
+            considered = _shortest_backlogs(considered, now_ms)
         best = self._place_at_lowest_cost(request, considered, whole_prefill_ms, now_ms)
         is_late = best is None or best.first_token_ms > request.goal_ms
         if is_late and whole_prefill_ms > LONG_PREFILL_MS:
@@ -247,7 +248,7 @@
         slots = sum(min(self._engine.slots, item.target.slots) for item in candidates)
         idle = [
             item
-            for item in candidates
+            for item in open_candidates(candidates)
             if item.load.prefill_until_ms <= now_ms + MAX_IDLE_BACKLOG_MS and not item.is_suspended
         ]
         has_spare_capacity = (
@@ -386,7 +387,9 @@
         self, candidates: list[Candidate], count: int, now_ms: Millis
     ) -> Millis:
         """Return the time until `count` engines have no prefill backlog, at least one pass."""
-        waits = sorted(max(0.0, item.load.prefill_until_ms - now_ms) for item in candidates)
+        waits = sorted(
+            max(item.wait_ms, item.load.prefill_until_ms - now_ms) for item in candidates
+        )
         wait_ms = waits[min(count, len(waits)) - 1] if waits else 0.0
         return max(wait_ms, decode_pass_ms(self._engine, 1, 0))
 
@@ -422,11 +425,40 @@
     return heapq.nsmallest(MAX_LONG_PROMPT_CANDIDATES, candidates, key=key)
 
 
+def open_candidates(candidates: list[Candidate]) -> list[Candidate]:
+    """Return the candidates that have not asked for a wait."""
+    return [item for item in candidates if not item.wait_ms]
+
+
+def shortest_wait_ms(candidates: list[Candidate]) -> Millis:
+    """Return the time until one of the candidates accepts requests, 0 without candidates."""
+    return min((item.wait_ms for item in candidates), default=0.0)
+
+
+def refusal_retry_after_ms(
+    candidates: list[Candidate], told_ms: Millis | None, default_ms: Millis
+) -> Millis:
+    """Return when the caller of a request that no target ran should come back.
+
+    `candidates` are all targets of the service, and `told_ms` is what the last one to refuse asked
+    for. It counts only if there is no other target: the caller is served sooner by any of the others.
+
+    Load pattern: all targets of a service are at their limits, and have asked for different waits.
+    """
+    wait_ms = shortest_wait_ms(candidates)
+    if wait_ms > 0.0:
+        return wait_ms
+    if len(candidates) == 1 and told_ms:
+        return told_ms
+    return default_ms
+
+
 def choose_least_loaded(candidates: list[Candidate]) -> Candidate | None:
     """Return the target with the smallest share of its slots in use, scaled by its slowdown.
 
     It is for services without an engine formula. Among equals, local targets come first. Full
-    targets are chosen only if there is no other, suspended ones only after them.
+    targets are chosen only if there is no other, suspended ones only after them, and targets that
+    have asked for a wait not at all.
 
     Load pattern: calls of different lengths on few targets; the target with the fewest calls in
     progress is likely to be free first.
@@ -443,4 +475,4 @@
             item.fill_order,
         )
 
-    return min(candidates, key=cost, default=None)
+    return min(open_candidates(candidates), key=cost, default=None)
--- a/packages/marigoldarch/marigoldarch/serving/targets.py
+++ b/packages/marigoldarch/marigoldarch/serving/targets.py
@@ -19,6 +19,13 @@
 """How long the end of a target is remembered, so that no delayed announcement restores it."""
 
 
+class TargetStart(NamedTuple):
+    """One start of a target: its id, and the wall-clock instant of the start."""
+
+    target_id: str
+    born_ms: int
+
+
 class Target(NamedTuple):
     """One announcement of a target.
 
@@ -42,6 +49,11 @@
         """Return the sort key of this announcement among all those of the target."""
         return (self.born_ms, self.serial)
 
+    @property
+    def start(self) -> TargetStart:
+        """Return the start of the target that this announcement is about."""
+        return TargetStart(self.target_id, self.born_ms)
+
 
 def _differs_in_serial_only(first: Target, second: Target) -> bool:
     """Return whether two announcements are equal but for their serials."""
@@ -141,12 +153,15 @@
     """The targets that an entry knows: the union of the views of its control hosts.
 
     A target is usable while any connected control host lists it and its newest announcement does
-    not say that it is leaving. While no view is complete, targets that were usable stay so: an
-    entry that is disconnected from all control hosts continues to serve with the targets it knows.
+    not say that it is leaving. A target that has said so in a response is not usable until it has
+    started again, whatever its announcements say. While no view is complete, targets that were
+    usable stay so: an entry that is disconnected from all control hosts continues to serve with the
+    targets it knows.
     """
 
     def __init__(self) -> None:
         self._views: dict[str, HostView] = {}
+        self._leaving_since_ms: dict[TargetStart, Millis] = {}
         self._newest_announcements: dict[str, Target] = {}
         self._usable: dict[str, Target] = {}
         self._generation = 0
@@ -165,6 +180,34 @@
         """Return the newest announcement of a target."""
         return self._newest_announcements.get(target_id)
 
+    @property
+    def leaving(self) -> set[TargetStart]:
+        """Return the starts of targets that have said in a response that they are leaving."""
+        return set(self._leaving_since_ms)
+
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target has said in a response that it is leaving."""
+        return target.start in self._leaving_since_ms
+
+    def mark_leaving(self, start: TargetStart, now_ms: Millis) -> bool:
+        """Record that a target has said in a response that it is leaving; return whether it is new.
+
+        The mark may arrive before the first announcement of this start.
+        """
+        if start in self._leaving_since_ms:
+            return False
+        self._leaving_since_ms[start] = now_ms
+        self._merge()
+        return True
+
+    def forget_departed(self, now_ms: Millis) -> None:
+        """Drop the marks of targets that are no longer listed and can no longer come back."""
+        for start, since_ms in list(self._leaving_since_ms.items()):
+            newest = self._newest_announcements.get(start.target_id)
+            is_listed = newest is not None and newest.start == start
+            if not is_listed and now_ms >= since_ms + GONE_TARGET_RETENTION_MS:
+                del self._leaving_since_ms[start]
+
     def connect(self, host: str) -> None:
         """Start an empty view of a control host, which replaces any earlier one."""
         self._views[host] = HostView()
@@ -207,7 +250,7 @@
         usable: dict[str, Target] = {}
         for target_id in listed:
             newest = self._newest_announcements.get(target_id)
-            if newest is not None and not newest.is_leaving:
+            if newest is not None and not newest.is_leaving and not self.is_leaving(newest):
                 usable[target_id] = newest
         if usable != self._usable:
             self._usable = usable
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -35,7 +35,8 @@
     `started` are its new attempts, `read` the numbers of those that have completed their prefill,
     and `ended` the numbers of those that have ended. `suspended` are targets that the entry has
     just suspended, `slow` the measured slowdowns of targets in hundredths, and `requests` the
-    number of requests by service since the last report.
+    number of requests by service since the last report. `leaving` are targets that have said in a
+    response to this entry that they are leaving, each with the instant of its start.
     """
 
     node: str
@@ -48,6 +49,7 @@
     suspended: list[int]
     slow: dict[int, int]
     requests: dict[int, int]
+    leaving: dict[int, int] = msgspec.field(default_factory=dict)
 
 
 class RelayedReport(msgspec.Struct, array_like=True, frozen=True, tag="relay"):
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/run.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/run.py
@@ -11,21 +11,23 @@
 import traceback
 
 from hypothesis import seed, settings
-from hypothesis.stateful import run_state_machine_as_test
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 from marigoldarch.tests.fuzz.declarations_tests import DeclarationMachine
 from marigoldarch.tests.fuzz.ledger_tests import LedgerMachine
 from marigoldarch.tests.fuzz.log_tests import LogMachine
-from marigoldarch.tests.fuzz.machine import CI_SETTINGS, STATISTICS, ClusterMachine
+from marigoldarch.tests.fuzz.machine import CI_SETTINGS, STATISTICS
 from marigoldarch.tests.fuzz.permits_tests import PermitMachine
+from marigoldarch.tests.fuzz.target_signals_tests import TargetSignalMachine
 
 RULES_PER_EXAMPLE = 50
 
-MACHINES: dict[str, type[ClusterMachine]] = {
+MACHINES: dict[str, type[RuleBasedStateMachine]] = {
     "log": LogMachine,
     "declarations": DeclarationMachine,
     "ledger": LedgerMachine,
     "permits": PermitMachine,
+    "signals": TargetSignalMachine,
 }
 
 
--- a/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
@@ -13,6 +13,7 @@
     Saturated,
     choose_least_loaded,
     delay_cost,
+    refusal_retry_after_ms,
 )
 from marigoldarch.serving.pool_view import PoolView, RunningAttempt, TargetLoad
 from marigoldarch.tests.serving.support import ENGINE, candidate, target
@@ -166,3 +167,44 @@
 
     def test_no_candidates_give_no_choice(self) -> None:
         self.assertIsNone(choose_least_loaded([]))
+
+
+class WaitingTargetTests(unittest.TestCase):
+    """Load pattern: targets at their limits refuse requests and ask for a time without any."""
+
+    def test_waiting_engine_gets_no_request_and_no_part_of_a_prompt(self) -> None:
+        waiting = [candidate(f"w{number}", wait_ms=500.0) for number in range(4)]
+        free = [candidate(f"f{number}", fill_order=1.0) for number in range(3)]
+        placer = EnginePlacer(ENGINE, PlacementWeights())
+        for request in (QUIZ, REVIEW):
+            found = placer.place(request, [*waiting, *free], 0.0)
+            self.assertTrue(all(item.target_id.startswith("f") for item in found.targets))
+
+    def test_request_waits_for_the_first_engine_that_accepts_requests(self) -> None:
+        waiting = [candidate("a", wait_ms=900.0), candidate("b", wait_ms=400.0)]
+        found = EnginePlacer(ENGINE, PlacementWeights()).place(QUIZ, waiting, 0.0)
+        self.assertEqual(found, Saturated(400.0))
+
+    def test_backlog_that_ends_before_the_wait_does_not_shorten_it(self) -> None:
+        waiting = candidate("a", load(1000.0, prefill_until_ms=300.0), wait_ms=900.0)
+        found = EnginePlacer(ENGINE, PlacementWeights()).place(QUIZ, [waiting], 0.0)
+        self.assertEqual(found, Saturated(900.0))
+
+    def test_least_loaded_target_is_one_that_does_not_wait(self) -> None:
+        waiting = candidate("a", wait_ms=100.0)
+        busy = candidate("b", load(250.0, 250.0))
+        self.assertEqual(choose_least_loaded([waiting, busy]).target.target_id, "b")
+        self.assertIsNone(choose_least_loaded([waiting]))
+
+    def test_caller_is_told_the_shortest_wait_if_all_targets_wait(self) -> None:
+        waiting = [candidate("a", wait_ms=900.0), candidate("b", wait_ms=400.0)]
+        self.assertEqual(refusal_retry_after_ms(waiting, 900.0, 250.0), 400.0)
+
+    def test_caller_is_told_to_come_back_soon_if_another_target_accepts_requests(self) -> None:
+        candidates = [candidate("a", wait_ms=900.0), candidate("b")]
+        self.assertEqual(refusal_retry_after_ms(candidates, 900.0, 250.0), 250.0)
+
+    def test_caller_is_told_what_the_only_target_asked_for(self) -> None:
+        self.assertEqual(refusal_retry_after_ms([candidate("a")], 700.0, 250.0), 700.0)
+        self.assertEqual(refusal_retry_after_ms([candidate("a")], None, 250.0), 250.0)
+        self.assertEqual(refusal_retry_after_ms([], None, 250.0), 250.0)
--- a/packages/marigoldarch/marigoldarch/tests/serving/targets_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/targets_tests.py
@@ -5,10 +5,12 @@
 import unittest
 
 from marigoldarch.serving.targets import (
+    GONE_TARGET_RETENTION_MS,
     RESTORED_TARGET_GRACE_MS,
     TARGET_SILENCE_MS,
     MergedTargetView,
     TargetRegistry,
+    TargetStart,
 )
 from marigoldarch.tests.serving.support import target
 
@@ -125,3 +127,62 @@
         self.merged.update_target("c1", target("t"))
         self.merged.update_target("c2", target("t"))
         self.assertEqual(self.merged.generation, before + 1)
+
+
+class LeavingAnswerTests(unittest.TestCase):
+    """A target that says in an answer that it leaves, whatever its announcements say."""
+
+    def setUp(self) -> None:
+        self.merged = MergedTargetView()
+        self.merged.connect("c1")
+        self.merged.mark_complete("c1")
+        self.merged.update_target("c1", target("t"))
+
+    def test_target_is_no_longer_usable_at_once(self) -> None:
+        self.assertTrue(self.merged.mark_leaving(target("t").start, 0.0))
+        self.assertNotIn("t", self.merged.usable)
+        self.assertTrue(self.merged.is_leaving(target("t")))
+
+    def test_second_mark_changes_nothing(self) -> None:
+        self.merged.mark_leaving(target("t").start, 0.0)
+        generation = self.merged.generation
+        self.assertFalse(self.merged.mark_leaving(target("t").start, 1.0))
+        self.assertEqual(self.merged.generation, generation)
+
+    def test_later_announcement_of_the_same_start_does_not_bring_it_back(self) -> None:
+        self.merged.mark_leaving(target("t").start, 0.0)
+        self.merged.update_target("c1", target("t", serial=9))
+        self.assertNotIn("t", self.merged.usable)
+
+    def test_return_of_the_target_to_a_view_does_not_bring_it_back(self) -> None:
+        self.merged.mark_leaving(target("t").start, 0.0)
+        self.merged.remove_target("c1", "t")
+        self.merged.forget_departed(GONE_TARGET_RETENTION_MS - 1.0)
+        self.merged.update_target("c1", target("t", serial=9))
+        self.assertNotIn("t", self.merged.usable)
+
+    def test_disconnection_from_all_hosts_does_not_bring_it_back(self) -> None:
+        self.merged.mark_leaving(target("t").start, 0.0)
+        self.merged.disconnect("c1")
+        self.assertNotIn("t", self.merged.usable)
+
+    def test_new_start_under_the_same_id_is_usable(self) -> None:
+        self.merged.mark_leaving(target("t").start, 0.0)
+        self.merged.update_target("c1", target("t", born_ms=2000, serial=1))
+        self.assertIn("t", self.merged.usable)
+
+    def test_mark_of_an_earlier_start_is_without_effect(self) -> None:
+        self.merged.mark_leaving(TargetStart("t", 500), 0.0)
+        self.assertIn("t", self.merged.usable)
+
+    def test_mark_that_comes_before_the_announcement_counts(self) -> None:
+        self.merged.mark_leaving(TargetStart("u", 1000), 0.0)
+        self.merged.update_target("c1", target("u"))
+        self.assertNotIn("u", self.merged.usable)
+
+    def test_mark_of_a_listed_target_is_kept_and_others_are_forgotten_in_time(self) -> None:
+        self.merged.mark_leaving(target("t").start, 0.0)
+        self.merged.mark_leaving(TargetStart("u", 1000), 0.0)
+        self.merged.forget_departed(GONE_TARGET_RETENTION_MS)
+        self.assertTrue(self.merged.is_leaving(target("t")))
+        self.assertFalse(self.merged.is_leaving(target("u")))
