--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/costs.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/costs.py
@@ -76,7 +76,7 @@
     board = SharedWorkload("10.0.0.1:7340", 1, clock, budget)
     peer = SharedWorkload("10.0.0.2:7340", 2, clock, budget)
     peer.start(ATTEMPT)
-    data = trio.run(peer.next_report)
+    data = trio.run(peer.next_report).whole
     decoder = msgspec.msgpack.Decoder(WorkReport)
     serial = 0
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -100,7 +100,11 @@
         When the caller disconnects, the attempt is cancelled, and the connection to the target is
         closed at once.
         """
-        self._work_number = self._state.workload.start(self._running_work())
+        own_data_centre = self._state.settings.data_centre
+        is_remote = any(
+            target.data_centre != own_data_centre for target in self._plan.placement.targets
+        )
+        self._work_number = self._state.workload.start(self._running_work(), is_remote=is_remote)
         try:
             if self._plan.reservations:
                 refusing_target = await self._reservations.reserve(self._plan.reservations)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -12,6 +12,7 @@
 import trio
 from expression import Result
 
+from marigoldarch.serving.candidates import cached_name_hash
 from marigoldarch.serving.presence import (
     HELLO_INTERVAL_MS,
     Hello,
@@ -19,7 +20,13 @@
     NodeRole,
     hello_recipients,
 )
-from marigoldarch.serving.report_recipients import EntryNode, relay_recipients, report_recipients
+from marigoldarch.serving.report_recipients import (
+    EntryNode,
+    ReportRecipients,
+    is_summarizer,
+    relay_recipients,
+    report_recipients,
+)
 from marigoldarch.serving.routing import RoutingTable
 from marigoldarch.serving.watch import (
     WATCH_MESSAGES,
@@ -29,7 +36,7 @@
     TargetSilent,
     TargetTold,
 )
-from marigoldarch.serving.work_reports import RelayedReport, WorkReport
+from marigoldarch.serving.work_reports import PoolSummary, RelayedReport, WorkReport
 from marigoldarch.store.reducer import Document
 from marigoldarch_node.serving.attempt import EntryContext
 from marigoldarch_node.serving.control_host import decompress_declaration
@@ -61,7 +68,10 @@
 STOP_MARGIN_MS = 400.0
 """A stopping entry ends this long before its grace time is over, even with open connections."""
 
-EntryMessage = WorkReport | RelayedReport | HostsKnown
+SUMMARY_INTERVAL_S = 1.0
+"""How often a data centre's short work is summarized for the others."""
+
+EntryMessage = WorkReport | PoolSummary | RelayedReport | HostsKnown
 """The datagrams that an entry receives."""
 
 log = EventLog("entry")
@@ -86,6 +96,7 @@
         self._versions_by_host: dict[str, int] = {}
         self._local_hosts: set[str] = set()
         self._entries_by_host: dict[str, set[EntryNode]] = {}
+        self._entry_counts_by_host: dict[str, int] = {}
         self._own_node = EntryNode(settings.peer_address, settings.data_centre)
         self._newer_version = trio.Event()
         self._serial = 0
@@ -105,6 +116,7 @@
             nursery.start_soon(self._datagrams.receive, self._on_datagram)
             nursery.start_soon(self._send_hellos)
             nursery.start_soon(self._send_work_reports)
+            nursery.start_soon(self._send_summaries)
             nursery.start_soon(self._fetch_declarations)
             nursery.start_soon(self._close_expired_connections)
             nursery.start_soon(self._reservations.run)
@@ -140,6 +152,7 @@
             "caller_connections": self._caller_server.open_connections,
             "usable_targets": len(state.target_view.usable),
             "other_entries": state.workload.peer_count,
+            "summarized_data_centres": state.workload.summary_count,
             "oldest_report_ms": state.workload.oldest_report_ms,
             "control_host_silence_ms": state.control_host_silence_ms,
             "declaration_version": state.table.version if state.table else 0,
@@ -197,6 +210,8 @@
         match message:
             case WorkReport():
                 self._state.workload.receive(message)
+            case PoolSummary():
+                self._state.workload.receive_summary(message)
             case RelayedReport(report=report):
                 await self._relay_report(report)
             case HostsKnown(hosts=hosts):
@@ -205,25 +220,51 @@
     async def _send_work_reports(self) -> None:
         """Send the reports of this entry's running work to the other entries, until cancelled."""
         while True:
-            data = await self._state.workload.next_report()
-            routes = report_recipients(
-                self._own_node, self._known_entries(), self._state.workload.full_report_count
+            reports = await self._state.workload.next_report()
+            recipients = self._recipients()
+            await self._datagrams.send_encoded(reports.whole, *recipients.direct)
+            if recipients.relays and reports.partial is not None:
+                await self._datagrams.send(RelayedReport(reports.partial), *recipients.relays)
+
+    async def _send_summaries(self) -> None:
+        """Send summaries of the own data centre's short work to the others, until cancelled."""
+        own = self._own_node
+        while True:
+            await trio.sleep(SUMMARY_INTERVAL_S)
+            entries = self._known_entries()
+            relays = self._recipients().relays
+            if not relays or not is_summarizer(own, entries):
+                continue
+            local_targets = [
+                cached_name_hash(target.target_id)
+                for target in self._state.target_view.usable.values()
+                if target.data_centre == own.data_centre
+            ]
+            local_entries = [item.node for item in entries if item.data_centre == own.data_centre]
+            summary = self._state.workload.next_summary(
+                own.data_centre, local_targets, local_entries
             )
-            await self._datagrams.send_encoded(data, *routes.direct)
-            if routes.relays:
-                await self._datagrams.send(RelayedReport(data), *routes.relays)
+            await self._datagrams.send(RelayedReport(summary), *relays)
+
+    def _recipients(self) -> ReportRecipients:
+        return report_recipients(
+            self._own_node,
+            self._known_entries(),
+            self._state.workload.full_report_count,
+            max(self._entry_counts_by_host.values(), default=0),
+        )
 
     async def _relay_report(self, data: bytes) -> None:
         """Apply a report from another data centre, and forward it to the entries of this one."""
         try:
-            report = msgspec.msgpack.decode(data, type=WorkReport)
+            report = msgspec.msgpack.decode(data, type=WorkReport | PoolSummary)
         except msgspec.MsgspecError as error:
             log.warning("relayed report dropped", reason=str(error))
             return
         await self._datagrams.send_encoded(
             data, *relay_recipients(self._own_node, self._known_entries())
         )
-        self._state.workload.receive(report)
+        await self._on_datagram(report)
 
     def _known_entries(self) -> set[EntryNode]:
         return set().union(*self._entries_by_host.values())
@@ -253,6 +294,7 @@
         else:
             self._state.target_view.disconnect(host)
             self._versions_by_host.pop(host, None)
+            self._entry_counts_by_host.pop(host, None)
             # The last list of entries is kept: reports go on while no control host is reachable.
             if len(self._entries_by_host) > 1:
                 self._entries_by_host.pop(host, None)
@@ -280,10 +322,18 @@
         if status.data_centre == self._settings.data_centre:
             self._local_hosts.add(host)
         self._versions_by_host[host] = status.version
+        self._entry_counts_by_host[host] = status.entry_count
+        self._update_slack_share()
         table = self._state.table
         if status.version > (table.version if table else 0):
             self._newer_version.set()
 
+    def _update_slack_share(self) -> None:
+        """Set which part of the retry budget's slack belongs to the entries that share reports."""
+        sharing = len(self._recipients().direct) + 1
+        entry_count = max(self._entry_counts_by_host.values(), default=0)
+        self._state.workload.slack_share = min(1.0, sharing / max(entry_count, 1))
+
     # Declarations
 
     async def _fetch_declarations(self) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -40,7 +40,7 @@
     from marigoldarch.clock import Millis
     from marigoldarch.serving.attempts import AttemptOutcome
     from marigoldarch.serving.declaration import Customer, Route, Service
-    from marigoldarch.serving.routing import RoutingTable
+    from marigoldarch.serving.routing import PromptSize, RoutingTable
     from marigoldarch_node.serving.http_server import Exchange
     from marigoldarch_node.serving.memory_reservations import MemoryReservation
 
@@ -243,22 +243,33 @@
     def _choose_placement(self, call: Call) -> Placement | Saturated:
         """Choose targets for the next attempt among those that have not failed this request."""
         now_ms = self._now_ms()
-        candidates = self._state.candidates.find(
-            call.service.name, call.history.failed_targets, now_ms
-        )
+        source, service, failed = self._state.candidates, call.service, call.history.failed_targets
+        prompt, engine = call.request_info.prompt, service.engine
+        if engine is not None and prompt is not None:
+            placer = EnginePlacer(engine, PlacementWeights())
+            request = self._placement_request(call, prompt, now_ms)
+            near = source.find_near(service.name, failed, now_ms)
+            found = placer.place_near(request, near, now_ms)
+            if found is not None:
+                return found
+        candidates = source.find(service.name, failed, now_ms)
         if not candidates and call.route.may_repeat and call.history.may_have_run:
             # No other target is left; the ones that broke off may still complete the request.
-            candidates = self._state.candidates.find(call.service.name, set(), now_ms)
+            candidates = source.find(service.name, set(), now_ms)
         if not candidates:
             return Saturated(self._retry_after_ms(call, None))
-        prompt, engine = call.request_info.prompt, call.service.engine
-        if engine is None or prompt is None:
-            chosen = choose_least_loaded(candidates)
-            if chosen is None:
-                return Saturated(shortest_wait_ms(candidates))
-            return Placement((chosen.target,), 0.0, 0.0)
+        if engine is not None and prompt is not None:
+            return placer.place(request, candidates, now_ms)
+        chosen = choose_least_loaded(candidates)
+        if chosen is None:
+            return Saturated(shortest_wait_ms(candidates))
+        return Placement((chosen.target,), 0.0, 0.0)
+
+    def _placement_request(
+        self, call: Call, prompt: PromptSize, now_ms: Millis
+    ) -> PlacementRequest:
         elapsed_ms = now_ms - call.exchange.request.received_ms
-        placement_request = PlacementRequest(
+        return PlacementRequest(
             prompt.tokens,
             prompt.answer_tokens,
             max(call.route.goal_ms - elapsed_ms, 1.0),
@@ -266,7 +277,6 @@
             call.route.pause_goal_ms,
             abandon_ms(call.route) - elapsed_ms,
         )
-        return EnginePlacer(engine, PlacementWeights()).place(placement_request, candidates, now_ms)
 
     def _retry_after_ms(self, call: Call, told_ms: Millis | None) -> Millis:
         """Return when the caller should come back if none of the service's targets ran the request."""
--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -2,6 +2,7 @@
 
 The reports are datagrams, any of which may be lost. A report lists the changes since the previous
 one, a full report all running work of its sender. The peers of an entry are the other entries.
+Entries of other data centres may get partial reports and summaries instead.
 """
 
 from __future__ import annotations
@@ -12,12 +13,22 @@
 import msgspec
 import trio
 
-from marigoldarch.serving.pool_view import MIN_REPORTED_PREFILL_MS, PoolView, RunningAttempt
+from marigoldarch.serving.pool_view import (
+    MIN_REPORTED_PREFILL_MS,
+    PoolView,
+    RunningAttempt,
+    SummarizedLoad,
+)
 from marigoldarch.serving.retry_budget import RetryBudget, RetryBudgetSettings
-from marigoldarch.serving.work_reports import WorkReport, WorkStarted
+from marigoldarch.serving.work_reports import (
+    PoolSummary,
+    TargetSummary,
+    WorkReport,
+    WorkStarted,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Iterable
 
     from marigoldarch.clock import Clock, Millis
 
@@ -27,9 +38,15 @@
 FULL_REPORT_INTERVAL_MS: Millis = 1500.0
 """How often an entry sends a full report, which makes up for lost datagrams."""
 
+IDLE_REPORT_INTERVAL_MS: Millis = 4500.0
+"""The same for an entry without running work."""
+
 PEER_TIMEOUT_MS: Millis = 4000.0
 """The work of a peer is dropped when two of its full reports are missing."""
 
+PEER_RETENTION_MS: Millis = 3 * IDLE_REPORT_INTERVAL_MS
+"""A peer without work counts as one of the other entries until this time after its last report."""
+
 
 class _Peer(NamedTuple):
     """The newest report of a peer; `start_id` differs for each start of its process."""
@@ -37,6 +54,17 @@
     start_id: int
     serial: int
     received_ms: Millis
+    is_partial: bool
+
+
+class OutgoingReports(NamedTuple):
+    """An encoded report for the entries that need all work, and a partial one for the others.
+
+    `partial` is None if there is nothing to tell the others.
+    """
+
+    whole: bytes
+    partial: bytes | None
 
 
 class SharedWorkload:
@@ -66,6 +94,12 @@
         self._unreported_leaving: dict[int, int] = {}
         self._requests: Counter[int] = Counter()
         self._peers: dict[str, _Peer] = {}
+        self._widely_reported: set[int] = set()
+        self._had_work = False
+        self._had_wide_work = False
+        self._summary_serial = 0
+        self._summarizers: dict[str, dict[str, tuple[int, int]]] = {}
+        self.slack_share = 1.0
         self._last_full_report_ms: Millis = float("-inf")
         self._has_changes = trio.Event()
         self._work_ended = trio.Event()
@@ -80,8 +114,13 @@
 
     @property
     def peer_count(self) -> int:
-        """Return how many other entries send reports."""
-        return len(self._peers)
+        """Return how many other entries send whole reports."""
+        return sum(not peer.is_partial for peer in self._peers.values())
+
+    @property
+    def summary_count(self) -> int:
+        """Return from how many other data centres there are summaries."""
+        return len(self._view.summary_sources)
 
     @property
     def full_report_count(self) -> int:
@@ -106,10 +145,15 @@
 
     def allows_retry(self, service: int) -> bool:
         """Return whether the shared retry budget allows another attempt."""
-        return self._retry_budget.allows_retry(service, self.peer_count, self._clock.monotonic_ms())
+        return self._retry_budget.allows_retry(
+            service, self.peer_count, self._clock.monotonic_ms(), self.slack_share
+        )
+
+    def start(self, work: RunningAttempt, *, is_remote: bool = False) -> int:
+        """Add an attempt of this entry; return its number.
 
-    def start(self, work: RunningAttempt) -> int:
-        """Add an attempt of this entry; return its number."""
+        `is_remote` says that one of its targets is in another data centre.
+        """
         now_ms = self._clock.monotonic_ms()
         self._last_work_number += 1
         work = work._replace(number=self._last_work_number)
@@ -117,6 +161,8 @@
         if work.is_repeat:
             self._retry_budget.note_retry(work.service, now_ms, is_own=True)
         self._started.append(work)
+        if is_remote or not work.is_short:
+            self._widely_reported.add(work.number)
         self._has_changes.set()
         return self._last_work_number
 
@@ -154,25 +200,40 @@
         for target in self._leaving.keys() - targets:
             del self._leaving[target]
 
-    async def next_report(self) -> bytes:
-        """Return the next encoded report: changes once there are any, all work when that is due."""
-        with trio.move_on_after(FULL_REPORT_INTERVAL_MS / 1000.0):
-            await self._has_changes.wait()
-            await trio.sleep(REPORT_COALESCE_S)
-        self._serial += 1
+    async def next_report(self) -> OutgoingReports:
+        """Return the next reports: changes once there are any, all work when that is due."""
+        while True:
+            with trio.move_on_after(FULL_REPORT_INTERVAL_MS / 1000.0):
+                await self._has_changes.wait()
+                await trio.sleep(REPORT_COALESCE_S)
+            if self.is_report_due:
+                return self.take_reports()
+
+    @property
+    def is_report_due(self) -> bool:
+        """Return whether there is work to report; an entry without work reports that less often."""
+        if self._has_changes.is_set() or self._had_work:
+            return True
+        silence_ms = self._clock.monotonic_ms() - self._last_full_report_ms
+        return silence_ms >= IDLE_REPORT_INTERVAL_MS or self._node in self._view.entries
+
+    def take_reports(self) -> OutgoingReports:
+        """Return the reports of all changes since the last ones, or of all work when that is due."""
         now_ms = self._clock.monotonic_ms()
+        works = self._view.work_of_entry(self._node)
+        self._serial += 1
         is_full = now_ms >= self._last_full_report_ms + FULL_REPORT_INTERVAL_MS
         if is_full:
             self._last_full_report_ms = now_ms
             self._full_report_count += 1
+            self._had_work = bool(works)
         self._has_changes = trio.Event()
-        works = self._view.work_of_entry(self._node) if is_full else self._started
         report = WorkReport(
             self._node,
             self._start_id,
             self._serial,
             is_full,
-            [_to_wire(work) for work in works],
+            [_to_wire(work) for work in (works if is_full else self._started)],
             self._prefilled,
             self._ended,
             self._suspended,
@@ -180,10 +241,69 @@
             dict(self._requests),
             dict(self._leaving) if is_full else self._unreported_leaving,
         )
+        partial = self._partial_report(report)
+        self._widely_reported.difference_update(self._ended)
         self._started, self._prefilled, self._ended, self._suspended = [], [], [], []
         self._slow, self._unreported_leaving = {}, {}
         self._requests.clear()
-        return msgspec.msgpack.encode(report)
+        return OutgoingReports(
+            msgspec.msgpack.encode(report),
+            None if partial is None else msgspec.msgpack.encode(partial),
+        )
+
+    def _partial_report(self, report: WorkReport) -> WorkReport | None:
+        """Return what entries of other data centres need of a report, None if that is nothing."""
+        wide = self._widely_reported
+        started = [
+            msgspec.structs.replace(item, is_repeat=False)
+            for item in report.started
+            if item.number in wide
+        ]
+        has_wide_work = bool(started) if report.is_whole else self._had_wide_work or bool(started)
+        is_needed = has_wide_work or self._had_wide_work
+        self._had_wide_work = has_wide_work
+        partial = msgspec.structs.replace(
+            report,
+            started=started,
+            read=[number for number in report.read if number in wide],
+            ended=[number for number in report.ended if number in wide],
+            requests={},
+            is_partial=True,
+        )
+        news = (partial.started, partial.read, partial.ended)
+        news += (partial.suspended, partial.slow, partial.leaving)
+        return partial if any(news) or (report.is_whole and is_needed) else None
+
+    def next_summary(
+        self, data_centre: str, targets: Iterable[int], entries: Collection[str]
+    ) -> bytes:
+        """Return the encoded summary of the short work of a data centre's entries on its targets."""
+        self._summary_serial += 1
+        loads = self._view.summarize(targets, {*entries, self._node})
+        summary = PoolSummary(
+            self._node,
+            self._start_id,
+            self._summary_serial,
+            data_centre,
+            {
+                target: TargetSummary(load.active, load.context_tokens, round(load.pause_goal_ms))
+                for target, load in loads.items()
+            },
+        )
+        return msgspec.msgpack.encode(summary)
+
+    def receive_summary(self, summary: PoolSummary) -> None:
+        """Apply another data centre's summary; summaries that arrive out of order are ignored."""
+        senders = self._summarizers.setdefault(summary.data_centre, {})
+        start_id, serial = senders.get(summary.node, (summary.start_id, -1))
+        if summary.start_id == start_id and summary.serial <= serial:
+            return
+        senders[summary.node] = (summary.start_id, summary.serial)
+        loads = {
+            target: SummarizedLoad(load.active, load.context_tokens, float(load.pause_goal_ms))
+            for target, load in summary.loads.items()
+        }
+        self._view.apply_summary(summary.data_centre, loads, self._clock.monotonic_ms())
 
     def receive(self, report: WorkReport) -> None:
         """Apply a peer's report; reports that arrive out of order are ignored."""
@@ -196,17 +316,24 @@
             return
         if peer is not None and not is_same_start:
             self._view.keep_only(report.node, set(), now_ms)
-        self._peers[report.node] = _Peer(report.start_id, report.serial, now_ms)
+        self._peers[report.node] = _Peer(report.start_id, report.serial, now_ms, report.is_partial)
         self._apply(report, now_ms)
 
     def drop_silent_peers(self) -> None:
-        """Drop the work of entries that send no more reports."""
+        """Drop the work of entries that send no more reports, and forget silent entries."""
         now_ms = self._clock.monotonic_ms()
+        working = self._view.entries
         for node, peer in list(self._peers.items()):
-            if now_ms >= peer.received_ms + PEER_TIMEOUT_MS:
+            silence_ms = now_ms - peer.received_ms
+            if node in working and silence_ms >= PEER_TIMEOUT_MS:
                 del self._peers[node]
                 self._view.keep_only(node, set(), now_ms)
                 self._notify_waiters()
+            elif silence_ms >= PEER_RETENTION_MS:
+                del self._peers[node]
+        self._view.drop_old_summaries(now_ms)
+        for data_centre in self._summarizers.keys() - self._view.summary_sources:
+            del self._summarizers[data_centre]
 
     def _apply(self, report: WorkReport, now_ms: Millis) -> None:
         for service, count in report.requests.items():
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/entry_state_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/entry_state_tests.py
@@ -45,7 +45,7 @@
 
     def exchange_reports(self) -> None:
         """Let the second entry receive the next report of the first one."""
-        data = trio.run(self.first.workload.next_report)
+        data = trio.run(self.first.workload.next_report).whole
         self.second.workload.receive(msgspec.msgpack.decode(data, type=WorkReport))
 
     def usable(self, state: EntryState) -> set[str]:
--- a/packages/marigoldarch/marigoldarch/serving/candidates.py
+++ b/packages/marigoldarch/marigoldarch/serving/candidates.py
@@ -18,6 +18,9 @@
 cached_name_hash = lru_cache(maxsize=65_536)(name_hash)
 """The same as `name_hash`, cached: it is called for every candidate of every placement."""
 
+MIN_NEAR_TARGETS = 12
+"""With fewer targets in its own data centre, an entry always chooses among those of all."""
+
 
 class CandidateSource:
     """Builds the candidates of a service from an entry's targets, their load and their state."""
@@ -37,6 +40,7 @@
         self._waits = waits
         self._generation = -1
         self._targets_by_service: dict[str, list[tuple[Target, float]]] = {}
+        self._near_by_service: dict[str, list[tuple[Target, float]]] = {}
 
     def find(self, service: str, excluded: set[str], now_ms: Millis) -> list[Candidate]:
         """Return the candidates of a service without the targets whose ids are excluded."""
@@ -47,6 +51,22 @@
             if target.target_id not in excluded
         ]
 
+    def find_near(self, service: str, excluded: set[str], now_ms: Millis) -> list[Candidate]:
+        """Return the candidates in the entry's own data centre, none if these are few.
+
+        Load pattern: most requests are short, and there are hundreds of targets. Near ones usually
+        have room, so the cost of a placement does not grow with the targets elsewhere.
+        """
+        self._refresh()
+        near = self._near_by_service.get(service, [])
+        if len(near) < MIN_NEAR_TARGETS:
+            return []
+        return [
+            self._candidate(target, fill_order, now_ms)
+            for target, fill_order in near
+            if target.target_id not in excluded
+        ]
+
     def _candidate(self, target: Target, fill_order: float, now_ms: Millis) -> Candidate:
         target_id = target.target_id
         return Candidate(
@@ -78,4 +98,8 @@
             service_targets.extend(
                 (target, position / last_position) for position, target in enumerate(targets)
             )
+        self._near_by_service = {
+            service: [item for item in items if item[0].data_centre == self._data_centre]
+            for service, items in self._targets_by_service.items()
+        }
         self._health.keep_only(set(self._targets.usable))
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -56,6 +56,9 @@
 LATE_PROMPT_TIME_SHARE = 0.7
 """The prefill of a late prompt must end within this share of the time until its caller gives up."""
 
+MAX_NEAR_LOAD = 0.7
+"""Targets elsewhere are considered too when more of the near slots than this share are in use."""
+
 PLANNED_MEMORY_SHARE = 0.92
 """The share of an engine's memory that placement uses; the rest is reserved for longer answers."""
 
@@ -184,6 +187,27 @@
             return Saturated(best.first_token_ms - request.goal_ms)
         return best
 
+    def place_near(
+        self, request: PlacementRequest, near: list[Candidate], now_ms: Millis
+    ) -> Placement | None:
+        """Return a placement on near targets if none elsewhere is worth considering, else None.
+
+        Load pattern: traffic moves to one data centre, whose targets fill up while those of the
+        others are idle.
+        """
+        if not near or prefill_ms(self._engine, request.prompt_tokens) >= LONG_PREFILL_MS / 2:
+            return None
+        active = sum(item.load.active for item in near)
+        slots = sum(min(self._engine.slots, item.target.slots) for item in near)
+        if active >= MAX_NEAR_LOAD * slots:
+            return None
+        found = self.place(request, near, now_ms)
+        if isinstance(found, Saturated) or found.first_token_ms > request.goal_ms:
+            return None
+        chosen = found.targets[0]
+        is_suspended = any(item.target == chosen and item.is_suspended for item in near)
+        return None if is_suspended else found
+
     def _place_at_lowest_cost(
         self,
         request: PlacementRequest,
--- a/packages/marigoldarch/marigoldarch/serving/pool_view.py
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -1,5 +1,7 @@
 """The work on each target, from this entry's own attempts and the reports of its peers.
 
+The short attempts of other data centres are known as sums only.
+
 Load pattern: entries that place requests by the targets' reports alone all choose the same idle
 target for as long as these reports lag. Each entry therefore reports the attempts that it starts
 and ends to the others.
@@ -7,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -47,6 +50,29 @@
         """Return whether the prefill is split over several targets."""
         return len(self.targets) > 1
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether the prefill keeps no target busy for long."""
+        return self.prefill_ms < MIN_REPORTED_PREFILL_MS and not self.has_split_prefill
+
+
+class SummarizedLoad(NamedTuple):
+    """The short attempts of another data centre's entries on one target.
+
+    `active` is their number, `context_tokens` the sum of their memory, and `pause_goal_ms` the
+    shortest of their pause goals, 0 without streams.
+    """
+
+    active: int
+    context_tokens: int
+    pause_goal_ms: Millis
+
+
+NO_SUMMARY = SummarizedLoad(0, 0, 0.0)
+
+SUMMARY_LIFETIME_MS: Millis = 4000.0
+"""A summary that is not replaced is dropped: three of the next ones may be lost."""
+
 
 @dataclass
 class _TrackedAttempt:
@@ -92,7 +118,8 @@
     `running` holds the attempts whose request the target runs, `helping` those for which it is a
     helper, and `unfinished_prefills` those whose prefill is not known to be complete. The target is
     expected to complete all known prefills at `prefill_until_ms`. An engine runs the parts of split
-    prefills first, the newest part before older ones, and then whole prompts.
+    prefills first, the newest part before older ones, and then whole prompts. `summary` holds the
+    short attempts that are not reported one by one.
     """
 
     target: TargetHash = 0
@@ -100,11 +127,12 @@
     helping: dict[AttemptKey, RunningAttempt] = field(default_factory=dict)
     unfinished_prefills: dict[AttemptKey, _TrackedAttempt] = field(default_factory=dict)
     prefill_until_ms: Millis = 0.0
+    summary: SummarizedLoad = NO_SUMMARY
 
     @property
     def active(self) -> int:
         """Return how many requests the target runs."""
-        return len(self.running)
+        return len(self.running) + self.summary.active
 
     def pending_prefills(self, now_ms: Millis) -> list[PendingPrefill]:
         """Return the prefills of which the target has probably not completed its part."""
@@ -125,7 +153,7 @@
             for key, tracked in self.unfinished_prefills.items()
             if key in self.running and tracked.is_pending(now_ms)
         )
-        return len(self.running) - prefilling
+        return self.active - prefilling
 
     @property
     def shortest_pause_goal_ms(self) -> Millis:
@@ -133,13 +161,21 @@
         pauses = [
             attempt.pause_goal_ms for attempt in self.running.values() if attempt.pause_goal_ms > 0
         ]
+        if self.summary.pause_goal_ms > 0:
+            pauses.append(self.summary.pause_goal_ms)
         return min(pauses, default=float("inf"))
 
     @property
     def context_tokens(self) -> int:
         """Return the tokens in the target's memory, for its requests and as a helper."""
         held = sum(attempt.held_tokens for attempt in self.helping.values())
-        return held + sum(attempt.context_tokens for attempt in self.running.values())
+        running = sum(attempt.context_tokens for attempt in self.running.values())
+        return held + running + self.summary.context_tokens
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is known to be in progress on the target."""
+        return not self.running and not self.helping and not self.summary.active
 
 
 EMPTY_LOAD = TargetLoad()
@@ -151,11 +187,17 @@
     def __init__(self) -> None:
         self._loads: dict[TargetHash, TargetLoad] = {}
         self._attempts: dict[AttemptKey, _TrackedAttempt] = {}
+        self._summaries: dict[str, tuple[Millis, set[TargetHash]]] = {}
 
     def load_of(self, target: TargetHash) -> TargetLoad:
         """Return the load of a target; the caller must not change it."""
         return self._loads.get(target, EMPTY_LOAD)
 
+    @property
+    def entries(self) -> set[str]:
+        """Return the entries that have attempts in progress."""
+        return {entry for entry, _ in self._attempts}
+
     def work_of_entry(self, entry: str) -> list[RunningAttempt]:
         """Return the attempts of one entry."""
         return [tracked.attempt for key, tracked in self._attempts.items() if key[0] == entry]
@@ -206,7 +248,7 @@
             load = self._loads[target]
             load.running.pop(key, None)
             load.helping.pop(key, None)
-            if not load.running and not load.helping:
+            if load.is_empty:
                 del self._loads[target]
 
     def _remove_pending_prefill(
@@ -225,6 +267,59 @@
                 if other.part_ends_ms[target] > end_ms:
                     other.part_ends_ms[target] -= left_ms
 
+    def summarize(
+        self, targets: Iterable[TargetHash], entries: Collection[str]
+    ) -> dict[TargetHash, SummarizedLoad]:
+        """Return the short attempts of some entries on each of these targets that has any.
+
+        Load pattern: most attempts are short. Entries that rarely choose these targets need their
+        number, but not each of them.
+        """
+        summaries: dict[TargetHash, SummarizedLoad] = {}
+        for target in targets:
+            short = [
+                attempt
+                for key, attempt in self.load_of(target).running.items()
+                if attempt.is_short and key[0] in entries
+            ]
+            if short:
+                pauses = [item.pause_goal_ms for item in short if item.pause_goal_ms > 0]
+                summaries[target] = SummarizedLoad(
+                    len(short),
+                    sum(item.context_tokens for item in short),
+                    min(pauses, default=0.0),
+                )
+        return summaries
+
+    def apply_summary(
+        self, source: str, loads: dict[TargetHash, SummarizedLoad], now_ms: Millis
+    ) -> None:
+        """Replace the summaries of a source, which is a data centre."""
+        _, targets_before = self._summaries.get(source, (0.0, set()))
+        for target in targets_before - loads.keys():
+            self._set_summary(target, NO_SUMMARY)
+        for target, load in loads.items():
+            self._set_summary(target, load)
+        self._summaries[source] = (now_ms, set(loads))
+
+    def drop_old_summaries(self, now_ms: Millis) -> None:
+        """Drop the summaries of sources that have sent none for a while."""
+        for source, (received_ms, _) in list(self._summaries.items()):
+            if now_ms >= received_ms + SUMMARY_LIFETIME_MS:
+                self.apply_summary(source, {}, now_ms)
+                del self._summaries[source]
+
+    @property
+    def summary_sources(self) -> set[str]:
+        """Return the data centres whose summaries are known."""
+        return set(self._summaries)
+
+    def _set_summary(self, target: TargetHash, summary: SummarizedLoad) -> None:
+        load = self._loads.setdefault(target, TargetLoad(target))
+        load.summary = summary
+        if load.is_empty:
+            del self._loads[target]
+
     def keep_only(self, entry: str, numbers: set[int], now_ms: Millis) -> None:
         """Remove those attempts of an entry that are missing from its complete list."""
         for key in [key for key in self._attempts if key[0] == entry and key[1] not in numbers]:
--- a/packages/marigoldarch/marigoldarch/serving/retry_budget.py
+++ b/packages/marigoldarch/marigoldarch/serving/retry_budget.py
@@ -1,4 +1,8 @@
-"""The retry budget of each service, shared by all entries.
+"""The retry budget of each service, shared by the entries that report their work to each other.
+
+With many entries, those of each data centre share a budget of their own: the retries that their own
+requests allow, and a part of the slack that is their share of all entries. These parts add up to the
+budget of the whole installation, without any message between data centres.
 
 Load pattern: targets fail for many requests at once, and every retry adds load to the remaining
 targets. Retries beyond a share of the requests are not made.
@@ -63,9 +67,14 @@
         if is_own:
             self._counter(self._own_retries, service).add(now_ms)
 
-    def allows_retry(self, service: int, peers: int, now_ms: Millis) -> bool:
+    def allows_retry(
+        self, service: int, peers: int, now_ms: Millis, slack_share: float = 1.0
+    ) -> bool:
         """Return whether the budget allows one more retry by this entry.
 
+        `peers` is the number of entries that share the budget with this one, and `slack_share` their
+        part of the slack.
+
         An entry that receives no reports of its peers' retries must not use the whole budget. It
         therefore makes at most three times its even share of the allowed retries, but always one.
         """
@@ -73,7 +82,9 @@
         requests = self._counter(self._requests, service).count(now_ms)
         retries = self._counter(self._retries, service).count(now_ms)
         own_retries = self._counter(self._own_retries, service).count(now_ms)
-        allowed_retries = settings.usable_share * (settings.ratio * requests + settings.slack)
+        allowed_retries = settings.usable_share * (
+            settings.ratio * requests + settings.slack * slack_share
+        )
         own_share = 3.0 * allowed_retries / (peers + 1)
         return retries + 1 <= allowed_retries and own_retries + 1 <= max(own_share, 1.0)
 
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -36,7 +36,9 @@
     and `ended` the numbers of those that have ended. `suspended` are targets that the entry has
     just suspended, `slow` the measured slowdowns of targets in hundredths, and `requests` the
     number of requests by service since the last report. `leaving` are targets that have said in a
-    response to this entry that they are leaving, each with the instant of its start.
+    response to this entry that they are leaving, each with the instant of its start. A report for
+    another data centre `is_partial`: it leaves out short attempts on targets of the own one, and
+    what counts for the retry budget.
     """
 
     node: str
@@ -50,10 +52,32 @@
     slow: dict[int, int]
     requests: dict[int, int]
     leaving: dict[int, int] = msgspec.field(default_factory=dict)
+    is_partial: bool = False
+
+
+class TargetSummary(msgspec.Struct, array_like=True, frozen=True):
+    """The fields of `SummarizedLoad`, in the same order; `pause_goal_ms` is in whole ms."""
+
+    active: int
+    context_tokens: int
+    pause_goal_ms: int
+
+
+class PoolSummary(msgspec.Struct, array_like=True, frozen=True, tag="summary"):
+    """The short attempts on a data centre's targets, for the entries of another.
+
+    `start_id` identifies the process of the entry `node`, and `serial` grows with each summary.
+    """
+
+    node: str
+    start_id: int
+    serial: int
+    data_centre: str
+    loads: dict[int, TargetSummary]
 
 
 class RelayedReport(msgspec.Struct, array_like=True, frozen=True, tag="relay"):
-    """An encoded `WorkReport` that the receiver forwards in its data centre."""
+    """An encoded `WorkReport` or `PoolSummary` that the receiver forwards in its data centre."""
 
     report: bytes
 
--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/serving/candidates_tests.py
@@ -0,0 +1,44 @@
+"""Tests of the candidates for a placement."""
+
+from __future__ import annotations
+
+import unittest
+
+from marigoldarch.serving.candidates import MIN_NEAR_TARGETS, CandidateSource
+from marigoldarch.serving.pool_view import PoolView
+from marigoldarch.serving.target_health import HealthSettings, TargetHealth
+from marigoldarch.serving.target_waits import TargetWaits, WaitSettings
+from marigoldarch.serving.targets import MergedTargetView
+from marigoldarch.tests.serving.support import target
+
+
+class CandidateTests(unittest.TestCase):
+    """Targets in the entry's data centre, dc1, and in another."""
+
+    def source(self, near: int, far: int) -> CandidateSource:
+        """Return the source of an entry that knows so many targets in each data centre."""
+        view = MergedTargetView()
+        view.connect("c1")
+        view.mark_complete("c1")
+        for number in range(near):
+            view.update_target("c1", target(f"n{number}"))
+        for number in range(far):
+            view.update_target("c1", target(f"f{number}", data_centre="dc2"))
+        health, waits = TargetHealth(HealthSettings()), TargetWaits(WaitSettings())
+        return CandidateSource("dc1", view, PoolView(), health, waits)
+
+    def test_near_candidates_are_those_of_the_own_data_centre(self) -> None:
+        found = self.source(MIN_NEAR_TARGETS, 20).find_near("engines", {"n0"}, 0.0)
+        self.assertEqual(len(found), MIN_NEAR_TARGETS - 1)
+        self.assertTrue(all(item.is_local for item in found))
+
+    def test_few_near_targets_are_not_chosen_apart_from_the_others(self) -> None:
+        source = self.source(MIN_NEAR_TARGETS - 1, 20)
+        self.assertEqual(source.find_near("engines", set(), 0.0), [])
+        self.assertEqual(len(source.find("engines", set(), 0.0)), MIN_NEAR_TARGETS + 19)
+
+    def test_fill_orders_of_each_data_centre_run_from_0_to_1(self) -> None:
+        found = self.source(MIN_NEAR_TARGETS, 20).find("engines", set(), 0.0)
+        for is_local in (True, False):
+            orders = [item.fill_order for item in found if item.is_local is is_local]
+            self.assertEqual((min(orders), max(orders)), (0.0, 1.0))
--- a/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
@@ -208,3 +208,35 @@
         self.assertEqual(refusal_retry_after_ms([candidate("a")], 700.0, 250.0), 700.0)
         self.assertEqual(refusal_retry_after_ms([candidate("a")], None, 250.0), 250.0)
         self.assertEqual(refusal_retry_after_ms([], None, 250.0), 250.0)
+
+
+class NearPlacementTests(unittest.TestCase):
+    """Load pattern: hundreds of targets in several data centres, and most requests are short."""
+
+    def place_near(self, request: PlacementRequest, *near: object) -> Placement | None:
+        """Place a request on near targets at instant 0."""
+        return EnginePlacer(ENGINE, PlacementWeights()).place_near(request, list(near), 0.0)
+
+    def test_short_prompt_is_placed_near_if_it_is_in_time_there(self) -> None:
+        near = [
+            candidate(f"n{number}", load(250.0), fill_order=number / 11) for number in range(12)
+        ]
+        self.assertEqual(self.place_near(QUIZ, *near).targets[0].target_id, "n0")
+
+    def test_long_prompt_is_placed_among_all_targets(self) -> None:
+        self.assertIsNone(self.place_near(REVIEW, *[candidate(f"n{n}") for n in range(12)]))
+
+    def test_targets_elsewhere_are_considered_once_the_near_ones_fill_up(self) -> None:
+        near = [candidate(f"n{number}", load(*[250.0] * 6)) for number in range(12)]
+        self.assertIsNone(self.place_near(QUIZ, *near))
+
+    def test_targets_elsewhere_are_considered_if_the_goal_is_missed_near(self) -> None:
+        near = [candidate(f"n{n}", load(1000.0, prefill_until_ms=900.0)) for n in range(12)]
+        self.assertIsNone(self.place_near(QUIZ, *near))
+
+    def test_targets_elsewhere_are_considered_if_the_near_ones_fail_or_wait(self) -> None:
+        failing = [candidate(f"n{number}", is_suspended=True) for number in range(12)]
+        self.assertIsNone(self.place_near(QUIZ, *failing))
+        waiting = [candidate(f"n{number}", wait_ms=400.0) for number in range(12)]
+        self.assertIsNone(self.place_near(QUIZ, *waiting))
+        self.assertIsNone(self.place_near(QUIZ))
--- a/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
@@ -4,7 +4,12 @@
 
 import unittest
 
-from marigoldarch.serving.pool_view import PoolView, RunningAttempt
+from marigoldarch.serving.pool_view import (
+    SUMMARY_LIFETIME_MS,
+    PoolView,
+    RunningAttempt,
+    SummarizedLoad,
+)
 
 
 def attempt(number: int, *targets: int, prefill_ms: float = 100.0) -> RunningAttempt:
@@ -96,3 +101,50 @@
         self.view.start("e2", attempt(1, 7), 0.0)
         self.view.keep_only("e1", set(), 10.0)
         self.assertEqual(self.view.load_of(7).active, 1)
+
+
+class SummaryTests(unittest.TestCase):
+    """Load pattern: most attempts are short, and other data centres need only their sums."""
+
+    def setUp(self) -> None:
+        self.view = PoolView()
+
+    def test_summary_holds_the_short_attempts_of_the_given_entries(self) -> None:
+        self.view.start("e1", attempt(1, 7, prefill_ms=30.0), 0.0)
+        self.view.start("e2", attempt(1, 7, prefill_ms=30.0), 0.0)
+        self.view.start("e2", attempt(2, 7, prefill_ms=400.0), 0.0)
+        self.view.start("e2", attempt(3, 7, 8, prefill_ms=30.0), 0.0)
+        self.view.start("far", attempt(1, 7, prefill_ms=30.0), 0.0)
+        found = self.view.summarize([7, 8, 9], {"e1", "e2"})
+        self.assertEqual(found, {7: SummarizedLoad(2, 2000, 250.0)})
+
+    def test_summary_counts_in_the_load_of_a_target(self) -> None:
+        self.view.start("e1", attempt(1, 7, prefill_ms=400.0), 0.0)
+        self.view.apply_summary("dc2", {7: SummarizedLoad(3, 5000, 200.0)}, 0.0)
+        load = self.view.load_of(7)
+        self.assertEqual((load.active, load.context_tokens), (4, 6000))
+        self.assertEqual(load.shortest_pause_goal_ms, 200.0)
+        self.assertEqual(load.decoding_requests(10.0), 3)
+
+    def test_next_summary_replaces_the_last_one(self) -> None:
+        self.view.apply_summary("dc2", {7: SummarizedLoad(3, 5000, 200.0)}, 0.0)
+        self.view.apply_summary("dc2", {8: SummarizedLoad(1, 1000, 200.0)}, 1000.0)
+        self.assertEqual((self.view.load_of(7).active, self.view.load_of(8).active), (0, 1))
+
+    def test_summaries_of_several_data_centres_stand_side_by_side(self) -> None:
+        self.view.apply_summary("dc2", {7: SummarizedLoad(3, 5000, 200.0)}, 0.0)
+        self.view.apply_summary("dc3", {8: SummarizedLoad(1, 1000, 200.0)}, 0.0)
+        self.assertEqual((self.view.load_of(7).active, self.view.load_of(8).active), (3, 1))
+
+    def test_summary_that_is_not_renewed_is_dropped(self) -> None:
+        self.view.apply_summary("dc2", {7: SummarizedLoad(3, 5000, 200.0)}, 0.0)
+        self.view.drop_old_summaries(SUMMARY_LIFETIME_MS - 1.0)
+        self.assertEqual(self.view.load_of(7).active, 3)
+        self.view.drop_old_summaries(SUMMARY_LIFETIME_MS)
+        self.assertEqual(self.view.load_of(7).active, 0)
+
+    def test_end_of_an_attempt_keeps_the_summary_of_its_target(self) -> None:
+        self.view.apply_summary("dc2", {7: SummarizedLoad(3, 5000, 200.0)}, 0.0)
+        self.view.start("e1", attempt(1, 7), 0.0)
+        self.view.end("e1", 1, 10.0)
+        self.assertEqual(self.view.load_of(7).active, 3)
--- a/packages/marigoldarch/marigoldarch/tests/serving/report_recipients_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/report_recipients_tests.py
@@ -8,6 +8,7 @@
 from marigoldarch.serving.report_recipients import (
     MAX_DIRECT_ENTRIES,
     EntryNode,
+    is_summarizer,
     relay_recipients,
     report_recipients,
 )
@@ -56,3 +57,33 @@
             report_recipients(EntryNode(f"a{n}", "a"), known, 0).relays for n in range(30)
         )
         self.assertLess(max(used.values()), 7)
+
+    def test_small_data_centre_gets_partial_reports_if_another_is_large(self) -> None:
+        recipients = report_recipients(OWN, entries(a=3, b=3, c=9), 0)
+        self.assertEqual(recipients.direct, ("a1", "a2"))
+        self.assertEqual([node[0] for node in recipients.relays], ["b", "c"])
+
+    def test_entry_that_knows_only_some_of_the_others_uses_relays(self) -> None:
+        known = entries(a=3, b=MAX_DIRECT_ENTRIES)
+        self.assertEqual(len(report_recipients(OWN, known, 0, entry_count=40).relays), 1)
+        self.assertEqual(report_recipients(OWN, known, 0, entry_count=7).relays, ())
+
+    def test_recipients_do_not_grow_with_other_data_centres(self) -> None:
+        """Guards against traffic that grows with the square of the number of entries."""
+        counts = [
+            len(recipients.direct) + len(recipients.relays)
+            for size in (10, 100, 400)
+            for recipients in [report_recipients(OWN, entries(a=10, b=size, c=size), 0)]
+        ]
+        self.assertEqual(len(set(counts)), 1)
+
+    def test_one_entry_of_each_data_centre_summarizes(self) -> None:
+        known = entries(a=20, b=20)
+        summarizers = [entry.data_centre for entry in known if is_summarizer(entry, known)]
+        self.assertEqual(sorted(summarizers), ["a", "b"])
+
+    def test_another_entry_summarizes_after_the_loss_of_the_first(self) -> None:
+        known = entries(a=5)
+        first = next(entry for entry in known if is_summarizer(entry, known))
+        rest = [entry for entry in known if entry != first]
+        self.assertEqual(sum(is_summarizer(entry, rest) for entry in rest), 1)
--- a/packages/marigoldarch/marigoldarch/tests/serving/retry_budget_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/retry_budget_tests.py
@@ -45,3 +45,17 @@
     def test_services_have_separate_budgets(self) -> None:
         self.use_up(0.0)
         self.assertTrue(self.budget.allows_retry(2, 0, 0.0))
+
+    def test_budgets_of_data_centres_add_up_to_that_of_the_installation(self) -> None:
+        """Guards against more retries in all than allowed when entries hear of few others."""
+        retries = 0
+        for entries in (39, 40, 35, 43, 38):
+            budget = RetryBudget(SETTINGS._replace(slack=460.0))
+            for _ in range(entries):
+                budget.note_request(SERVICE, 0.0)
+            share = entries / 195
+            while budget.allows_retry(SERVICE, 0, 0.0, share):
+                budget.note_retry(SERVICE, 0.0, is_own=True)
+                retries += 1
+        self.assertLessEqual(retries, 0.2 * 195 + 460)
+        self.assertGreater(retries, 0.9 * (0.2 * 195 + 460))
