--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import base64
 import random
-import zlib
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -28,8 +26,9 @@
     TargetTold,
 )
 from marigoldarch.settings import ControlSettings
+from marigoldarch.store.document import Document
 from marigoldarch.store.messages import STORE_MESSAGES, TargetsHeard, TargetsNoted
-from marigoldarch.store.reducer import Document, Store, StoreSettings
+from marigoldarch.store.reducer import Store, StoreSettings
 from marigoldarch_node.clock import SystemClock
 from marigoldarch_node.serving.datagrams import DatagramSocket
 from marigoldarch_node.serving.dialect import (
@@ -58,6 +57,10 @@
     subscriber_role,
 )
 from marigoldarch_node.serving.store_runtime import StoreRuntime
+from marigoldarch_node.serving.stored_declaration import (
+    compress_declaration,
+    decompress_declaration,
+)
 from marigoldarch_node.serving.target_registrar import TargetRegistrar
 from marigoldarch_node.storage.folder import DataFolder
 from marigoldarch_node.storage.target_file import TargetFile
@@ -377,8 +380,8 @@
                     400, JSON_HEADERS, msgspec.json.encode({"error": describe_fault(fault)})
                 )
                 return
-        text = base64.b85encode(zlib.compress(body)).decode()
-        is_stored = await self._store.put(Document(version, text), STORE_TIMEOUT_MS)
+        document = Document(version, compress_declaration(body))
+        is_stored = await self._store.put(document, STORE_TIMEOUT_MS)
         log.info("declaration put", version=version, is_stored=is_stored)
         self._metrics.declarations.inc({"outcome": "stored" if is_stored else "unsure"})
         await exchange.answer(200 if is_stored else 503, JSON_HEADERS, b"{}")
@@ -410,8 +413,3 @@
         log.error("damaged log moved away", reason=str(error))
         folder.quarantine_damaged_log()
         return folder.open()
-
-
-def decompress_declaration(document: Document) -> bytes:
-    """Return the declaration of a stored document, as its operator sent it."""
-    return zlib.decompress(base64.b85decode(document.text))
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -37,9 +37,8 @@
     TargetTold,
 )
 from marigoldarch.serving.work_reports import PoolSummary, RelayedReport, WorkReport
-from marigoldarch.store.reducer import Document
+from marigoldarch.store.document import Document
 from marigoldarch_node.serving.attempt import EntryContext
-from marigoldarch_node.serving.control_host import decompress_declaration
 from marigoldarch_node.serving.datagrams import DatagramSocket
 from marigoldarch_node.serving.dialect import CheckReadiness
 from marigoldarch_node.serving.entry_state import EntryState, run_cleanup
@@ -55,6 +54,7 @@
     fetch_body,
 )
 from marigoldarch_node.serving.proxy import ACCEPT_WHILE_STOPPING_MS, Proxy
+from marigoldarch_node.serving.stored_declaration import decompress_declaration
 from marigoldarch_node.serving.target_connections import ResponseError, TargetConnectionPool
 
 if TYPE_CHECKING:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/node.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/node.py
@@ -13,13 +13,13 @@
 
 from marigoldarch.exceptions import ConfigurationError, MarigoldarchError
 from marigoldarch_node.serving import event_log
-from marigoldarch_node.serving.control_host import ControlHost
-from marigoldarch_node.serving.entry_host import EntryHost
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.settings import ServingSettings, load_settings
 
 if TYPE_CHECKING:
+    from marigoldarch_node.serving.control_host import ControlHost
     from marigoldarch_node.serving.dialect import Dialect
+    from marigoldarch_node.serving.entry_host import EntryHost
 
 EXIT_FAILURE = 1
 EXIT_CONFIGURATION = 2
@@ -53,12 +53,7 @@
 
 async def _run(settings: ServingSettings, settings_file: Path, dialect: Dialect) -> None:
     start_id = random.SystemRandom().randrange(1 << 48)
-    if settings.control_address:
-        host: ControlHost | EntryHost = ControlHost(
-            settings, dialect, Path(settings.data_folder), start_id
-        )
-    else:
-        host = EntryHost(settings, dialect, start_id)
+    host = _create_host(settings, dialect, start_id)
     log.info(
         "start",
         role=type(host).__name__,
@@ -77,6 +72,19 @@
     log.info("stop")
 
 
+def _create_host(
+    settings: ServingSettings, dialect: Dialect, start_id: int
+) -> ControlHost | EntryHost:
+    """Return the node's role. Each role imports its own modules only, as imports dominate a start."""
+    if settings.control_address:
+        from marigoldarch_node.serving.control_host import ControlHost
+
+        return ControlHost(settings, dialect, Path(settings.data_folder), start_id)
+    from marigoldarch_node.serving.entry_host import EntryHost
+
+    return EntryHost(settings, dialect, start_id)
+
+
 async def _wait_for_stop(settings_file: Path, host: ControlHost | EntryHost) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for received in signals:
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/report_exchange_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/report_exchange_tests.py
@@ -11,7 +11,7 @@
 from collections import Counter
 
 import msgspec
-from hypothesis import settings, strategies
+from hypothesis import Phase, settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
 from marigoldarch.clock import ManualClock
@@ -39,6 +39,7 @@
     for number in range(ENTRIES_PER_DATA_CENTRE)
 ]
 FUZZ_SETTINGS = settings(max_examples=25, stateful_step_count=30, derandomize=True, deadline=None)
+SEARCH_SETTINGS = settings(FUZZ_SETTINGS, phases=(Phase.generate,))
 
 node_picks = strategies.integers(0, len(NODES) - 1)
 picks = strategies.integers(0, 999)
@@ -195,6 +196,19 @@
     def test_entries_agree_on_the_work_in_progress(self) -> None:
         run_state_machine_as_test(ReportExchangeMachine, settings=FUZZ_SETTINGS)
 
+    def test_reports_that_relays_do_not_forward_are_missed(self) -> None:
+        """The check must see entries that do not hear of work elsewhere."""
+
+        class ForgetfulMachine(ReportExchangeMachine):
+            """Lets relays drop all that they should forward."""
+
+            def _send_relayed(self, relays: tuple[str, ...], data: bytes) -> None:
+                for relay in relays:
+                    self._send(relay, data)
+
+        with self.assertRaises(AssertionError):
+            run_state_machine_as_test(ForgetfulMachine, settings=SEARCH_SETTINGS)
+
     def test_entry_receives_a_bounded_number_of_reports_of_an_idle_installation(self) -> None:
         """Guards against idle traffic that grows with the square of the number of entries."""
         machine = ReportExchangeMachine()
--- a/packages/marigoldarch/marigoldarch/store/reducer.py
+++ b/packages/marigoldarch/marigoldarch/store/reducer.py
@@ -12,6 +12,7 @@
 from marigoldarch.control.replication import NEVER_MS
 from marigoldarch.effects import Effect, RecordEvent, Send
 from marigoldarch.settings import ControlSettings
+from marigoldarch.store.document import Document
 from marigoldarch.store.membership import RECENT_ACK_MS, KnownHost, LeaderView, next_change
 from marigoldarch.store.messages import PutReply, PutRequest, ReadReply, ReadRequest
 
@@ -40,13 +41,6 @@
     seed: int = 0
 
 
-class Document(NamedTuple):
-    """The stored text and its version; version 0 means that no document was stored."""
-
-    version: int = 0
-    text: str = ""
-
-
 @dataclass(frozen=True)
 class DocumentStored:
     """Effect: the document of a put, or a newer one, is durable on a majority."""
