--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
@@ -1,6 +1,7 @@
 """Simulates entries that place requests on engines.
 
-Each entry knows its own requests at once, and those of other entries after `REPORT_LAG_MS`.
+Each entry knows its own requests at once, and those of other entries after `REPORT_LAG_MS`, as far
+as these are reported to it.
 """
 
 from __future__ import annotations
@@ -10,10 +11,18 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from marigoldarch.serving.placement import Candidate, Placement, PlacementRequest, Saturated
+from marigoldarch.serving.candidates import MIN_NEAR_TARGETS
+from marigoldarch.serving.placement import (
+    Candidate,
+    EnginePlacer,
+    Placement,
+    PlacementRequest,
+    Saturated,
+)
 from marigoldarch.serving.pool_view import PoolView, RunningAttempt
 from marigoldarch.serving.targets import Target
 from marigoldarch_fakes.serving_bench.engine import FormulaEngine, Generation
+from marigoldarch_fakes.serving_bench.layout import PLAIN_LAYOUT, Layout, MessageCounts, Sharing
 from marigoldarch_fakes.serving_bench.load import Arrival, credit_for
 
 if TYPE_CHECKING:
@@ -22,7 +31,6 @@
     from marigoldarch.clock import Millis
     from marigoldarch.serving.declaration import EngineSpec
 
-ENTRY_COUNT = 9
 REPORT_LAG_MS: Millis = 11.0
 """From a change at one entry until the other entries see it: coalescing and the network."""
 
@@ -32,6 +40,9 @@
 RESPONSE_DELAY_MS: Millis = 2.0
 """From the engine to the caller."""
 
+SUMMARY_INTERVAL_MS: Millis = 1000.0
+"""How often the short work of a data centre is summarized for the others."""
+
 RETRY_INTERVAL_MS: Millis = 50.0
 """How soon placement is tried again for a request that no engine can run yet."""
 
@@ -95,15 +106,30 @@
         engines: int,
         policy: Callable[[PlacementRequest, list[Candidate], Millis], Placement | Saturated],
         faults: tuple[Fault, ...] = (),
+        layout: Layout = PLAIN_LAYOUT,
+        placer: EnginePlacer | None = None,
     ) -> None:
+        """Create a run; with a `placer` short prompts are placed in their own data centre first."""
         self._spec = spec
+        self._layout = layout
+        self._placer = placer
+        self.messages = MessageCounts()
         self._policy = policy
         self._engines = [FormulaEngine(spec) for _ in range(engines)]
         self._targets = [
-            Target(str(number), 0, 0, "engines", str(number), f"dc{number % 3}", spec.slots, False)
+            Target(
+                str(number),
+                0,
+                0,
+                "engines",
+                str(number),
+                f"dc{number % layout.data_centres}",
+                spec.slots,
+                False,
+            )
             for number in range(engines)
         ]
-        self._views = [PoolView() for _ in range(ENTRY_COUNT)]
+        self._views = [PoolView() for _ in range(layout.entries)]
         self._heap: list[tuple[Millis, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self._now_ms: Millis = 0.0
@@ -112,7 +138,15 @@
 
     def run(self, arrivals: list[Arrival]) -> Result:
         """Run until every request has ended, and return the credit."""
-        requests = [Request(item, number % ENTRY_COUNT) for number, item in enumerate(arrivals)]
+        layout = self._layout
+        requests = [
+            Request(item, layout.entry_of(number, item.at_ms))
+            for number, item in enumerate(arrivals)
+        ]
+        if layout.sharing is Sharing.DATA_CENTRE:
+            end_ms = arrivals[-1].at_ms if arrivals else 0.0
+            for step in range(1, 1 + int(end_ms // SUMMARY_INTERVAL_MS)):
+                self._schedule(step * SUMMARY_INTERVAL_MS, self._exchange_summaries)
         for number, request in enumerate(requests):
             request.number = number + 1
             self._schedule(request.arrival.at_ms, lambda item=request: self._place(item))
@@ -147,27 +181,57 @@
             arrival.kind.pause_goal_ms,
             max(2000.0, 4 * arrival.kind.goal_ms, 8 * arrival.kind.pause_goal_ms) - elapsed_ms,
         )
-        # The engines are spread evenly over three data centres.
-        last_position = max(1, len(self._targets) // 3 - 1)
+        placement = self._choose(request, view, placement_request)
+        if isinstance(placement, Saturated):
+            if placement.retry_after_ms > time_left_ms / 2 or time_left_ms < RETRY_INTERVAL_MS:
+                request.is_refused = True
+                return
+            self._schedule(self._now_ms + RETRY_INTERVAL_MS, lambda: self._place(request))
+            return
+        self._send(request, placement)
+
+    def _choose(
+        self, request: Request, view: PoolView, placement_request: PlacementRequest
+    ) -> Placement | Saturated:
+        """Choose engines among all, or among those of the entry's data centre first or alone."""
+        layout = self._layout
+        own = layout.data_centre_of(request.entry)
+        # The engines are spread evenly over the data centres.
+        last_position = max(1, len(self._targets) // layout.data_centres - 1)
         candidates = [
             Candidate(
                 target,
                 view.load_of(number),
                 1.0,
-                number % 3 == request.entry % 3,
+                number % layout.data_centres == own,
                 False,
-                min(1.0, number // 3 / last_position),
+                min(1.0, number // layout.data_centres / last_position),
             )
             for number, target in enumerate(self._targets)
         ]
-        placement = self._policy(placement_request, candidates, self._now_ms)
-        if isinstance(placement, Saturated):
-            if placement.retry_after_ms > time_left_ms / 2 or time_left_ms < RETRY_INTERVAL_MS:
-                request.is_refused = True
-                return
-            self._schedule(self._now_ms + RETRY_INTERVAL_MS, lambda: self._place(request))
-            return
-        self._send(request, placement)
+        if layout.sharing is not Sharing.EVERYTHING:
+            near = [item for item in candidates if item.is_local]
+            if layout.sharing is Sharing.ISOLATED:
+                return self._policy(placement_request, near, self._now_ms)
+            if self._placer is not None and len(near) >= MIN_NEAR_TARGETS:
+                found = self._placer.place_near(placement_request, near, self._now_ms)
+                if found is not None:
+                    return found
+        return self._policy(placement_request, candidates, self._now_ms)
+
+    def _exchange_summaries(self) -> None:
+        """Tell the entries of each data centre the sums of the short work of the others."""
+        layout = self._layout
+        for data_centre in range(layout.data_centres):
+            entries = layout.entries_of(data_centre)
+            loads = self._views[entries[0]].summarize(
+                range(data_centre, len(self._targets), layout.data_centres),
+                {str(entry) for entry in entries},
+            )
+            self.messages.count_summary(layout, data_centre)
+            for entry, view in enumerate(self._views):
+                if layout.data_centre_of(entry) != data_centre:
+                    view.apply_summary(str(data_centre), loads, self._now_ms)
 
     def _send(self, request: Request, placement: Placement) -> None:
         arrival = request.arrival
@@ -205,10 +269,18 @@
         """Change the view of the request's entry at once, and those of the others after the lag."""
         entry = str(request.entry)
         change(self._views[request.entry], entry)
+        layout = self._layout
+        own = layout.data_centre_of(request.entry)
+        placement = request.placement
+        is_wide = layout.is_told_everywhere(
+            own, placement.prefill_ms, [int(target.target_id) for target in placement.targets]
+        )
+        self.messages.count_report(layout, own, is_wide=is_wide)
 
         def change_other_views() -> None:
             for number, view in enumerate(self._views):
-                if number != request.entry:
+                is_told = is_wide or layout.data_centre_of(number) == own
+                if number != request.entry and is_told:
                     change(view, entry)
 
         self._schedule(self._now_ms + REPORT_LAG_MS, change_other_views)
--- a/packages/marigoldarch/marigoldarch/tests/store/cluster.py
+++ b/packages/marigoldarch/marigoldarch/tests/store/cluster.py
@@ -107,6 +107,11 @@
         """Pause a host's process; messages that arrive meanwhile are queued."""
         self.hosts[name].paused_until_ms = self.now_ms + duration_ms
 
+    def transfer_leadership(self, name: str) -> None:
+        """Let a host hand over its leadership, as before a planned stop."""
+        host = self.hosts[name]
+        self._carry_out(host, host.store.transfer_leadership(self.now_ms))
+
     def cut(self, first: str, second: str) -> None:
         """Cut the network between two hosts in both directions."""
         self.network.cuts.update(((first, second), (second, first)))
--- a/packages/marigoldarch/marigoldarch/tests/store/rounds_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/store/rounds_tests.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from marigoldarch.tests.store.replacement_rounds import ReplacementRound
 from marigoldarch.tests.store.rounds import StoreRound
 
 REGRESSION_SEEDS = {
@@ -24,3 +25,8 @@
         for seed, cause in REGRESSION_SEEDS.items():
             with self.subTest(seed=seed, cause=cause):
                 StoreRound(seed).run()
+
+    def test_removal_of_leaders_and_a_second_loss_right_after_lose_nothing(self) -> None:
+        for seed in (1, 2, 4):
+            with self.subTest(seed=seed):
+                ReplacementRound(seed).run()
