--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := marigoldarch marigoldarch-node marigoldarch-cli marigoldarch-fakes
 
-.PHONY: setup demo test lint format bench capacity settings-page fuzz bench-decisions bench-serving soak
+.PHONY: setup demo test lint format bench capacity settings-page fuzz bench-decisions bench-serving bench-sharing soak
 
 setup: $(VENV)/.stamp
 
@@ -52,6 +52,10 @@
 	$(BIN)/python -m marigoldarch_fakes.serving_bench > reports/serving.txt
 	$(BIN)/python -m marigoldarch_fakes.serving_bench.costs >> reports/serving.txt
 
+# Compares what entries tell each other of their requests, from 9 to 520 entries.
+bench-sharing: setup
+	$(BIN)/python -m marigoldarch_fakes.serving_bench.sharing > reports/sharing.txt
+
 FIRST ?= 1
 COUNT ?= 50
 KEEP ?=
--- /dev/null
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/tests/serving_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the comparison of placement policies."""
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -56,6 +56,10 @@
 LATE_PROMPT_TIME_SHARE = 0.7
 """The prefill of a late prompt must end within this share of the time until its caller gives up."""
 
+OTHER_DATA_CENTRE_SHARE = 0.34
+"""A call leaves its data centre when this share more of the near target's slots are in use: two of
+six slots. Targets run calls side by side, so a few others do not delay it."""
+
 MAX_NEAR_LOAD = 0.7
 """Targets elsewhere are considered too when more of the near slots than this share are in use."""
 
@@ -480,8 +484,7 @@
 def choose_least_loaded(candidates: list[Candidate]) -> Candidate | None:
     """Return the target with the smallest share of its slots in use, scaled by its slowdown.
 
-    It is for services without an engine formula. Among equals, local targets come first. Full
-    targets are chosen only if there is no other, suspended ones only after them, and targets that
+    It is for services without an engine formula. Local targets are preferred. Full targets are chosen only if there is no other, suspended ones only after them, and targets that
     have asked for a wait not at all.
 
     Load pattern: calls of different lengths on few targets; the target with the fewest calls in
@@ -494,7 +497,7 @@
         return (
             item.is_suspended,
             is_full,
-            round(used * item.slowdown, 2),
+            round(used * item.slowdown + (0.0 if item.is_local else OTHER_DATA_CENTRE_SHARE), 2),
             not item.is_local,
             item.fill_order,
         )
--- a/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
@@ -240,3 +240,11 @@
         waiting = [candidate(f"n{number}", wait_ms=400.0) for number in range(12)]
         self.assertIsNone(self.place_near(QUIZ, *waiting))
         self.assertIsNone(self.place_near(QUIZ))
+
+    def test_call_leaves_its_data_centre_only_if_the_near_target_is_clearly_busier(self) -> None:
+        """Guards against calls that cross data centres, and are told to all, for nothing."""
+        far = candidate("far", is_local=False)
+        two_calls = candidate("near", load(0.0, 0.0), target=target("near", slots=6))
+        four_calls = candidate("near", load(*[0.0] * 4), target=target("near", slots=6))
+        self.assertEqual(choose_least_loaded([far, two_calls]).target.target_id, "near")
+        self.assertEqual(choose_least_loaded([far, four_calls]).target.target_id, "far")
