--- a/packages/marigoldarch-node/marigoldarch_node/serving/sockets.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from functools import lru_cache
 from typing import NamedTuple
 
 import trio
@@ -54,6 +55,7 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
+@lru_cache(maxsize=4096)
 def split_address(address: str) -> tuple[str, int]:
     """Return IP and port of `IP:PORT`."""
     host, _, port = address.rpartition(":")
@@ -82,8 +84,17 @@
     return listeners[0]
 
 
-async def open_datagrams(address: str) -> trio.socket.SocketType:
+class DatagramEndpoint(NamedTuple):
+    """A bound datagram socket without blocking calls, and the same socket for waiting on it."""
+
+    socket: socket.socket
+    stream: trio.socket.SocketType
+
+
+async def open_datagrams(address: str) -> DatagramEndpoint:
     """Return a datagram socket bound to `IP:PORT`."""
-    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    await sock.bind(split_address(address))
-    return sock
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    stream = trio.socket.from_stdlib_socket(sock)
+    await stream.bind(split_address(address))
+    return DatagramEndpoint(sock, stream)
