--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -100,11 +100,10 @@
         When the caller disconnects, the attempt is cancelled, and the connection to the target is
         closed at once.
         """
-        own_data_centre = self._state.settings.data_centre
-        is_remote = any(
-            target.data_centre != own_data_centre for target in self._plan.placement.targets
-        )
-        self._work_number = self._state.workload.start(self._running_work(), is_remote=is_remote)
+        work = self._running_work()
+        if self._concerns_other_data_centres(work):
+            work = work._replace(is_widely_reported=True)
+        self._work_number = self._state.workload.start(work)
         try:
             if self._plan.reservations:
                 refusing_target = await self._reservations.reserve(self._plan.reservations)
@@ -115,6 +114,16 @@
             self._reservations.release(self._plan.reservations)
             self._state.workload.end(self._work_number)
 
+    def _concerns_other_data_centres(self, work: RunningAttempt) -> bool:
+        """Return whether entries of other data centres must know of this attempt by itself.
+
+        They choose its targets rarely if their own ones are many, and then rely on sums.
+        """
+        own = self._state.settings.data_centre
+        if any(target.data_centre != own for target in self._plan.placement.targets):
+            return True
+        return not work.is_short and not self._state.candidates.has_near(self._call.service.name)
+
     def _reservation_refused(self, refusing_target: Target) -> AttemptOutcome:
         """Return the outcome if a helper refuses memory; nothing was sent to the primary target."""
         log.info(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Collection
 
     from marigoldarch.clock import Clock, Millis
 
@@ -149,11 +149,8 @@
             service, self.peer_count, self._clock.monotonic_ms(), self.slack_share
         )
 
-    def start(self, work: RunningAttempt, *, is_remote: bool = False) -> int:
-        """Add an attempt of this entry; return its number.
-
-        `is_remote` says that one of its targets is in another data centre.
-        """
+    def start(self, work: RunningAttempt) -> int:
+        """Add an attempt of this entry; return its number."""
         now_ms = self._clock.monotonic_ms()
         self._last_work_number += 1
         work = work._replace(number=self._last_work_number)
@@ -161,7 +158,7 @@
         if work.is_repeat:
             self._retry_budget.note_retry(work.service, now_ms, is_own=True)
         self._started.append(work)
-        if is_remote or not work.is_short:
+        if work.is_widely_reported:
             self._widely_reported.add(work.number)
         self._has_changes.set()
         return self._last_work_number
@@ -275,18 +272,24 @@
         return partial if any(news) or (report.is_whole and is_needed) else None
 
     def next_summary(
-        self, data_centre: str, targets: Iterable[int], entries: Collection[str]
+        self, data_centre: str, targets: Collection[int], entries: Collection[str]
     ) -> bytes:
-        """Return the encoded summary of the short work of a data centre's entries on its targets."""
+        """Return the encoded summary of the work of a data centre's entries on its targets."""
         self._summary_serial += 1
-        loads = self._view.summarize(targets, {*entries, self._node})
+        now_ms = self._clock.monotonic_ms()
+        loads = self._view.summarize(targets, {*entries, self._node}, now_ms)
         summary = PoolSummary(
             self._node,
             self._start_id,
             self._summary_serial,
             data_centre,
             {
-                target: TargetSummary(load.active, load.context_tokens, round(load.pause_goal_ms))
+                target: TargetSummary(
+                    load.active,
+                    load.context_tokens,
+                    round(load.pause_goal_ms),
+                    round(load.backlog_ms),
+                )
                 for target, load in loads.items()
             },
         )
@@ -300,7 +303,12 @@
             return
         senders[summary.node] = (summary.start_id, summary.serial)
         loads = {
-            target: SummarizedLoad(load.active, load.context_tokens, float(load.pause_goal_ms))
+            target: SummarizedLoad(
+                load.active,
+                load.context_tokens,
+                float(load.pause_goal_ms),
+                float(load.backlog_ms),
+            )
             for target, load in summary.loads.items()
         }
         self._view.apply_summary(summary.data_centre, loads, self._clock.monotonic_ms())
@@ -374,6 +382,7 @@
         round(work.pause_goal_ms),
         round(work.goal_in_ms),
         work.is_repeat,
+        work.is_widely_reported,
     )
 
 
@@ -388,4 +397,5 @@
         float(item.pause_goal_ms),
         float(item.goal_in_ms),
         item.is_repeat,
+        item.is_widely_reported,
     )
--- a/packages/marigoldarch/marigoldarch/serving/candidates.py
+++ b/packages/marigoldarch/marigoldarch/serving/candidates.py
@@ -51,19 +51,22 @@
             if target.target_id not in excluded
         ]
 
+    def has_near(self, service: str) -> bool:
+        """Return whether requests are placed among near targets first."""
+        self._refresh()
+        return len(self._near_by_service.get(service, [])) >= MIN_NEAR_TARGETS
+
     def find_near(self, service: str, excluded: set[str], now_ms: Millis) -> list[Candidate]:
         """Return the candidates in the entry's own data centre, none if these are few.
 
-        Load pattern: most requests are short, and there are hundreds of targets. Near ones usually
-        have room, so the cost of a placement does not grow with the targets elsewhere.
+        Load pattern: hundreds of targets in several data centres. The near ones usually have room,
+        so the cost of a placement does not grow with the targets elsewhere.
         """
-        self._refresh()
-        near = self._near_by_service.get(service, [])
-        if len(near) < MIN_NEAR_TARGETS:
+        if not self.has_near(service):
             return []
         return [
             self._candidate(target, fill_order, now_ms)
-            for target, fill_order in near
+            for target, fill_order in self._near_by_service[service]
             if target.target_id not in excluded
         ]
 
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -197,9 +197,9 @@
         """Return a placement on near targets if none elsewhere is worth considering, else None.
 
         Load pattern: traffic moves to one data centre, whose targets fill up while those of the
-        others are idle.
+        others are idle. A prompt that cannot be in time near goes elsewhere.
         """
-        if not near or prefill_ms(self._engine, request.prompt_tokens) >= LONG_PREFILL_MS / 2:
+        if not near:
             return None
         active = sum(item.load.active for item in near)
         slots = sum(min(self._engine.slots, item.target.slots) for item in near)
@@ -277,7 +277,7 @@
         idle = [
             item
             for item in open_candidates(candidates)
-            if item.load.prefill_until_ms <= now_ms + MAX_IDLE_BACKLOG_MS and not item.is_suspended
+            if item.load.busy_until_ms <= now_ms + MAX_IDLE_BACKLOG_MS and not item.is_suspended
         ]
         has_spare_capacity = (
             active <= MAX_LOAD_FOR_LATE_PROMPTS * slots and len(idle) >= len(candidates) // 2
@@ -364,7 +364,7 @@
         one. The estimate therefore assumes that the part waits for the backlog.
         """
         weights, load = self._weights, candidate.load
-        wait_ms = max(0.0, load.prefill_until_ms - now_ms)
+        wait_ms = max(0.0, load.busy_until_ms - now_ms)
         pass_ms = decode_pass_ms(self._engine, load.active + 1, load.context_tokens)
         current_pass_ms = pass_ms / 2 if load.active else 0.0
         first_token_ms = (
@@ -415,9 +415,7 @@
         self, candidates: list[Candidate], count: int, now_ms: Millis
     ) -> Millis:
         """Return the time until `count` engines have no prefill backlog, at least one pass."""
-        waits = sorted(
-            max(item.wait_ms, item.load.prefill_until_ms - now_ms) for item in candidates
-        )
+        waits = sorted(max(item.wait_ms, item.load.busy_until_ms - now_ms) for item in candidates)
         wait_ms = waits[min(count, len(waits)) - 1] if waits else 0.0
         return max(wait_ms, decode_pass_ms(self._engine, 1, 0))
 
@@ -447,7 +445,7 @@
         return candidates
 
     def key(item: Candidate) -> tuple[bool, float, int, float]:
-        wait_ms = max(0.0, item.load.prefill_until_ms - now_ms)
+        wait_ms = max(0.0, item.load.busy_until_ms - now_ms)
         return (item.is_suspended, wait_ms * item.slowdown, item.load.active, -item.fill_order)
 
     return heapq.nsmallest(MAX_LONG_PROMPT_CANDIDATES, candidates, key=key)
--- a/packages/marigoldarch/marigoldarch/serving/pool_view.py
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -1,6 +1,6 @@
 """The work on each target, from this entry's own attempts and the reports of its peers.
 
-The short attempts of other data centres are known as sums only.
+Attempts that stay within another data centre are known as sums only.
 
 Load pattern: entries that place requests by the targets' reports alone all choose the same idle
 target for as long as these reports lag. Each entry therefore reports the attempts that it starts
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -32,7 +32,8 @@
     `prefill_ms` is the expected prefill time of each target's part, `context_tokens` the memory of
     the first target. `held_tokens` is the memory that each helper holds for its part of the prompt,
     0 if the first target holds the whole prompt. `pause_goal_ms` is 0 for an attempt that is no
-    stream. `goal_in_ms` is the time from the start until the first token is late.
+    stream. `goal_in_ms` is the time from the start until the first token is late. An attempt that
+    `is_widely_reported` is also told to the entries of other data centres that get partial reports.
     """
 
     number: int
@@ -44,6 +45,7 @@
     pause_goal_ms: Millis
     goal_in_ms: Millis
     is_repeat: bool
+    is_widely_reported: bool = False
 
     @property
     def has_split_prefill(self) -> bool:
@@ -57,15 +59,17 @@
 
 
 class SummarizedLoad(NamedTuple):
-    """The short attempts of another data centre's entries on one target.
+    """The attempts on one target that the entries of its data centre have told each other only.
 
-    `active` is their number, `context_tokens` the sum of their memory, and `pause_goal_ms` the
-    shortest of their pause goals, 0 without streams.
+    `active` is the number of requests that the target runs, `context_tokens` the sum of their memory,
+    and `pause_goal_ms` the shortest of their pause goals, 0 without streams. The target is expected
+    to complete all prefills after `backlog_ms`.
     """
 
     active: int
     context_tokens: int
     pause_goal_ms: Millis
+    backlog_ms: Millis = 0.0
 
 
 NO_SUMMARY = SummarizedLoad(0, 0, 0.0)
@@ -119,7 +123,7 @@
     helper, and `unfinished_prefills` those whose prefill is not known to be complete. The target is
     expected to complete all known prefills at `prefill_until_ms`. An engine runs the parts of split
     prefills first, the newest part before older ones, and then whole prompts. `summary` holds the
-    short attempts that are not reported one by one.
+    attempts that are not reported one by one, as received at `summarized_ms`.
     """
 
     target: TargetHash = 0
@@ -128,6 +132,12 @@
     unfinished_prefills: dict[AttemptKey, _TrackedAttempt] = field(default_factory=dict)
     prefill_until_ms: Millis = 0.0
     summary: SummarizedLoad = NO_SUMMARY
+    summarized_ms: Millis = 0.0
+
+    @property
+    def busy_until_ms(self) -> Millis:
+        """Return when the target is expected to complete all prefills, summarized ones included."""
+        return max(self.prefill_until_ms, self.summarized_ms + self.summary.backlog_ms)
 
     @property
     def active(self) -> int:
@@ -175,7 +185,7 @@
     @property
     def is_empty(self) -> bool:
         """Return whether nothing is known to be in progress on the target."""
-        return not self.running and not self.helping and not self.summary.active
+        return not self.running and not self.helping and self.summary == NO_SUMMARY
 
 
 EMPTY_LOAD = TargetLoad()
@@ -268,26 +278,34 @@
                     other.part_ends_ms[target] -= left_ms
 
     def summarize(
-        self, targets: Iterable[TargetHash], entries: Collection[str]
+        self, targets: Collection[TargetHash], entries: Collection[str], now_ms: Millis
     ) -> dict[TargetHash, SummarizedLoad]:
-        """Return the short attempts of some entries on each of these targets that has any.
+        """Return the attempts of some entries on some targets, by target, as sums.
+
+        Attempts that are widely reported are left out: entries elsewhere know them one by one.
 
-        Load pattern: most attempts are short. Entries that rarely choose these targets need their
-        number, but not each of them.
+        Load pattern: most attempts stay in their data centre. Entries elsewhere rarely choose its
+        targets, and need to know how busy these are, but not each attempt.
         """
         summaries: dict[TargetHash, SummarizedLoad] = {}
         for target in targets:
-            short = [
+            load = self.load_of(target)
+            kept = [
                 attempt
-                for key, attempt in self.load_of(target).running.items()
-                if attempt.is_short and key[0] in entries
+                for key, attempt in (*load.running.items(), *load.helping.items())
+                if key[0] in entries and not attempt.is_widely_reported
             ]
-            if short:
-                pauses = [item.pause_goal_ms for item in short if item.pause_goal_ms > 0]
+            if kept:
+                running = [attempt for attempt in kept if attempt.targets[0] == target]
+                pauses = [item.pause_goal_ms for item in running if item.pause_goal_ms > 0]
                 summaries[target] = SummarizedLoad(
-                    len(short),
-                    sum(item.context_tokens for item in short),
+                    len(running),
+                    sum(
+                        item.context_tokens if item.targets[0] == target else item.held_tokens
+                        for item in kept
+                    ),
                     min(pauses, default=0.0),
+                    max(0.0, load.prefill_until_ms - now_ms),
                 )
         return summaries
 
@@ -297,9 +315,9 @@
         """Replace the summaries of a source, which is a data centre."""
         _, targets_before = self._summaries.get(source, (0.0, set()))
         for target in targets_before - loads.keys():
-            self._set_summary(target, NO_SUMMARY)
+            self._set_summary(target, NO_SUMMARY, now_ms)
         for target, load in loads.items():
-            self._set_summary(target, load)
+            self._set_summary(target, load, now_ms)
         self._summaries[source] = (now_ms, set(loads))
 
     def drop_old_summaries(self, now_ms: Millis) -> None:
@@ -314,9 +332,9 @@
         """Return the data centres whose summaries are known."""
         return set(self._summaries)
 
-    def _set_summary(self, target: TargetHash, summary: SummarizedLoad) -> None:
+    def _set_summary(self, target: TargetHash, summary: SummarizedLoad, now_ms: Millis) -> None:
         load = self._loads.setdefault(target, TargetLoad(target))
-        load.summary = summary
+        load.summary, load.summarized_ms = summary, now_ms
         if load.is_empty:
             del self._loads[target]
 
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -26,6 +26,7 @@
     pause_goal_ms: int
     goal_in_ms: int
     is_repeat: bool
+    is_widely_reported: bool = False
 
 
 class WorkReport(msgspec.Struct, array_like=True, frozen=True, tag="work"):
@@ -37,8 +38,8 @@
     just suspended, `slow` the measured slowdowns of targets in hundredths, and `requests` the
     number of requests by service since the last report. `leaving` are targets that have said in a
     response to this entry that they are leaving, each with the instant of its start. A report for
-    another data centre `is_partial`: it leaves out short attempts on targets of the own one, and
-    what counts for the retry budget.
+    another data centre `is_partial`: it leaves out attempts that stay in the own one, and what
+    counts for the retry budget.
     """
 
     node: str
@@ -56,15 +57,16 @@
 
 
 class TargetSummary(msgspec.Struct, array_like=True, frozen=True):
-    """The fields of `SummarizedLoad`, in the same order; `pause_goal_ms` is in whole ms."""
+    """The fields of `SummarizedLoad`, in the same order; times are in whole milliseconds."""
 
     active: int
     context_tokens: int
     pause_goal_ms: int
+    backlog_ms: int = 0
 
 
 class PoolSummary(msgspec.Struct, array_like=True, frozen=True, tag="summary"):
-    """The short attempts on a data centre's targets, for the entries of another.
+    """The attempts that stay within a data centre, by target, for the entries of another.
 
     `start_id` identifies the process of the entry `node`, and `serial` grows with each summary.
     """
