--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
@@ -42,7 +42,7 @@
 RESPONSE_DELAY_MS: Millis = 2.0
 """From the engine to the caller."""
 
-SUMMARY_INTERVAL_MS: Millis = 1000.0
+SUMMARY_INTERVAL_MS: Millis = 300.0
 """How often the short work of a data centre is summarized for the others."""
 
 RETRY_INTERVAL_MS: Millis = 50.0
--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -23,7 +23,7 @@
     EntriesChanged,
     HostStatus,
     NodesTold,
-    TargetTold,
+    pack_targets,
 )
 from marigoldarch.settings import ControlSettings
 from marigoldarch.store.document import Document
@@ -134,6 +134,7 @@
             self._entry_subscribers,
             self._control_subscribers,
             TargetFile(data_folder),
+            settings.data_centre,
         )
         self._targets.restore()
         self._seed_hosts: set[str] = set(settings.control_peers)
@@ -202,6 +203,7 @@
             self._publish_status()
             now_ms = self._clock.monotonic_ms()
             self._targets.expire()
+            self._targets.tell_elsewhere()
             self._presence.expire(now_ms)
             await trio.sleep(HELLO_INTERVAL_MS / 1000.0)
 
@@ -289,12 +291,12 @@
 
     def _initial_entry_messages(self, data_centre: str) -> list[object]:
         """Return the whole state, which an entry of a data centre gets when it connects."""
-        targets = [TargetTold(target) for target in self._targets.targets]
+        targets = pack_targets(self._targets.targets)
         entries = self._last_sent_entries.setdefault(
             data_centre, self._presence.entries_for(data_centre, self._clock.monotonic_ms())
         )
         nodes = NodesTold(self._live_hosts(), tuple(sorted(entries)))
-        return [*targets, nodes, self._host_status()]
+        return [targets, nodes, self._host_status()]
 
     def _host_status(self) -> HostStatus:
         """Return the status that entries get.
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -34,7 +34,9 @@
     HostStatus,
     NodesTold,
     TargetSilent,
+    TargetsTold,
     TargetTold,
+    unpack_targets,
 )
 from marigoldarch.serving.work_reports import PoolSummary, RelayedReport, WorkReport
 from marigoldarch.store.document import Document
@@ -68,7 +70,7 @@
 STOP_MARGIN_MS = 400.0
 """A stopping entry ends this long before its grace time is over, even with open connections."""
 
-SUMMARY_INTERVAL_S = 1.0
+SUMMARY_INTERVAL_S = 0.3
 """How often a data centre's short work is summarized for the others."""
 
 EntryMessage = WorkReport | PoolSummary | RelayedReport | HostsKnown
@@ -313,6 +315,9 @@
                 self._entries_by_host[host] = kept.union(added)
             case TargetTold(target=target):
                 self._state.target_view.update_target(host, target)
+            case TargetsTold():
+                for target in unpack_targets(message):
+                    self._state.target_view.update_target(host, target)
             case TargetSilent(target_id=target_id):
                 self._state.target_view.remove_target(host, target_id)
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/peer_stream.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/peer_stream.py
@@ -120,6 +120,13 @@
             if self._groups[node] == group:
                 outbox.put(line)
 
+    def send_to_other_groups(self, group: str, message: object) -> None:
+        """Queue a message for every connected node that is not in a group."""
+        line = self._encode_line([message])
+        for node, outbox in self._outboxes.items():
+            if self._groups[node] != group:
+                outbox.put(line)
+
     async def serve(self, exchange: Exchange, initial_messages: list[object]) -> None:
         """Stream messages to a subscriber, `initial_messages` first, until it disconnects."""
         node = subscriber_name(exchange)
@@ -224,7 +231,10 @@
             log.error("undecodable batch dropped", peer=self._peer, reason=str(error))
             return
         for message in messages:
-            self._on_message(self._peer, message)
+            try:
+                self._on_message(self._peer, message)
+            except CodecError as error:
+                log.error("undecodable message dropped", peer=self._peer, reason=str(error))
 
 
 async def fetch_lines(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
@@ -13,7 +13,7 @@
 
 from marigoldarch.exceptions import StorageError
 from marigoldarch.serving.targets import Target, TargetRegistry
-from marigoldarch.serving.watch import TargetSilent, TargetTold
+from marigoldarch.serving.watch import TargetSilent, TargetTold, pack_targets
 from marigoldarch.store.messages import TargetsHeard, TargetsNoted
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import JSON_HEADERS
@@ -49,8 +49,10 @@
         entry_subscribers: Subscribers,
         control_subscribers: Subscribers,
         file: TargetFile,
+        data_centre: str,
     ) -> None:
         self._dialect = dialect
+        self._data_centre = data_centre
         self._clock = clock
         self._metrics = metrics
         self._entry_subscribers = entry_subscribers
@@ -59,6 +61,7 @@
         self._has_unsaved_changes = False
         self._registry = TargetRegistry()
         self._renewals_to_relay: dict[str, Target] = {}
+        self._untold_elsewhere: dict[str, Target] = {}
         self._last_batch = 0
         self._acknowledgements: dict[int, trio.Event] = {}
 
@@ -121,7 +124,7 @@
         if departed is not None:
             self._has_unsaved_changes = True
             log.info("target has left", target=target_id, serial=departed.serial)
-            self._entry_subscribers.send_to_all(TargetTold(departed))
+            self._tell_entries(departed)
             if not await self._replicate_departure(departed):
                 await exchange.answer(503, JSON_HEADERS, b"{}")
                 return
@@ -145,6 +148,7 @@
         for target in self._registry.expire(self._clock.monotonic_ms()):
             self._has_unsaved_changes = True
             log.warning("target is silent", target=target.target_id, address=target.address)
+            self._untold_elsewhere.pop(target.target_id, None)
             self._entry_subscribers.send_to_all(TargetSilent(target.target_id))
 
     async def relay_renewals(self) -> None:
@@ -170,9 +174,28 @@
                 is_gone=target.is_gone,
                 serial=target.serial,
             )
-            self._entry_subscribers.send_to_all(TargetTold(target))
+            self._tell_entries(target)
         return is_new
 
+    def _tell_entries(self, target: Target) -> None:
+        """Tell the entries of a change; those of other data centres get new targets in batches.
+
+        A target that leaves is told to all at once.
+        """
+        if target.is_leaving:
+            self._untold_elsewhere.pop(target.target_id, None)
+            self._entry_subscribers.send_to_all(TargetTold(target))
+        else:
+            self._untold_elsewhere[target.target_id] = target
+            self._entry_subscribers.send_to_group(self._data_centre, TargetTold(target))
+
+    def tell_elsewhere(self) -> None:
+        """Send the entries of other data centres the targets that have become known."""
+        if self._untold_elsewhere:
+            batch = pack_targets(self._untold_elsewhere.values())
+            self._untold_elsewhere.clear()
+            self._entry_subscribers.send_to_other_groups(self._data_centre, batch)
+
     async def _replicate_departure(self, target: Target) -> bool:
         """Tell the other control hosts that a target leaves; return whether one acknowledged it.
 
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -63,6 +63,10 @@
 MAX_NEAR_LOAD = 0.7
 """Targets elsewhere are considered too when more of the near slots than this share are in use."""
 
+MAX_NEAR_HARM = 0.5
+"""Targets elsewhere are considered too when a placement near costs other requests more than this, in
+units of one answer that misses its goal."""
+
 PLANNED_MEMORY_SHARE = 0.92
 """The share of an engine's memory that placement uses; the rest is reserved for longer answers."""
 
@@ -181,7 +185,7 @@
         considered = open_candidates(candidates)
         if whole_prefill_ms >= LONG_PREFILL_MS / 2:
             considered = _shortest_backlogs(considered, now_ms)
-        best = self._place_at_lowest_cost(request, considered, whole_prefill_ms, now_ms)
+        best, _ = self._place_at_lowest_cost(request, considered, whole_prefill_ms, now_ms)
         is_late = best is None or best.first_token_ms > request.goal_ms
         if is_late and whole_prefill_ms > LONG_PREFILL_MS:
             return self._place_late_prompt(request, candidates, whole_prefill_ms, now_ms)
@@ -205,12 +209,12 @@
         slots = sum(min(self._engine.slots, item.target.slots) for item in near)
         if active >= MAX_NEAR_LOAD * slots:
             return None
-        found = self.place(request, near, now_ms)
-        if isinstance(found, Saturated) or found.first_token_ms > request.goal_ms:
-            return None
-        chosen = found.targets[0]
-        is_suspended = any(item.target == chosen and item.is_suspended for item in near)
-        return None if is_suspended else found
+        whole_prefill_ms = prefill_ms(self._engine, request.prompt_tokens)
+        found, harm = self._place_at_lowest_cost(
+            request, open_candidates(near), whole_prefill_ms, now_ms
+        )
+        is_in_time = found is not None and found.first_token_ms <= request.goal_ms
+        return found if is_in_time and harm <= MAX_NEAR_HARM else None
 
     def _place_at_lowest_cost(
         self,
@@ -218,10 +222,13 @@
         candidates: list[Candidate],
         whole_prefill_ms: Millis,
         now_ms: Millis,
-    ) -> Placement | None:
-        """Return the placement with the lowest cost over all numbers of parts, None without any."""
+    ) -> tuple[Placement | None, float]:
+        """Return the placement with the lowest cost over all numbers of parts, None without any.
+
+        The second value is that part of its cost that other requests bear.
+        """
         best: Placement | None = None
-        best_cost = float("inf")
+        best_cost = best_harm = float("inf")
         for parts in PREFILL_PART_COUNTS:
             if parts > len(candidates) or (parts > 1 and whole_prefill_ms < LONG_PREFILL_MS / 2):
                 break
@@ -229,14 +236,13 @@
             if chosen is None or self._exceeds_too_many_pauses(request, chosen):
                 continue
             first_token_ms = max(scored.first_token_ms for scored in chosen)
-            cost = sum(scored.cost for scored in chosen) + self._first_token_cost(
-                request, first_token_ms
-            )
+            harm = sum(scored.cost for scored in chosen)
+            cost = harm + self._first_token_cost(request, first_token_ms)
             cost += self._weights.per_helper * (parts - 1)
             if cost < best_cost:
-                best_cost = cost
+                best_cost, best_harm = cost, harm
                 best = self._placement(request, chosen, first_token_ms)
-        return best
+        return best, best_harm
 
     def _exceeds_too_many_pauses(
         self, request: PlacementRequest, chosen: list[_ScoredCandidate]
--- a/packages/marigoldarch/marigoldarch/serving/watch.py
+++ b/packages/marigoldarch/marigoldarch/serving/watch.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import base64
+import zlib
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
 
 from marigoldarch.codec import Codec
+from marigoldarch.exceptions import CodecError
 from marigoldarch.serving.report_recipients import EntryNode
 from marigoldarch.serving.targets import Target
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 @dataclass(frozen=True)
 class HostStatus:
@@ -53,6 +62,17 @@
     target: Target
 
 
+@dataclass(frozen=True)
+class TargetsTold:
+    """Several targets are new or have changed; the text is made by `pack_targets`.
+
+    Load pattern: hundreds of targets announce themselves to hundreds of entries in other data
+    centres. Compressed together, a target takes a fifth of the bytes of a `TargetTold`.
+    """
+
+    text: str
+
+
 @dataclass(frozen=True)
 class TargetSilent:
     """No control host has received a recent announcement of a target."""
@@ -60,6 +80,23 @@
     target_id: str
 
 
-WatchMessage = HostStatus | NodesTold | EntriesChanged | TargetTold | TargetSilent
+WatchMessage = HostStatus | NodesTold | EntriesChanged | TargetTold | TargetsTold | TargetSilent
+
+WATCH_MESSAGES = Codec(
+    (HostStatus, NodesTold, EntriesChanged, TargetTold, TargetsTold, TargetSilent)
+)
+
+
+def pack_targets(targets: Iterable[Target]) -> TargetsTold:
+    """Return the message for several targets."""
+    data = msgspec.json.encode([tuple(target) for target in targets])
+    return TargetsTold(base64.b85encode(zlib.compress(data)).decode())
+
 
-WATCH_MESSAGES = Codec((HostStatus, NodesTold, EntriesChanged, TargetTold, TargetSilent))
+def unpack_targets(message: TargetsTold) -> list[Target]:
+    """Return the targets of a message; raise `CodecError` if its text cannot be decoded."""
+    try:
+        data = zlib.decompress(base64.b85decode(message.text))
+        return msgspec.json.decode(data, type=list[Target])
+    except (ValueError, zlib.error, msgspec.MsgspecError) as error:
+        raise CodecError(f"targets of a control host cannot be decoded: {error}") from error
