--- a/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/roles.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/capacity/roles.py
@@ -221,8 +221,11 @@
         f"{sizes.NODES} sessions",
         2 * heartbeats + 2 * sizes.NODES * sizes.CHANGES_PER_S,
         heartbeats * ack_bytes + sizes.CHANGES_PER_S * change_bytes,
-        costs.at("leader process: processor time", "ms/s"),
-        costs.at("leader process: resident memory", "bytes"),
+        heartbeats * costs.at("leader: one heartbeat", "us") / 1000.0
+        + TICKS_PER_S * costs.at("leader: one tick", "us") / 1000.0
+        + sizes.CHANGES_PER_S * costs.at("leader: a change to all nodes", "us") / 1000.0
+        + 2 * heartbeats * LINK_BATCH_CPU_MS,
+        costs.at("node: view in memory", "bytes"),
     )
 
 
