--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -12,10 +12,13 @@
 
 import msgspec
 import trio
-from expression import Result
 
 from marigoldarch.exceptions import DamagedLogError
-from marigoldarch.serving.declaration import describe_fault, validate_declaration
+from marigoldarch.serving.declaration import (
+    ServingDeclaration,
+    describe_fault,
+    validate_declaration,
+)
 from marigoldarch.serving.presence import HELLO_INTERVAL_MS, Hello, HostsKnown, NodeRole, Presence
 from marigoldarch.serving.targets import TARGET_SILENCE_MS
 from marigoldarch.serving.watch import (
@@ -372,10 +375,13 @@
 
     async def _put_declaration(self, exchange: Exchange) -> None:
         body = exchange.request.body
-        match self._dialect.read_declaration(body).bind(validate_declaration):
-            case Result(tag="ok", ok=declaration):
-                version = declaration.version
-            case Result(error=fault):
+        decoded = self._dialect.read_declaration(body)
+        if isinstance(decoded, ServingDeclaration):
+            decoded = validate_declaration(decoded)
+        match decoded:
+            case ServingDeclaration(version=version):
+                pass
+            case fault:
                 log.warning("declaration refused", reason=describe_fault(fault))
                 self._metrics.declarations.inc({"outcome": "invalid"})
                 await exchange.answer(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
@@ -13,8 +13,6 @@
 from marigoldarch.serving.routing import PromptSize
 
 if TYPE_CHECKING:
-    from expression import Result
-
     from marigoldarch.serving.declaration import DeclarationFault, ServingDeclaration
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.http_server import Headers, Request
@@ -126,14 +124,12 @@
         """Decode a request to the system itself; return None if it is unknown."""
         ...
 
-    def read_declaration(self, body: bytes) -> Result[ServingDeclaration, DeclarationFault]:
-        """Decode a declaration, without checking that its parts are consistent."""
+    def read_declaration(self, body: bytes) -> ServingDeclaration | DeclarationFault:
+        """Decode a declaration, or return its fault; its parts need not be consistent."""
         ...
 
-    def read_announcement(
-        self, target_id: str, body: bytes
-    ) -> Result[Target, UnreadableAnnouncement]:
-        """Decode the announcement of a target."""
+    def read_announcement(self, target_id: str, body: bytes) -> Target | UnreadableAnnouncement:
+        """Decode the announcement of a target, or return why that fails."""
         ...
 
     def read_request(self, request: Request) -> RequestInfo:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -10,9 +10,9 @@
 
 import msgspec
 import trio
-from expression import Result
 
 from marigoldarch.serving.candidates import cached_name_hash
+from marigoldarch.serving.declaration import ServingDeclaration
 from marigoldarch.serving.presence import (
     HELLO_INTERVAL_MS,
     Hello,
@@ -366,10 +366,10 @@
             self._versions_by_host.pop(host, None)
             return False
         match self._dialect.read_declaration(decompress_declaration(document)):
-            case Result(tag="ok", ok=declaration):
+            case ServingDeclaration() as declaration:
                 self._state.apply_table(RoutingTable(declaration))
                 return True
-            case Result(error=fault):
+            case fault:
                 log.error("stored declaration cannot be decoded", peer=host, reason=str(fault))
                 self._versions_by_host.pop(host, None)
                 return False
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
@@ -9,7 +9,6 @@
 
 import msgspec
 import trio
-from expression import Result
 
 from marigoldarch.exceptions import StorageError
 from marigoldarch.serving.targets import Target, TargetRegistry
@@ -99,9 +98,9 @@
         A target that leaves gets 503 until another control host has acknowledged it.
         """
         match self._dialect.read_announcement(target_id, exchange.request.body):
-            case Result(tag="ok", ok=target):
+            case Target() as target:
                 pass
-            case Result(error=fault):
+            case fault:
                 log.warning("announcement cannot be decoded", target=target_id, reason=fault.reason)
                 self._metrics.announcements.inc({"outcome": "unreadable"})
                 body = msgspec.json.encode({"error": fault.reason})
--- a/packages/marigoldarch/marigoldarch/serving/declaration.py
+++ b/packages/marigoldarch/marigoldarch/serving/declaration.py
@@ -5,8 +5,6 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from expression import Error, Ok, Result
-
 from marigoldarch.clock import Millis
 
 
@@ -180,25 +178,25 @@
 
 def validate_declaration(
     declaration: ServingDeclaration,
-) -> Result[ServingDeclaration, DeclarationFault]:
+) -> ServingDeclaration | DeclarationFault:
     """Return the declaration, or its first fault."""
     services = {service.name for service in declaration.services}
     prefixes: set[tuple[str, str]] = set()
     for route in declaration.routes:
         fault = _find_route_fault(route, services)
         if fault is not None:
-            return Error(fault)
+            return fault
         prefix = (route.host, route.path_prefix)
         if prefix in prefixes:
-            return Error(DuplicateRoute(*prefix))
+            return DuplicateRoute(*prefix)
         prefixes.add(prefix)
     key_owners: dict[str, str] = {}
     for customer in declaration.customers:
         for key in customer.keys:
             owner = key_owners.setdefault(key, customer.name)
             if owner != customer.name:
-                return Error(SharedKey(owner, customer.name))
-    return Ok(declaration)
+                return SharedKey(owner, customer.name)
+    return declaration
 
 
 def _find_route_fault(route: Route, services: set[str]) -> DeclarationFault | None:
--- a/packages/marigoldarch/marigoldarch/tests/serving/declaration_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/declaration_tests.py
@@ -23,11 +23,11 @@
 
     def fault(self, *routes: object, **changes: object) -> object:
         """Return the fault of a declaration."""
-        return validate_declaration(declaration(*routes, **changes)).error
+        return validate_declaration(declaration(*routes, **changes))
 
     def test_valid_declaration_is_accepted(self) -> None:
         sound = declaration()
-        self.assertEqual(validate_declaration(sound).ok, sound)
+        self.assertEqual(validate_declaration(sound), sound)
 
     def test_unknown_service_is_refused(self) -> None:
         fault = self.fault(route(services=(WeightedService("none", 1.0),)))
@@ -56,4 +56,5 @@
 
     def test_one_customer_may_list_a_key_twice(self) -> None:
         customers = (Customer("a", ("k", "k"), None),)
-        self.assertTrue(validate_declaration(declaration(customers=customers)).is_ok())
+        sound = declaration(customers=customers)
+        self.assertEqual(validate_declaration(sound), sound)
