--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -71,7 +71,7 @@
 """A stopping entry ends this long before its grace time is over, even with open connections."""
 
 SUMMARY_INTERVAL_S = 0.3
-"""How often a data centre's short work is summarized for the others."""
+"""How often the work that stays in a data centre is summarized for the others."""
 
 EntryMessage = WorkReport | PoolSummary | RelayedReport | HostsKnown
 """The datagrams that an entry receives."""
@@ -229,7 +229,7 @@
                 await self._datagrams.send(RelayedReport(reports.partial), *recipients.relays)
 
     async def _send_summaries(self) -> None:
-        """Send summaries of the own data centre's short work to the others, until cancelled."""
+        """Send summaries of the work that stays in this data centre to the others, until cancelled."""
         own = self._own_node
         while True:
             await trio.sleep(SUMMARY_INTERVAL_S)
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -182,9 +182,7 @@
     ) -> Placement | Saturated:
         """Return the placement with the lowest cost, or after how long to try again."""
         whole_prefill_ms = prefill_ms(self._engine, request.prompt_tokens)
-        considered = open_candidates(candidates)
-        if whole_prefill_ms >= LONG_PREFILL_MS / 2:
-            considered = _shortest_backlogs(considered, now_ms)
+        considered = self._considered(candidates, whole_prefill_ms, now_ms)
         best, _ = self._place_at_lowest_cost(request, considered, whole_prefill_ms, now_ms)
         is_late = best is None or best.first_token_ms > request.goal_ms
         if is_late and whole_prefill_ms > LONG_PREFILL_MS:
@@ -210,12 +208,19 @@
         if active >= MAX_NEAR_LOAD * slots:
             return None
         whole_prefill_ms = prefill_ms(self._engine, request.prompt_tokens)
-        found, harm = self._place_at_lowest_cost(
-            request, open_candidates(near), whole_prefill_ms, now_ms
-        )
+        considered = self._considered(near, whole_prefill_ms, now_ms)
+        found, harm = self._place_at_lowest_cost(request, considered, whole_prefill_ms, now_ms)
         is_in_time = found is not None and found.first_token_ms <= request.goal_ms
         return found if is_in_time and harm <= MAX_NEAR_HARM else None
 
+    def _considered(
+        self, candidates: list[Candidate], whole_prefill_ms: Millis, now_ms: Millis
+    ) -> list[Candidate]:
+        """Return the candidates to score: all that accept requests, a bounded number if long."""
+        accepting = open_candidates(candidates)
+        is_long = whole_prefill_ms >= LONG_PREFILL_MS / 2
+        return _shortest_backlogs(accepting, now_ms) if is_long else accepting
+
     def _place_at_lowest_cost(
         self,
         request: PlacementRequest,
@@ -225,7 +230,7 @@
     ) -> tuple[Placement | None, float]:
         """Return the placement with the lowest cost over all numbers of parts, None without any.
 
-        The second value is that part of its cost that other requests bear.
+        The second value is its cost without that of its own first token: what others bear.
         """
         best: Placement | None = None
         best_cost = best_harm = float("inf")
@@ -488,8 +493,9 @@
 def choose_least_loaded(candidates: list[Candidate]) -> Candidate | None:
     """Return the target with the smallest share of its slots in use, scaled by its slowdown.
 
-    It is for services without an engine formula. Local targets are preferred. Full targets are chosen only if there is no other, suspended ones only after them, and targets that
-    have asked for a wait not at all.
+    It is for services without an engine formula. Local targets are preferred. Full targets are
+    chosen only if there is no other, suspended ones only after them, and targets that have asked
+    for a wait not at all.
 
     Load pattern: calls of different lengths on few targets; the target with the fewest calls in
     progress is likely to be free first.
