--- a/packages/marigoldarch/marigoldarch/serving/targets.py
+++ b/packages/marigoldarch/marigoldarch/serving/targets.py
@@ -263,9 +263,10 @@
             }
 
     def _merge_one(self, target_id: str) -> None:
-        """Update whether one target is usable; the cost does not grow with the other targets.
+        """Update whether one target is usable, without looking at the views of the others.
 
-        Load pattern: a control host lists hundreds of targets one after the other.
+        Load pattern: a control host lists hundreds of targets one after the other. A change still
+        copies the table of usable targets.
         """
         is_listed = any(target_id in view.targets for view in self._views.values())
         is_kept = not self._has_complete_view and target_id in self._usable
