Tell streams that the entry cuts from those that callers leave

A begun answer for which no target had room left was logged and counted as 'caller gone', so that the log of an answer that was lost told of a caller that had left. A cut by the entry now ends with 'stream cut: REASON' in the line 'request ended' and in requests_total.

No decision is changed. The test counted {'caller gone': 1} before. The entry of the test runs within the test's process, with the real dialect and fake replicas.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -80,6 +80,16 @@
     retry_after_ms: Millis | None = None
 
 
+@dataclass
+class StreamCutError(Exception):
+    """Ends a request whose response has begun and cannot be completed.
+
+    `reason` is part of the outcome in the metric and the log line.
+    """
+
+    reason: str
+
+
 @dataclass
 class Call:
     """An admitted request with its route, its service and the attempts made so far.
@@ -128,6 +138,9 @@
         except RefusalError as refusal:
             outcome = f"refused: {refusal.reason}"
             await self._refuse(exchange, request_info, refusal)
+        except StreamCutError as cut:
+            outcome = f"stream cut: {cut.reason}"
+            exchange.abort()
         except CallerDisconnectedError:
             exchange.has_caller_disconnected = True
         finally:
@@ -189,16 +202,14 @@
                     await attempt.deliver_withheld_failure()
                     return f"target failed: {_status_of(outcome)}"
                 case CutStream():
-                    call.exchange.abort()
-                    return "stream cut"
+                    raise StreamCutError(_detail_of(outcome))
                 case Refuse(retry_after_ms=retry_after_ms):
                     raise RefusalError(
                         503, "no target ran it", self._retry_after_ms(call, retry_after_ms)
                     )
                 case Fail(is_timeout=is_timeout):
                     if call.exchange.is_head_sent:
-                        call.exchange.abort()
-                        return "stream cut"
+                        raise StreamCutError(_detail_of(outcome))
                     raise RefusalError(504 if is_timeout else 502, "outcome unknown")
 
     async def _wait_for_placement(self, call: Call) -> Placement:
@@ -234,8 +245,7 @@
             view_age_ms=round(self._state.workload.oldest_report_ms),
         )
         if call.exchange.is_head_sent:
-            call.exchange.abort()
-            raise CallerDisconnectedError
+            raise StreamCutError("no room")
         if call.history.may_have_run:
             raise RefusalError(502, "outcome unknown")
         raise RefusalError(503, "no room", placement.retry_after_ms)
@@ -359,7 +369,7 @@
             request=call.request_id,
             target=plan.forwarding.target_id,
             outcome=outcome_name,
-            detail=str(getattr(outcome, "reason", "") or _status_of(outcome)),
+            detail=_detail_of(outcome),
             next=type(step).__name__,
             sent=call.history.sent,
             left_ms=round(call.deadline_ms - self._now_ms()),
@@ -398,6 +408,11 @@
     )
 
 
+def _detail_of(outcome: AttemptOutcome) -> str:
+    """Return why an attempt has no usable answer: the reason, or the target's status."""
+    return str(getattr(outcome, "reason", "") or _status_of(outcome))
+
+
 SHORT_PROMPT_TOKENS = 16_384
 LONG_PROMPT_TOKENS = 102_400
 
