Keep a silent target until another one has spoken

What callers saw: streams that were cut, or answered 502, although their target was sound, had fallen silent for a second and would have gone on.

Cause: the stall detector closed the connection to a silent target first. Only then it was decided whether another attempt was allowed (attempt limit, retry budget, time, other targets) and had room, and the other target could still refuse, be unreachable or break off. Each of these cut the caller. Class of fault: something that works is given up before its replacement is known to work.

Change: silence ends nothing. The detector reports it, AttemptHistory.find_hedge_obstacle decides by the same conditions as a retry, and HedgedAttempts runs another attempt beside the silent one. The attempt that speaks first keeps the caller's response; the other one is superseded. A silent target still counts as a failure of its health once per silence. The outcome 'stalled' no longer exists.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -4,7 +4,7 @@
 
 from contextlib import aclosing
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import trio
 
@@ -60,15 +60,14 @@
 class AttemptPlan:
     """The targets and headers of an attempt, and the memory to reserve at its helpers first.
 
-    `last_event` is the number of the last stream event that was forwarded to the caller; the next
-    attempt resumes after it.
+    With `is_repeat` the request was sent to another target before.
     """
 
     call: Call
     placement: Placement
     forwarding: ForwardingInfo
-    last_event: int | None
     reservations: list[MemoryReservation]
+    is_repeat: bool
 
 
 @dataclass(frozen=True)
@@ -76,10 +75,27 @@
     """The whole response was sent to the caller."""
 
 
+@dataclass(frozen=True)
+class Superseded:
+    """Another attempt of the request has responded first."""
+
+
+class AttemptObserver(Protocol):
+    """What an attempt reports while it runs."""
+
+    def on_silent(self, attempt: Attempt, silent_ms: Millis) -> None:
+        """Call repeatedly while the target sends nothing for too long."""
+        ...
+
+    def on_response(self, attempt: Attempt) -> None:
+        """Call before each part of a response that is sent to the caller."""
+        ...
+
+
 class Attempt:
     """Runs one attempt of a call."""
 
-    def __init__(self, context: EntryContext, plan: AttemptPlan) -> None:
+    def __init__(self, context: EntryContext, plan: AttemptPlan, observer: AttemptObserver) -> None:
         self._state = context.state
         self._dialect = context.dialect
         self._connections = context.connections
@@ -88,13 +104,32 @@
         self._call = plan.call
         self._target_id = plan.forwarding.target_id
         self._work_number = 0
-        self._stall_detector = StallDetector(context.state, plan.call, plan.placement)
+        self._observer = observer
+        self._stall_detector = StallDetector(
+            context.state, plan.call, plan.placement, self._report_silence
+        )
+        self._scope = trio.CancelScope()
+        self._is_silence_recorded = False
         self._withheld_failure: tuple[ResponseHead, bytes] | None = None
         self._sent_ms: Millis = 0.0
         self._event_count = 0
         self._has_caller_disconnected = False
 
-    async def run(self) -> Delivered | AttemptOutcome:
+    @property
+    def plan(self) -> AttemptPlan:
+        """Return the plan of the attempt."""
+        return self._plan
+
+    @property
+    def is_sent(self) -> bool:
+        """Return whether anything may have been sent to the target."""
+        return self._sent_ms > 0.0
+
+    def supersede(self) -> None:
+        """Give up the attempt, as another one of the request responds."""
+        self._scope.cancel()
+
+    async def run(self) -> Delivered | Superseded | AttemptOutcome:
         """Send the request and relay the response; return the outcome.
 
         When the caller disconnects, the attempt is cancelled, and the connection to the target is
@@ -105,15 +140,30 @@
             work = work._replace(is_widely_reported=True)
         self._work_number = self._state.workload.start(work)
         try:
-            if self._plan.reservations:
-                refusing_target = await self._reservations.reserve(self._plan.reservations)
-                if refusing_target is not None:
-                    return self._reservation_refused(refusing_target)
-            return await self._send_and_relay()
+            with self._scope:
+                if self._plan.reservations:
+                    refusing_target = await self._reservations.reserve(self._plan.reservations)
+                    if refusing_target is not None:
+                        return self._reservation_refused(refusing_target)
+                return await self._send_and_relay()
+            return Superseded()
         finally:
             self._reservations.release(self._plan.reservations)
             self._state.workload.end(self._work_number)
 
+    def _report_silence(self, silent_ms: Millis) -> None:
+        """Record a silent target as failing, once, and report its silence."""
+        if not self._is_silence_recorded:
+            self._is_silence_recorded = True
+            self._state.record_failure(self._target_id, is_unreachable=False)
+        self._observer.on_silent(self, silent_ms)
+
+    async def _claim_response(self) -> None:
+        """Take over the response to the caller; an attempt that is superseded ends here."""
+        if self._scope.cancel_called:
+            await trio.lowlevel.checkpoint()
+        self._observer.on_response(self)
+
     def _concerns_other_data_centres(self, work: RunningAttempt) -> bool:
         """Return whether entries of other data centres must know of this attempt by itself.
 
@@ -209,7 +259,7 @@
             placement.held_tokens,
             call.route.pause_goal_ms if call.route.is_stream else 0.0,
             max(0.0, call.route.goal_ms - self._elapsed_ms()),
-            call.history.is_repeat,
+            self._plan.is_repeat,
         )
 
     def _primary_target_tokens(self) -> int:
@@ -244,8 +294,6 @@
         try:
             with self._stall_detector.waiting(has_begun=False):
                 head = await connection.read_head()
-            if self._stall_detector.is_stalled:
-                return None, self._incomplete_outcome(FailureReason.STALLED)
             response_info = self._dialect.read_response(head)
             self._record_signals(connection, response_info)
             if response_info.is_event_stream and 200 <= head.status < 300:
@@ -290,6 +338,7 @@
             return None, OutcomeUnknown(FailureReason.GARBLED)
         if self._call.exchange.is_head_sent:
             return None, self._incomplete_outcome(FailureReason.GARBLED)
+        await self._claim_response()
         self._record_first_response()
         await self._call.exchange.answer(head.status, self._dialect.caller_headers(head), body)
         return head, Delivered()
@@ -306,8 +355,6 @@
             while True:
                 with self._stall_detector.waiting(has_begun=self._event_count > 0):
                     data = await anext(chunks, None)
-                if self._stall_detector.is_stalled:
-                    return None, self._incomplete_outcome(FailureReason.STALLED)
                 if data is None:
                     break
                 events_before = self._event_count
@@ -321,6 +368,7 @@
                     last_event_ms = now_ms
         if splitter.has_partial_event:
             return None, self._incomplete_outcome(FailureReason.CUT)
+        await self._claim_response()
         if not self._call.exchange.is_head_sent:
             await self._call.exchange.send_head(head.status, self._dialect.caller_headers(head))
         await self._call.exchange.end()
@@ -331,16 +379,18 @@
     ) -> None:
         """Forward the events that a chunk completes; raise `StreamError` if one is missing."""
         exchange = self._call.exchange
+        events = splitter.feed(data)
+        if not events:
+            return
+        await self._claim_response()
         parts: list[bytes] = []
-        for event in splitter.feed(data):
-            last = self._plan.last_event
+        for event in events:
+            last = self._call.last_event
             if event.event_id is not None:
                 if last is not None and event.event_id != last + 1:
                     raise StreamError(f"event {event.event_id} follows event {last} of the stream")
-                self._plan.last_event = event.event_id
+                self._call.last_event = event.event_id
             parts.append(event.data)
-        if not parts:
-            return
         if not self._event_count:
             self._state.workload.finish_prefill(self._work_number)
             if not exchange.is_head_sent:
@@ -366,7 +416,7 @@
     def _incomplete_outcome(self, reason: FailureReason) -> AttemptOutcome:
         """Return the outcome of an attempt without a complete, valid response."""
         if self._call.exchange.is_head_sent:
-            return StreamBroken(reason, self._plan.last_event or 0)
+            return StreamBroken(reason, self._call.last_event or 0)
         return OutcomeUnknown(reason)
 
     def _record_refusal(self, response_info: ResponseInfo) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -15,6 +15,7 @@
     CutStream,
     DeliverFailure,
     Fail,
+    HedgeObstacle,
     NextStep,
     Refuse,
     TargetFailed,
@@ -31,9 +32,10 @@
     refusal_retry_after_ms,
     shortest_wait_ms,
 )
-from marigoldarch_node.serving.attempt import Attempt, AttemptPlan, Delivered, EntryContext
+from marigoldarch_node.serving.attempt import AttemptPlan, Delivered, EntryContext
 from marigoldarch_node.serving.dialect import ForwardingInfo, RequestInfo
 from marigoldarch_node.serving.event_log import EventLog
+from marigoldarch_node.serving.hedging import HedgedAttempts
 from marigoldarch_node.serving.http_server import CallerDisconnectedError
 
 if TYPE_CHECKING:
@@ -95,8 +97,9 @@
     """An admitted request with its route, its service and the attempts made so far.
 
     `version` is that of the declaration that applies to the request, `deadline_ms` the monotonic
-    time by which the response must be complete. `longest_pause_ms` is the longest time between two
-    forwarded groups of stream events.
+    time by which the response must be complete. `last_event` is the number of the last stream event
+    that the caller has; the next attempt resumes after it. `longest_pause_ms` is the longest time
+    between two forwarded groups of stream events.
     """
 
     exchange: Exchange
@@ -107,6 +110,7 @@
     version: int
     deadline_ms: Millis
     history: AttemptHistory
+    last_event: int | None
     longest_pause_ms: Millis = 0.0
 
     def record_pause(self, pause_ms: Millis) -> None:
@@ -176,25 +180,28 @@
         state.workload.count_request(cached_name_hash(service.name))
         history = AttemptHistory(route)
         return Call(
-            exchange, request_info, route, service, customer, table.version, deadline_ms, history
+            exchange,
+            request_info,
+            route,
+            service,
+            customer,
+            table.version,
+            deadline_ms,
+            history,
+            request_info.last_event,
         )
 
     async def _run_attempts(self, call: Call) -> str:
         """Make attempts until the request has ended; return its outcome for logs and metrics."""
-        last_event = call.request_info.last_event
         while True:
             placement = await self._wait_for_placement(call)
-            plan = self._plan_attempt(call, placement, last_event)
-            self._log_placement(call, placement)
-            attempt = Attempt(self._context, plan)
-            outcome = await attempt.run()
+            plan = self._plan_attempt(call, placement, is_repeat=call.history.is_repeat)
+            attempts = HedgedAttempts(self._context, call, self._plan_hedge, self._log_attempt)
+            attempt, outcome = await attempts.run(plan)
             if isinstance(outcome, Delivered):
                 return "delivered"
-            target_id = placement.targets[0].target_id
-            call.history.record(target_id, outcome)
             step = call.history.next_step(outcome, self._remaining_budget(call))
-            self._log_attempt(call, plan, outcome, step)
-            last_event = plan.last_event
+            self._log_attempt(call, attempt.plan, outcome, step)
             match step:
                 case TryAgain():
                     continue
@@ -293,10 +300,19 @@
         candidates = self._state.candidates.find(call.service.name, set(), self._now_ms())
         return refusal_retry_after_ms(candidates, told_ms, DEFAULT_RETRY_AFTER_MS)
 
-    def _plan_attempt(
-        self, call: Call, placement: Placement, last_event: int | None
-    ) -> AttemptPlan:
+    def _plan_hedge(self, call: Call, running: int) -> AttemptPlan | HedgeObstacle:
+        """Return the plan of an attempt beside running ones, or why there is none now."""
+        obstacle = call.history.find_hedge_obstacle(running, self._remaining_budget(call))
+        if obstacle is not None:
+            return obstacle
+        placement = self._choose_placement(call)
+        if isinstance(placement, Saturated):
+            return HedgeObstacle.NO_ROOM
+        return self._plan_attempt(call, placement, is_repeat=True)
+
+    def _plan_attempt(self, call: Call, placement: Placement, *, is_repeat: bool) -> AttemptPlan:
         """Return what to send to the chosen targets, with a memory reservation for each helper."""
+        self._log_placement(call, placement)
         prompt = call.request_info.prompt
         customer = call.customer
         rank = call.route.rank
@@ -316,11 +332,11 @@
             placement.targets[0].target_id,
             customer.name if customer else "",
             call.deadline_ms - self._now_ms(),
-            last_event,
+            call.last_event,
             _request_priority(rank, prompt.tokens) if prompt else None,
             tuple(helpers),
         )
-        return AttemptPlan(call, placement, forwarding, last_event, reservations)
+        return AttemptPlan(call, placement, forwarding, reservations, is_repeat)
 
     def _remaining_budget(self, call: Call) -> Budget:
         """Return the remaining time, and whether a retry is allowed and another target is left."""
--- a/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
@@ -1,4 +1,4 @@
-"""Stall detection for streams: ends an attempt when its target sends nothing for too long."""
+"""Stall detection for streams: reports a target that sends nothing for too long."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from marigoldarch.clock import Millis
     from marigoldarch.serving.placement import Placement
@@ -29,60 +29,54 @@
 
 
 class StallDetector:
-    """Limits the waiting for a target; time spent sending to the caller does not count."""
-
-    def __init__(self, state: EntryState, call: Call, placement: Placement) -> None:
+    """Watches the waits for a target; time spent sending to the caller does not count.
+
+    While the target is silent, `on_silent` is called with the duration of the wait, again and again.
+    """
+
+    def __init__(
+        self,
+        state: EntryState,
+        call: Call,
+        placement: Placement,
+        on_silent: Callable[[Millis], None],
+    ) -> None:
         self._state = state
         self._call = call
         self._expected_first_token_ms = placement.first_token_ms
         self._target_id = placement.targets[0].target_id
+        self._on_silent = on_silent
         self._waiting_since_ms: Millis | None = None
         self._has_begun = False
-        self._wait_scope = trio.CancelScope()
-
-    @property
-    def is_stalled(self) -> bool:
-        """Return whether the last wait was cancelled because the target sent nothing."""
-        return self._wait_scope.cancelled_caught
 
     @property
     def is_needed(self) -> bool:
-        """Return whether another attempt may resume the stream; else only the deadline ends it."""
-        route, history = self._call.route, self._call.history
-        has_more = history.sent + 1 < route.attempt_limit
-        return route.is_stream and route.may_repeat and has_more
+        """Return whether another attempt may continue the stream; else only the deadline ends it."""
+        return self._call.route.is_stream and self._call.route.may_repeat
 
     @contextmanager
     def waiting(self, *, has_begun: bool) -> Iterator[None]:
-        """Context manager around a wait for the target; a stall cancels this block only.
-
-        Data that arrived is forwarded even if the target was found stalled at the same instant, as
-        after a pause of the whole process.
-        """
+        """Context manager around a wait for the target."""
         self._has_begun = has_begun
         self._waiting_since_ms = self._state.clock.monotonic_ms()
         try:
-            with trio.CancelScope() as self._wait_scope:
-                yield
+            yield
         finally:
             self._waiting_since_ms = None
-        if not self._wait_scope.cancelled_caught:
-            self._state.health.note_heard(self._target_id, self._state.clock.monotonic_ms())
+        self._state.health.note_heard(self._target_id, self._state.clock.monotonic_ms())
 
     async def run(self) -> None:
-        """Cancel the current wait once the target has been silent for too long; until cancelled."""
+        """Report the target while it has been silent for too long; until cancelled."""
         while True:
             now_ms = self._state.clock.monotonic_ms()
+            since_ms = self._waiting_since_ms
             left_ms = CHECK_INTERVAL_MS
-            if self._waiting_since_ms is not None:
-                left_ms = min(
-                    stall_deadline_ms(self._stall_state(self._waiting_since_ms)) - now_ms,
-                    CHECK_INTERVAL_MS,
-                )
-            if left_ms <= 0:
-                self._wait_scope.cancel()
-                left_ms = CHECK_INTERVAL_MS
-            await trio.sleep(left_ms / 1000.0)
+            if since_ms is not None:
+                left_ms = stall_deadline_ms(self._stall_state(since_ms)) - now_ms
+                if left_ms <= 0:
+                    self._on_silent(now_ms - since_ms)
+                    left_ms = CHECK_INTERVAL_MS
+            await trio.sleep(min(left_ms, CHECK_INTERVAL_MS) / 1000.0)
 
     def _stall_state(self, since_ms: Millis) -> StallState:
         """Return what decides how long to wait for the target, which is silent since `since_ms`."""
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -3,6 +3,10 @@
 Load pattern: targets that shed load, fail or disappear while callers wait. A request is retried
 only where that is safe, within the route's attempt limit and the shared retry budget, and while
 time is left.
+
+Load pattern: targets that send nothing for a second or more. Most of them go on, a few have stopped.
+Another target may then try as well, under the same conditions as a retry. The attempt on the silent
+target goes on meanwhile, since the other target may refuse or fail.
 """
 
 from __future__ import annotations
@@ -28,7 +32,6 @@
     RESET = "reset"
     TIMEOUT = "timeout"
     GARBLED = "garbled"
-    STALLED = "stalled"
     CUT = "cut"
     NO_MEMORY = "no memory"
     TARGET_WAITS = "target waits"
@@ -104,7 +107,23 @@
     """End the caller's stream in the middle, so that it is seen as incomplete."""
 
 
-NextStep = TryAgain | DeliverFailure | Refuse | Fail | CutStream
+@dataclass(frozen=True)
+class AwaitOther:
+    """Wait for another attempt of the request, which is still in progress."""
+
+
+NextStep = TryAgain | DeliverFailure | Refuse | Fail | CutStream | AwaitOther
+
+
+class HedgeObstacle(StrEnum):
+    """Why no other target may try while a target is silent."""
+
+    NOT_REPEATABLE = "not repeatable"
+    ATTEMPT_LIMIT = "attempt limit"
+    RETRY_BUDGET = "retry budget"
+    NO_TIME = "no time"
+    NO_OTHER_TARGET = "no other target"
+    NO_ROOM = "no room"
 
 
 class Budget(NamedTuple):
@@ -152,6 +171,23 @@
                 self.may_have_run = True
                 self.has_begun = self.has_begun or isinstance(outcome, StreamBroken)
 
+    def record_superseded(self) -> None:
+        """Record that an attempt was given up after another one of the request had responded."""
+        self.sent += 1
+        self.may_have_run = True
+
+    def find_hedge_obstacle(self, running: int, budget: Budget) -> HedgeObstacle | None:
+        """Return why no further attempt may start beside `running` ones, None if one may."""
+        if not self.route.may_repeat:
+            return HedgeObstacle.NOT_REPEATABLE
+        if self.sent + running >= self.route.attempt_limit:
+            return HedgeObstacle.ATTEMPT_LIMIT
+        if not budget.has_retry:
+            return HedgeObstacle.RETRY_BUDGET
+        if budget.time_left_ms <= MIN_ATTEMPT_TIME_MS:
+            return HedgeObstacle.NO_TIME
+        return None if budget.has_other_target else HedgeObstacle.NO_OTHER_TARGET
+
     def next_step(self, outcome: AttemptOutcome, budget: Budget) -> NextStep:
         """Return what follows the newest attempt, which must have been recorded."""
         may_send_again = self._may_send_again(budget)
--- a/packages/marigoldarch/marigoldarch/serving/stall_timeout.py
+++ b/packages/marigoldarch/marigoldarch/serving/stall_timeout.py
@@ -1,11 +1,11 @@
-"""Decides when a target that sends nothing counts as stalled, which ends the attempt.
+"""Decides when a target that sends nothing counts as stalled, so that another one may try as well.
 
 Load patterns, each with its answer:
 
-- An engine that prefills large prompts sends nothing for seconds and is still healthy. Ending the
-  attempt wastes the prefill, and the prompt is prefilled again in a pool that is just as busy. The
-  timeout of a prompt that is expensive to prefill is therefore extended while the target sends
-  something to other requests or has a prefill backlog.
+- An engine that prefills large prompts sends nothing for seconds and is still healthy. Another
+  attempt prefills the prompt again in a pool that is just as busy. The timeout of a prompt that is
+  expensive to prefill is therefore extended while the target sends something to other requests or
+  has a prefill backlog.
 - An engine that has stopped, or a broken connection, never answers. Streams are resumed on another
   target before their callers give up. Short prompts are cheap to prefill again, so their timeout is
   never extended.
