Name a prompt's shared parts in the logs and tell cut answers from garbled ones

An answer that ends early is 'cut' now, and a connection whose other end has not answered the kernel 'connection lost' (it was 'reset'). The field for the last part of a prompt was used nowhere; the shared parts, which are all others, replace it. No decision is changed.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -64,6 +64,9 @@
 CAPACITY_POLL_MS: Millis = 50.0
 """How often a waiting request retries its placement, besides whenever other work ends."""
 
+MAX_LOGGED_PARTS = 4
+"""How many shared parts of a prompt a log line names."""
+
 DEFAULT_CALLER_TIMEOUT_MS: Millis = 60_000.0
 """The timeout of a caller that sends none."""
 
@@ -122,6 +125,12 @@
         """Return the request id that the caller sent."""
         return self.request_info.request_id
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other prompts may have too."""
+        prompt = self.request_info.prompt
+        return prompt.shared_parts if prompt else ()
+
 
 class Proxy:
     """Forwards callers' requests to targets, with retries where these are safe."""
@@ -389,6 +398,7 @@
             next=type(step).__name__,
             sent=call.history.sent,
             left_ms=round(call.deadline_ms - self._now_ms()),
+            parts=call.shared_parts[:MAX_LOGGED_PARTS],
         )
         self._state.metrics.attempts.inc({"service": call.service.name, "outcome": outcome_name})
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import errno
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -38,6 +39,9 @@
 
 MAX_IDLE_PER_TARGET = 4
 
+NO_ANSWER_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+"""Errors of a connection whose other end has not answered the kernel for some time."""
+
 
 class UnreachableError(MarigoldarchError):
     """No connection could be opened, so nothing was sent."""
@@ -79,7 +83,7 @@
     """A connection in use for one request.
 
     `is_sent` is true once the whole request was sent, `has_received_bytes` once any byte of a
-    response has arrived.
+    response has arrived, `has_ended` once the target has closed the connection.
     """
 
     address: str
@@ -88,6 +92,7 @@
     is_reused: bool
     is_sent: bool = False
     has_received_bytes: bool = False
+    has_ended: bool = False
 
     async def send(self, request: TargetRequest) -> None:
         """Send a request; if that fails, reading the response raises the error."""
@@ -140,17 +145,23 @@
             while (event := self.protocol.next_event()) is h11.NEED_DATA:
                 data = await self.connection.stream.receive_some(READ_BYTES)
                 self.has_received_bytes = self.has_received_bytes or bool(data)
+                self.has_ended = not data
                 self.protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
-            is_closed_early = self.protocol.their_state is h11.ERROR and not self.has_received_bytes
-            reason = FailureReason.RESET if is_closed_early else FailureReason.GARBLED
-            raise ResponseError(reason) from error
+            raise ResponseError(self._reason_of_invalid_response()) from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ResponseError(FailureReason.RESET) from error
+            is_silent = getattr(error.__cause__, "errno", None) in NO_ANSWER_ERRORS
+            reason = FailureReason.CONNECTION_LOST if is_silent else FailureReason.RESET
+            raise ResponseError(reason) from error
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
             raise ResponseError(FailureReason.CUT)
         return event
 
+    def _reason_of_invalid_response(self) -> FailureReason:
+        if not self.has_ended:
+            return FailureReason.GARBLED
+        return FailureReason.CUT if self.has_received_bytes else FailureReason.RESET
+
 
 class _IdleConnection(NamedTuple):
     """A kept connection, which may be reused until a monotonic time."""
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_connections_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_connections_tests.py
@@ -119,7 +119,7 @@
             await stream.send_all(HEAD + b"\r\na")
             await stream.aclose()
 
-        self.assertIsInstance(self.run_once(talk)[1], FailureReason)
+        self.assertEqual(self.run_once(talk)[1], FailureReason.CUT)
 
     def test_invalid_response_is_garbled(self) -> None:
         self.assertEqual(
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -26,13 +26,19 @@
 
 
 class FailureReason(StrEnum):
-    """Why an attempt has no usable answer."""
+    """Why an attempt has no usable answer.
+
+    With `RESET` the target closed the connection before any byte of a response, or reset it; with
+    `CUT` it ended in the middle of a response. With `CONNECTION_LOST` the target's host has not
+    answered for so long that the kernel gave the connection up.
+    """
 
     UNREACHABLE = "unreachable"
     RESET = "reset"
     TIMEOUT = "timeout"
     GARBLED = "garbled"
     CUT = "cut"
+    CONNECTION_LOST = "connection lost"
     NO_MEMORY = "no memory"
     TARGET_WAITS = "target waits"
     TARGET_LEAVES = "target leaves"
--- a/packages/marigoldarch/marigoldarch/serving/routing.py
+++ b/packages/marigoldarch/marigoldarch/serving/routing.py
@@ -76,9 +76,9 @@
 class PromptSize(NamedTuple):
     """The size of a prompt and of its expected answer, in tokens.
 
-    `subject` is the name of the last part that the prompt shares with others.
+    `shared_parts` are the names of the parts that other prompts may have too: all but the last one.
     """
 
     tokens: int
     answer_tokens: int
-    subject: str = ""
+    shared_parts: tuple[str, ...] = ()
