Decide which parts of prompts crash targets

Each crash accuses the shared parts of all requests that ran on the target, an answer acquits, crashes of several targets at different moments quarantine, and a part whose crashes another part explains blocks no request without that other one.

--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -0,0 +1,238 @@
+"""Finds the parts of prompts under which targets crash, and the requests that must not be sent.
+
+Load pattern: requests of many callers share a part of their prompts, and each target that begins to
+answer one of them crashes. Every retry and every new request takes another target away from the
+sound requests, which share their customer, their route and their other parts with these.
+
+Each crash accuses all shared parts of the requests that ran on the target, also those of sound ones.
+A part is acquitted by an answer to any request with it. It is quarantined after crashes of several
+targets at different moments. A quarantined part does not block a request if the request lacks another
+part that explains all of its crashes: sound requests that ran beside a faulty one are accused with it.
+
+A quarantine ends after a time that doubles. One more crash then suffices for the next one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from marigoldarch.clock import Millis
+
+CrashId = tuple[int, int]
+"""A target, as hash of its id, and the instant of its start in Unix milliseconds."""
+
+
+class SuspectSettings(NamedTuple):
+    """When a part is quarantined and for how long, and how much is remembered.
+
+    A part is quarantined after `crash_limit` crashes at different moments. Crashes within `moment_ms`
+    of each other count as one, as targets of one rack crash together. The first quarantine takes
+    `quarantine_ms`, each following one twice as long, up to `max_quarantine_ms`. A part is forgotten
+    `memory_ms` after its last crash and quarantine. `spread`, from 0 to 1, differs between nodes, so
+    that not all of them end a quarantine at the same instant.
+    """
+
+    crash_limit: int = 3
+    retry_crash_limit: int = 2
+    """With as many crashes a part's requests are still sent, but only once."""
+
+    moment_ms: Millis = 100.0
+    quarantine_ms: Millis = 120_000.0
+    max_quarantine_ms: Millis = 3_600_000.0
+    memory_ms: Millis = 600_000.0
+    max_parts: int = 256
+    max_crashes_per_part: int = 64
+    spread: float = 0.0
+
+
+SPREAD_SHARE = 0.1
+"""A node extends quarantines by up to this share."""
+
+MAX_PARTS_PER_CRASH = 8
+"""How many parts of a crash are told to other nodes; those with most crashes come first."""
+
+
+class TargetCrash(NamedTuple):
+    """A target that has crashed at `at_ms`, and the shared parts of the requests that ran on it."""
+
+    crash_id: CrashId
+    at_ms: Millis
+    parts: tuple[str, ...]
+
+
+class Quarantine(NamedTuple):
+    """A part whose requests are not sent for `left_ms`, after `crashes` crashes of targets."""
+
+    part: str
+    crashes: int
+    left_ms: Millis
+
+
+@dataclass
+class _Suspect:
+    """The crashes of which a part is accused, with their instants, and its newest quarantine."""
+
+    crashes: dict[CrashId, Millis] = field(default_factory=dict)
+    quarantines: int = 0
+    quarantined_until_ms: Millis = float("-inf")
+
+    @property
+    def last_crash_ms(self) -> Millis:
+        return max(self.crashes.values(), default=float("-inf"))
+
+
+class CrashSuspects:
+    """The parts of prompts that one node suspects of crashing targets."""
+
+    def __init__(self, settings: SuspectSettings) -> None:
+        self._settings = settings
+        self._suspects: dict[str, _Suspect] = {}
+        self._acquitted_ms: dict[str, Millis] = {}
+
+    @property
+    def count(self) -> int:
+        """Return how many parts are suspected, in quarantine or not."""
+        return len(self._suspects)
+
+    def record_crash(self, crash: TargetCrash) -> tuple[str, ...]:
+        """Record a crash that this node has seen or was told of; return the parts it quarantines.
+
+        The same crash may be recorded again, also with other parts.
+        """
+        quarantined = []
+        for part in crash.parts:
+            if crash.at_ms <= self._acquitted_ms.get(part, float("-inf")):
+                continue
+            suspect = self._suspects.get(part)
+            if suspect is None:
+                suspect = self._add_suspect(part)
+            if crash.crash_id in suspect.crashes:
+                continue
+            self._add_crash(suspect, crash)
+            if self._begin_quarantine(suspect, crash.at_ms):
+                quarantined.append(part)
+        return tuple(quarantined)
+
+    def record_answer(self, parts: Iterable[str], now_ms: Millis) -> tuple[str, ...]:
+        """Acquit the parts of a request that was answered completely; return those suspected."""
+        acquitted = tuple(part for part in parts if part in self._suspects)
+        for part in acquitted:
+            self.acquit(part, now_ms)
+        return acquitted
+
+    def acquit(self, part: str, at_ms: Millis) -> None:
+        """Drop a part's crashes up to an instant: a request with it was answered then."""
+        self._acquitted_ms.pop(part, None)
+        while len(self._acquitted_ms) >= self._settings.max_parts:
+            del self._acquitted_ms[next(iter(self._acquitted_ms))]
+        self._acquitted_ms[part] = at_ms
+        suspect = self._suspects.get(part)
+        if suspect is None:
+            return
+        later = {crash: crash_ms for crash, crash_ms in suspect.crashes.items() if crash_ms > at_ms}
+        if later:
+            self._suspects[part] = _Suspect(later)
+        else:
+            del self._suspects[part]
+
+    def find_quarantine(self, parts: Iterable[str], now_ms: Millis) -> Quarantine | None:
+        """Return why a request with these shared parts must not be sent, None if it may be."""
+        if not self._suspects:
+            return None
+        wanted = set(parts)
+        for part in wanted & self._suspects.keys():
+            suspect = self._suspects[part]
+            left_ms = suspect.quarantined_until_ms - now_ms
+            if left_ms > 0.0 and not self._is_explained_without(suspect, wanted):
+                return Quarantine(part, len(suspect.crashes), left_ms)
+        return None
+
+    def may_retry(self, parts: Iterable[str], now_ms: Millis) -> bool:
+        """Return whether a request whose target has crashed may be sent to another one."""
+        wanted = set(parts)
+        limit = self._settings.retry_crash_limit
+        return not any(
+            self._count_moments(self._suspects[part]) >= limit
+            and not self._is_explained_without(self._suspects[part], wanted)
+            for part in wanted & self._suspects.keys()
+        )
+
+    def crashes_to_tell(self, limit: int) -> list[TargetCrash]:
+        """Return the newest crashes, each with its most accused parts, for nodes that lack them."""
+        parts_by_crash: dict[CrashId, list[str]] = {}
+        times_ms: dict[CrashId, Millis] = {}
+        by_crashes = sorted(self._suspects.items(), key=lambda item: -len(item[1].crashes))
+        for part, suspect in by_crashes:
+            for crash_id, at_ms in suspect.crashes.items():
+                times_ms[crash_id] = at_ms
+                parts_by_crash.setdefault(crash_id, []).append(part)
+        newest = sorted(times_ms, key=lambda crash_id: -times_ms[crash_id])[:limit]
+        return [
+            TargetCrash(
+                crash_id, times_ms[crash_id], tuple(parts_by_crash[crash_id][:MAX_PARTS_PER_CRASH])
+            )
+            for crash_id in newest
+        ]
+
+    def forget_old(self, now_ms: Millis) -> None:
+        """Drop the parts that have long been neither accused nor quarantined."""
+        for part, suspect in list(self._suspects.items()):
+            last_ms = max(suspect.last_crash_ms, suspect.quarantined_until_ms)
+            if now_ms >= last_ms + self._settings.memory_ms:
+                del self._suspects[part]
+        for part, at_ms in list(self._acquitted_ms.items()):
+            if now_ms >= at_ms + self._settings.memory_ms:
+                del self._acquitted_ms[part]
+
+    def _add_suspect(self, part: str) -> _Suspect:
+        """Add a part; at the limit, drop the one with the fewest and oldest crashes."""
+        if len(self._suspects) >= self._settings.max_parts:
+            weakest = min(
+                self._suspects.items(),
+                key=lambda item: (len(item[1].crashes), item[1].last_crash_ms),
+            )
+            del self._suspects[weakest[0]]
+        self._suspects[part] = _Suspect()
+        return self._suspects[part]
+
+    def _add_crash(self, suspect: _Suspect, crash: TargetCrash) -> None:
+        suspect.crashes[crash.crash_id] = crash.at_ms
+        while len(suspect.crashes) > self._settings.max_crashes_per_part:
+            del suspect.crashes[min(suspect.crashes, key=lambda item: suspect.crashes[item])]
+
+    def _begin_quarantine(self, suspect: _Suspect, at_ms: Millis) -> bool:
+        """Begin a quarantine if a crash suffices for one; return whether it does."""
+        settings = self._settings
+        if at_ms < suspect.quarantined_until_ms:
+            return False
+        if not suspect.quarantines and self._count_moments(suspect) < settings.crash_limit:
+            return False
+        duration_ms = min(
+            settings.quarantine_ms * 2**suspect.quarantines, settings.max_quarantine_ms
+        )
+        suspect.quarantines = min(suspect.quarantines + 1, 16)
+        suspect.quarantined_until_ms = suspect.last_crash_ms + duration_ms * (
+            1.0 + SPREAD_SHARE * settings.spread
+        )
+        return True
+
+    def _count_moments(self, suspect: _Suspect) -> int:
+        """Return the number of crashes, with those within `moment_ms` of the first counted once."""
+        count, moment_ms = 0, float("-inf")
+        for at_ms in sorted(suspect.crashes.values()):
+            if at_ms >= moment_ms + self._settings.moment_ms:
+                count, moment_ms = count + 1, at_ms
+        return count
+
+    def _is_explained_without(self, suspect: _Suspect, wanted: set[str]) -> bool:
+        """Return whether a part that is not `wanted` is accused of all crashes of a suspect."""
+        crashes = suspect.crashes.keys()
+        return any(
+            crashes <= other.crashes.keys()
+            for part, other in self._suspects.items()
+            if part not in wanted
+        )
