Refuse prompts with a part that crashes targets

What callers saw: at 16 targets 100 crashes in 84 s.

Cause: nothing joined crashes across requests. Each new request, caller's retry and second attempt with the part went out as sound, and took the next target away. Class of fault: a failure is charged to its target and its request, never to what the requests have in common.

Ruled out: faults of the targets themselves (each of 23 logged crashes had an attempt of such a request that ended without an event), the customer and the route (sound ones were answered meanwhile), a memory in each entry alone (no entry saw five of the first seven crashes, and four entries restarted).

Change: an entry whose attempt ends with a reset or a cut answer connects to the target once more. If its host refuses, the target has crashed, and the shared parts of the prompt are accused; a complete answer acquits them. After three crashes, each under a request that was sent after the crash before, requests with the part are refused at once as not run (503, Retry-After says how long, 120 s at first); after two they are sent once only. Entries tell each other crashes and acquittals in the reports that they exchange anyway, and again in each whole report, from which a restarted entry learns them.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -113,6 +113,7 @@
         self._withheld_failure: tuple[ResponseHead, bytes] | None = None
         self._sent_ms: Millis = 0.0
         self._event_count = 0
+        self._first_event_ms: Millis | None = None
         self._has_caller_disconnected = False
 
     @property
@@ -125,6 +126,18 @@
         """Return whether anything may have been sent to the target."""
         return self._sent_ms > 0.0
 
+    @property
+    def sent_ms(self) -> Millis:
+        """Return the instant at which the request was sent to its target, 0 if it was not."""
+        return self._sent_ms
+
+    @property
+    def written_ms(self) -> Millis:
+        """Return for how long the target has been writing its answer."""
+        if self._first_event_ms is None:
+            return 0.0
+        return self._state.clock.monotonic_ms() - self._first_event_ms
+
     def supersede(self) -> None:
         """Give up the attempt, as another one of the request responds."""
         self._scope.cancel()
@@ -341,6 +354,8 @@
         await self._claim_response()
         self._record_first_response()
         await self._call.exchange.answer(head.status, self._dialect.caller_headers(head), body)
+        if head.status < 300:
+            self._state.crashes.record_answer(self._call.shared_parts)
         return head, Delivered()
 
     async def _relay_stream(
@@ -371,6 +386,7 @@
         await self._claim_response()
         if not self._call.exchange.is_head_sent:
             await self._call.exchange.send_head(head.status, self._dialect.caller_headers(head))
+        self._state.crashes.record_answer(self._call.shared_parts)
         await self._call.exchange.end()
         return head, Delivered()
 
@@ -392,6 +408,7 @@
                 self._call.last_event = event.event_id
             parts.append(event.data)
         if not self._event_count:
+            self._first_event_ms = self._state.clock.monotonic_ms()
             self._state.workload.finish_prefill(self._work_number)
             if not exchange.is_head_sent:
                 self._record_first_response()
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -0,0 +1,55 @@
+"""Tells a crash of a target from a broken connection.
+
+Load pattern: some targets reset the connections of a share of their requests, or break answers off,
+and run on. Taken for crashes, these would accuse the parts of many sound prompts. A target whose
+connection has just ended has crashed if its host refuses a new one.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.serving.attempts import FailureReason, OutcomeUnknown, StreamBroken
+from marigoldarch_node.serving.target_connections import UnreachableError
+
+if TYPE_CHECKING:
+    from marigoldarch.clock import Millis
+    from marigoldarch.serving.targets import Target
+    from marigoldarch_node.serving.attempt import Attempt, EntryContext
+
+MIN_SOUND_WRITING_MS: Millis = 1000.0
+"""A prompt that crashes targets does so when they begin to answer it: a request whose answer has been
+written for so long has not caused the crash."""
+
+
+async def record_crashes(context: EntryContext, attempt: Attempt, outcome: object) -> None:
+    """Record which targets of an attempt have crashed, if its outcome may come from a crash.
+
+    Targets that hold a part of the prompt may crash as well as the one that answers.
+    """
+    match outcome:
+        case OutcomeUnknown(reason=reason) | StreamBroken(reason=reason):
+            is_evidence = reason in (FailureReason.RESET, FailureReason.CUT)
+        case _:
+            is_evidence = False
+    parts = attempt.plan.call.shared_parts
+    if not is_evidence or not parts or attempt.written_ms >= MIN_SOUND_WRITING_MS:
+        return
+    async with trio.open_nursery() as nursery:
+        for target in attempt.plan.placement.targets:
+            nursery.start_soon(_record_if_crashed, context, target, parts, attempt.sent_ms)
+
+
+async def _record_if_crashed(
+    context: EntryContext, target: Target, parts: tuple[str, ...], sent_ms: Millis
+) -> None:
+    try:
+        connection = await context.connections.acquire(target.address, must_be_new=True)
+    except UnreachableError as error:
+        if isinstance(error.__cause__, ConnectionRefusedError | ConnectionResetError):
+            context.state.crashes.record_crash(target.start, parts, sent_ms)
+            context.state.record_failure(target.target_id, is_unreachable=True)
+        return
+    connection.connection.close()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from marigoldarch.crash_suspects import SuspectSettings
 from marigoldarch.serving.candidates import CandidateSource, cached_name_hash
 from marigoldarch.serving.response_origin import ResponseOrigin, is_from_target
 from marigoldarch.serving.retry_budget import RetryBudgetSettings
@@ -14,6 +15,7 @@
 from marigoldarch.serving.target_waits import TargetWaits, WaitSettings
 from marigoldarch.serving.targets import MergedTargetView, TargetStart
 from marigoldarch_node.clock import SystemClock
+from marigoldarch_node.serving.crash_memory import CrashMemory
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import ServerLimits
 from marigoldarch_node.serving.metrics import ServingMetrics
@@ -42,7 +44,7 @@
         self.rng = random.Random(start_id)
         self.target_view = MergedTargetView()
         self.health = TargetHealth(HealthSettings())
-        # Only the spread differs between entries; it takes nothing from `rng`.
+        # Only the spreads differ between entries; they take nothing from `rng`.
         spread = random.Random(f"waits/{start_id}").random()
         self.waits = TargetWaits(WaitSettings(bounds.max_target_wait_ms, spread))
         self.metrics = ServingMetrics()
@@ -51,6 +53,12 @@
         self.workload.on_suspended = self._on_peer_suspension
         self.workload.on_slow = self._on_peer_slowdown
         self.workload.on_leaving = self._on_peer_leaving
+        suspect_settings = SuspectSettings(
+            crash_limit=bounds.crash_limit,
+            quarantine_ms=bounds.crash_quarantine_ms,
+            spread=random.Random(f"quarantines/{start_id}").random(),
+        )
+        self.crashes = CrashMemory(suspect_settings, self.workload, self.metrics, self.clock)
         self._slow_reported_ms: dict[str, Millis] = {}
         self.candidates = CandidateSource(
             settings.data_centre, self.target_view, self.workload.view, self.health, self.waits
@@ -169,6 +177,7 @@
         """Drop what is known of targets that are no longer usable."""
         now_ms = self.clock.monotonic_ms()
         self.waits.forget_old(now_ms)
+        self.crashes.forget_old()
         self.target_view.forget_departed(now_ms)
         self.workload.keep_leaving_targets(
             {cached_name_hash(start.target_id) for start in self.target_view.leaving}
--- a/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
@@ -26,6 +26,10 @@
         self.target_signals = self._counter(
             "target_signals_total", "Responses in which targets leave or ask for a wait, by signal."
         )
+        self.crashes = self._counter("target_crashes_total", "Crashes of targets under a request.")
+        self.quarantines = self._counter(
+            "quarantined_parts_total", "Parts of prompts whose requests are not sent any more."
+        )
         self.announcements = self._counter("announcements_total", "Announcements by outcome.")
         self.declarations = self._counter("declarations_total", "Declarations by outcome.")
         self.first_response = Histogram(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -232,6 +232,7 @@
         """Return where the next attempt runs, after waiting for capacity if that is in time."""
         began_ms = self._now_ms()
         while True:
+            self._check_quarantine(call)
             placement = self._choose_placement(call)
             if isinstance(placement, Placement):
                 return placement
@@ -243,6 +244,28 @@
             with trio.move_on_after(CAPACITY_POLL_MS / 1000.0):
                 await self._state.workload.wait_for_work_end()
 
+    def _check_quarantine(self, call: Call) -> None:
+        """End a request with a part that crashes targets; log the crashes on which that is based.
+
+        Load pattern: each target that begins to answer such a request crashes. A caller that asks
+        again before the quarantine ends is refused again.
+        """
+        quarantine = self._state.crashes.find_quarantine(call.shared_parts)
+        if quarantine is None:
+            return
+        log.info(
+            "part in quarantine",
+            request=call.request_id,
+            parts=[quarantine.part],
+            crashes=quarantine.crashes,
+            left_ms=round(quarantine.left_ms),
+        )
+        if call.exchange.is_head_sent:
+            raise StreamCutError("part in quarantine")
+        if call.history.may_have_run:
+            raise RefusalError(502, "part in quarantine")
+        raise RefusalError(503, "part in quarantine", quarantine.left_ms)
+
     def _raise_no_capacity(self, call: Call, placement: Saturated) -> None:
         """End a request for which no target has capacity; log the load on which that is based."""
         now_ms = self._now_ms()
@@ -314,6 +337,8 @@
         obstacle = call.history.find_hedge_obstacle(running, self._remaining_budget(call))
         if obstacle is not None:
             return obstacle
+        if self._state.crashes.find_quarantine(call.shared_parts) is not None:
+            return HedgeObstacle.SUSPECTED_PART
         placement = self._choose_placement(call)
         if isinstance(placement, Saturated):
             return HedgeObstacle.NO_ROOM
@@ -349,7 +374,9 @@
 
     def _remaining_budget(self, call: Call) -> Budget:
         """Return the remaining time, and whether a retry is allowed and another target is left."""
-        has_retry = self._state.workload.allows_retry(cached_name_hash(call.service.name))
+        has_retry = self._state.workload.allows_retry(
+            cached_name_hash(call.service.name)
+        ) and self._state.crashes.may_retry(call.shared_parts)
         now_ms = self._now_ms()
         failed = call.history.failed_targets
         other_candidates = self._state.candidates.find(call.service.name, failed, now_ms)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
@@ -16,7 +16,7 @@
 
 
 class Bounds(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Limits that the infrastructure sets: time to stop, the retry budget, and targets' waits."""
+    """Limits that the infrastructure sets: time to stop, the retry budget, targets' waits and crashes."""
 
     stop_grace_ms: float = 8000.0
     """How long a node may take to stop before the infrastructure kills it."""
@@ -32,6 +32,12 @@
     max_target_wait_ms: float = 60_000.0
     """The longest wait that a target may ask for, so that a faulty value does not disable it."""
 
+    crash_limit: int = 3
+    """Crashes of targets after which requests with the same part in their prompts are not sent."""
+
+    crash_quarantine_ms: float = 120_000.0
+    """How long they are not sent at first; twice as long each time that a target crashes after it."""
+
 
 class ServingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The settings of one node; addresses are `IP:PORT`, empty where nothing is served."""
@@ -93,5 +99,13 @@
             raise ConfigurationError(f"{name}: use IP:PORT, not {address!r}")
     if not settings.bounds.max_target_wait_ms > 0:
         raise ConfigurationError("bounds.max_target_wait_ms: use more than 0")
+    if settings.bounds.crash_limit < 2:
+        raise ConfigurationError(
+            f"bounds.crash_limit: use 2 or more, not {settings.bounds.crash_limit}"
+        )
+    if not settings.bounds.crash_quarantine_ms > 0:
+        raise ConfigurationError(
+            f"bounds.crash_quarantine_ms: use more than 0, not {settings.bounds.crash_quarantine_ms}"
+        )
     if settings.tolerated_losses < 0:
         raise ConfigurationError("tolerated_losses: use 0 or more")
--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -13,6 +13,7 @@
 import msgspec
 import trio
 
+from marigoldarch.crash_suspects import MAX_PARTS_PER_CRASH, TargetCrash
 from marigoldarch.serving.pool_view import (
     MIN_REPORTED_PREFILL_MS,
     PoolView,
@@ -21,6 +22,7 @@
 )
 from marigoldarch.serving.retry_budget import RetryBudget, RetryBudgetSettings
 from marigoldarch.serving.work_reports import (
+    CrashReport,
     PoolSummary,
     TargetSummary,
     WorkReport,
@@ -41,6 +43,13 @@
 IDLE_REPORT_INTERVAL_MS: Millis = 4500.0
 """The same for an entry without running work."""
 
+ACQUITTAL_REPORT_MS: Millis = 2 * IDLE_REPORT_INTERVAL_MS
+"""How long full reports repeat that a part was acquitted: until each peer has got two of them."""
+
+MAX_TOLD_CRASHES = 16
+MAX_TOLD_ACQUITTALS = 64
+"""How many crashes and acquittals a report lists."""
+
 PEER_TIMEOUT_MS: Millis = 4000.0
 """The work of a peer is dropped when two of its full reports are missing."""
 
@@ -73,7 +82,9 @@
     It also keeps the retry budget that the entries share, and exchanges which targets are suspended,
     slow or leaving: `on_suspended`, `on_slow` and `on_leaving` are called with the reports of peers,
     `on_slow` with the ratio of measured to predicted duration, `on_leaving` with the instant of the
-    target's start. Targets and services are given as hashes of their names.
+    target's start. `on_crash` is called with each reported crash of a target, `on_acquittal` with a
+    part of prompts and the instant of its answer, and `crashes_to_tell` returns what whole reports
+    tell. Targets and services are given as hashes of their names.
     """
 
     def __init__(self, node: str, start_id: int, clock: Clock, budget: RetryBudgetSettings) -> None:
@@ -92,6 +103,9 @@
         self._slow: dict[int, int] = {}
         self._leaving: dict[int, int] = {}
         self._unreported_leaving: dict[int, int] = {}
+        self._crashes: list[TargetCrash] = []
+        self._acquitted_ms: dict[str, Millis] = {}
+        self._unreported_acquitted_ms: dict[str, Millis] = {}
         self._requests: Counter[int] = Counter()
         self._peers: dict[str, _Peer] = {}
         self._widely_reported: set[int] = set()
@@ -106,6 +120,9 @@
         self.on_suspended: Callable[[int], None] = lambda _: None
         self.on_slow: Callable[[int, float], None] = lambda _, __: None
         self.on_leaving: Callable[[int, int], None] = lambda _, __: None
+        self.on_crash: Callable[[TargetCrash], None] = lambda _: None
+        self.on_acquittal: Callable[[str, Millis], None] = lambda _, __: None
+        self.crashes_to_tell: Callable[[int], list[TargetCrash]] = lambda _: []
 
     @property
     def view(self) -> PoolView:
@@ -192,6 +209,16 @@
         self._leaving[target] = self._unreported_leaving[target] = born_ms
         self._has_changes.set()
 
+    def report_crash(self, crash: TargetCrash) -> None:
+        """Tell the peers of a crash of a target."""
+        self._crashes.append(crash)
+        self._has_changes.set()
+
+    def report_acquittal(self, part: str, at_ms: Millis) -> None:
+        """Tell the peers that a request with a suspected part was answered."""
+        self._acquitted_ms[part] = self._unreported_acquitted_ms[part] = at_ms
+        self._has_changes.set()
+
     def keep_leaving_targets(self, targets: set[int]) -> None:
         """Drop all other targets from those that full reports list as leaving."""
         for target in self._leaving.keys() - targets:
@@ -225,6 +252,9 @@
             self._full_report_count += 1
             self._had_work = bool(works)
         self._has_changes = trio.Event()
+        self._drop_old_acquittals(now_ms)
+        crashes = self.crashes_to_tell(MAX_TOLD_CRASHES) if is_full else self._crashes
+        acquitted_ms = self._acquitted_ms if is_full else self._unreported_acquitted_ms
         report = WorkReport(
             self._node,
             self._start_id,
@@ -237,11 +267,14 @@
             self._slow,
             dict(self._requests),
             dict(self._leaving) if is_full else self._unreported_leaving,
+            crashes=[_crash_to_wire(crash, now_ms) for crash in crashes[-MAX_TOLD_CRASHES:]],
+            acquitted={part: round(now_ms - at_ms) for part, at_ms in acquitted_ms.items()},
         )
         partial = self._partial_report(report)
         self._widely_reported.difference_update(self._ended)
         self._started, self._prefilled, self._ended, self._suspended = [], [], [], []
         self._slow, self._unreported_leaving = {}, {}
+        self._crashes, self._unreported_acquitted_ms = [], {}
         self._requests.clear()
         return OutgoingReports(
             msgspec.msgpack.encode(report),
@@ -269,6 +302,7 @@
         )
         news = (partial.started, partial.read, partial.ended)
         news += (partial.suspended, partial.slow, partial.leaving)
+        news += (partial.crashes, partial.acquitted)
         return partial if any(news) or (report.is_whole and is_needed) else None
 
     def next_summary(
@@ -363,14 +397,43 @@
             self.on_slow(target, hundredths / 100.0)
         for target, born_ms in report.leaving.items():
             self.on_leaving(target, born_ms)
+        self._apply_crashes(report, now_ms)
         if report.ended:
             self._notify_waiters()
 
+    def _apply_crashes(self, report: WorkReport, now_ms: Millis) -> None:
+        """Pass on a report's crashes, the oldest first, and its acquittals."""
+        for item in sorted(report.crashes, key=lambda item: -item.age_ms):
+            crash_id = (item.target, item.born_ms)
+            sent_ms = None if item.sent_age_ms is None else now_ms - item.sent_age_ms
+            self.on_crash(TargetCrash(crash_id, now_ms - item.age_ms, tuple(item.parts), sent_ms))
+        for part, age_ms in report.acquitted.items():
+            self.on_acquittal(part, now_ms - age_ms)
+
+    def _drop_old_acquittals(self, now_ms: Millis) -> None:
+        """Drop the acquittals that full reports have told, and the oldest beyond a bound."""
+        old = [
+            part
+            for part, at_ms in self._acquitted_ms.items()
+            if now_ms >= at_ms + ACQUITTAL_REPORT_MS
+        ]
+        excess = len(self._acquitted_ms) - len(old) - MAX_TOLD_ACQUITTALS
+        kept = [part for part in self._acquitted_ms if part not in old]
+        for part in [*old, *kept[: max(0, excess)]]:
+            del self._acquitted_ms[part]
+
     def _notify_waiters(self) -> None:
         self._work_ended.set()
         self._work_ended = trio.Event()
 
 
+def _crash_to_wire(crash: TargetCrash, now_ms: Millis) -> CrashReport:
+    target, born_ms = crash.crash_id
+    parts = list(crash.parts[:MAX_PARTS_PER_CRASH])
+    sent_age_ms = None if crash.sent_ms is None else round(now_ms - crash.sent_ms)
+    return CrashReport(target, born_ms, round(now_ms - crash.at_ms), parts, sent_age_ms)
+
+
 def _to_wire(work: RunningAttempt) -> WorkStarted:
     return WorkStarted(
         work.number,
--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -6,7 +6,7 @@
 
 Each crash accuses all shared parts of the requests that ran on the target, also those of sound ones.
 A part is acquitted by an answer to any request with it. It is quarantined after crashes of several
-targets at different moments. A quarantined part does not block a request if the request lacks another
+targets, each under a request that was sent after the crash before. A quarantined part does not block a request if the request lacks another
 part that explains all of its crashes: sound requests that ran beside a faulty one are accused with it.
 
 A quarantine ends after a time that doubles. One more crash then suffices for the next one.
@@ -29,8 +29,9 @@
 class SuspectSettings(NamedTuple):
     """When a part is quarantined and for how long, and how much is remembered.
 
-    A part is quarantined after `crash_limit` crashes at different moments. Crashes within `moment_ms`
-    of each other count as one, as targets of one rack crash together. The first quarantine takes
+    A part is quarantined after `crash_limit` crashes, each under a request that was sent after the
+    crash before. Others count as one, as targets of one rack crash together; where it is not known
+    when a request was sent, those within `moment_ms` do. The first quarantine takes
     `quarantine_ms`, each following one twice as long, up to `max_quarantine_ms`. A part is forgotten
     `memory_ms` after its last crash and quarantine. `spread`, from 0 to 1, differs between nodes, so
     that not all of them end a quarantine at the same instant.
@@ -57,11 +58,15 @@
 
 
 class TargetCrash(NamedTuple):
-    """A target that has crashed at `at_ms`, and the shared parts of the requests that ran on it."""
+    """A target that has crashed at `at_ms`, and the shared parts of the requests that ran on it.
+
+    The newest of these requests was sent to it at `sent_ms`, None if that is not known.
+    """
 
     crash_id: CrashId
     at_ms: Millis
     parts: tuple[str, ...]
+    sent_ms: Millis | None = None
 
 
 class Quarantine(NamedTuple):
@@ -74,9 +79,13 @@
 
 @dataclass
 class _Suspect:
-    """The crashes of which a part is accused, with their instants, and its newest quarantine."""
+    """The crashes of which a part is accused, with their instants, and its newest quarantine.
+
+    `sent_ms` are the instants at which the requests that ran were sent, where they are known.
+    """
 
     crashes: dict[CrashId, Millis] = field(default_factory=dict)
+    sent_ms: dict[CrashId, Millis] = field(default_factory=dict)
     quarantines: int = 0
     quarantined_until_ms: Millis = float("-inf")
 
@@ -135,7 +144,7 @@
             return
         later = {crash: crash_ms for crash, crash_ms in suspect.crashes.items() if crash_ms > at_ms}
         if later:
-            self._suspects[part] = _Suspect(later)
+            self._suspects[part] = _Suspect(later, suspect.sent_ms)
         else:
             del self._suspects[part]
 
@@ -165,15 +174,20 @@
         """Return the newest crashes, each with its most accused parts, for nodes that lack them."""
         parts_by_crash: dict[CrashId, list[str]] = {}
         times_ms: dict[CrashId, Millis] = {}
+        sent_ms: dict[CrashId, Millis] = {}
         by_crashes = sorted(self._suspects.items(), key=lambda item: -len(item[1].crashes))
         for part, suspect in by_crashes:
+            sent_ms.update(suspect.sent_ms)
             for crash_id, at_ms in suspect.crashes.items():
                 times_ms[crash_id] = at_ms
                 parts_by_crash.setdefault(crash_id, []).append(part)
         newest = sorted(times_ms, key=lambda crash_id: -times_ms[crash_id])[:limit]
         return [
             TargetCrash(
-                crash_id, times_ms[crash_id], tuple(parts_by_crash[crash_id][:MAX_PARTS_PER_CRASH])
+                crash_id,
+                times_ms[crash_id],
+                tuple(parts_by_crash[crash_id][:MAX_PARTS_PER_CRASH]),
+                sent_ms.get(crash_id),
             )
             for crash_id in newest
         ]
@@ -201,8 +215,12 @@
 
     def _add_crash(self, suspect: _Suspect, crash: TargetCrash) -> None:
         suspect.crashes[crash.crash_id] = crash.at_ms
+        if crash.sent_ms is not None:
+            suspect.sent_ms[crash.crash_id] = crash.sent_ms
         while len(suspect.crashes) > self._settings.max_crashes_per_part:
-            del suspect.crashes[min(suspect.crashes, key=lambda item: suspect.crashes[item])]
+            oldest = min(suspect.crashes, key=lambda item: suspect.crashes[item])
+            del suspect.crashes[oldest]
+            suspect.sent_ms.pop(oldest, None)
 
     def _begin_quarantine(self, suspect: _Suspect, at_ms: Millis) -> bool:
         """Begin a quarantine if a crash suffices for one; return whether it does."""
@@ -221,10 +239,10 @@
         return True
 
     def _count_moments(self, suspect: _Suspect) -> int:
-        """Return the number of crashes, with those within `moment_ms` of the first counted once."""
+        """Return the number of crashes under requests that were sent after the counted one before."""
         count, moment_ms = 0, float("-inf")
-        for at_ms in sorted(suspect.crashes.values()):
-            if at_ms >= moment_ms + self._settings.moment_ms:
+        for crash_id, at_ms in sorted(suspect.crashes.items(), key=lambda item: item[1]):
+            if suspect.sent_ms.get(crash_id, at_ms - self._settings.moment_ms) >= moment_ms:
                 count, moment_ms = count + 1, at_ms
         return count
 
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -130,6 +130,7 @@
     NO_TIME = "no time"
     NO_OTHER_TARGET = "no other target"
     NO_ROOM = "no room"
+    SUSPECTED_PART = "suspected part"
 
 
 class Budget(NamedTuple):
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -29,6 +29,20 @@
     is_widely_reported: bool = False
 
 
+class CrashReport(msgspec.Struct, array_like=True, frozen=True):
+    """A target that crashed `age_ms` ago, and shared parts of the prompts that ran on it.
+
+    `target` is the hash of its id and `born_ms` the instant of its start. The newest of the requests
+    was sent `sent_age_ms` ago, None if that is not known.
+    """
+
+    target: int
+    born_ms: int
+    age_ms: int
+    parts: list[str]
+    sent_age_ms: int | None = None
+
+
 class WorkReport(msgspec.Struct, array_like=True, frozen=True, tag="work"):
     """The changes of one entry's work since its last report, or all its work if `is_whole`.
 
@@ -39,7 +53,9 @@
     number of requests by service since the last report. `leaving` are targets that have said in a
     response to this entry that they are leaving, each with the instant of its start. A report for
     another data centre `is_partial`: it leaves out attempts that stay in the own one, and what
-    counts for the retry budget.
+    counts for the retry budget. `crashes` are new crashes of targets, or the newest of all that the
+    entry knows if the report is whole. `acquitted` are parts of prompts that were suspected of
+    crashing targets and have been answered, each with the time since then in milliseconds.
     """
 
     node: str
@@ -54,6 +70,8 @@
     requests: dict[int, int]
     leaving: dict[int, int] = msgspec.field(default_factory=dict)
     is_partial: bool = False
+    crashes: list[CrashReport] = msgspec.field(default_factory=list)
+    acquitted: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class TargetSummary(msgspec.Struct, array_like=True, frozen=True):
