--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
@@ -0,0 +1,109 @@
+"""Tests of what entries tell each other of crashes of targets."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import patch
+
+import msgspec
+import trio
+
+from marigoldarch.clock import ManualClock
+from marigoldarch.serving.targets import TargetStart
+from marigoldarch.serving.work_reports import WorkReport
+from marigoldarch_node.serving import entry_state
+from marigoldarch_node.serving.entry_state import EntryState
+from marigoldarch_node.serving.settings import ServingSettings
+from marigoldarch_node.serving.shared_workload import FULL_REPORT_INTERVAL_MS, MAX_TOLD_CRASHES
+
+FAULTY = ("first", "faulty")
+
+
+class CrashReportTests(unittest.TestCase):
+    """Entries that exchange reports.
+
+    Load pattern: requests with a part that crashes targets come at any entry, and entries restart.
+    """
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(1000.0)
+        self.first, self.second = self.entry(1), self.entry(2)
+
+    def entry(self, number: int) -> EntryState:
+        """Return the state of a new entry."""
+        settings = ServingSettings(f"e{number}", f"10.0.0.{number}", "dc1", 7340, ["10.0.1.1:80"])
+        with patch.object(entry_state, "SystemClock", lambda: self.clock):
+            return EntryState(settings, number)
+
+    def crash(self, state: EntryState, number: int, *parts: str) -> None:
+        """Let a target crash under a request of an entry that was sent 50 ms ago."""
+        self.clock.advance(50.0)
+        sent_ms = self.clock.monotonic_ms()
+        self.clock.advance(50.0)
+        state.crashes.record_crash(TargetStart(f"t{number}", 7), parts, sent_ms)
+
+    def tell(self, sender: EntryState, *receivers: EntryState) -> WorkReport:
+        """Let entries receive the next report of another one; return it."""
+        data = trio.run(sender.workload.next_report).whole
+        report = msgspec.msgpack.decode(data, type=WorkReport)
+        for receiver in receivers:
+            receiver.workload.receive(report)
+        return report
+
+    def test_crashes_at_several_entries_add_up_to_a_quarantine(self) -> None:
+        self.tell(self.first, self.second)
+        self.crash(self.first, 1, *FAULTY)
+        self.crash(self.second, 2, *FAULTY)
+        self.crash(self.first, 3, *FAULTY)
+        self.tell(self.first, self.second)
+        self.assertEqual(self.second.crashes.find_quarantine(FAULTY).crashes, 3)
+        self.assertIsNone(self.first.crashes.find_quarantine(FAULTY))
+
+    def test_restarted_entry_learns_of_a_quarantine_from_entries_that_saw_no_crash(self) -> None:
+        """Guards against a quarantine that ends with the entries that saw the crashes."""
+        self.tell(self.first)
+        for number in range(3):
+            self.crash(self.first, number, *FAULTY)
+        self.tell(self.first, self.second)
+        self.clock.advance(FULL_REPORT_INTERVAL_MS)
+        self.second.workload.count_request(5)
+        restarted = self.entry(1)
+        self.tell(self.second, restarted)
+        self.assertIsNotNone(restarted.crashes.find_quarantine(FAULTY))
+
+    def test_answer_at_one_entry_acquits_a_part_at_all(self) -> None:
+        self.tell(self.first)
+        for number in range(3):
+            self.crash(self.first, number, "sound")
+        self.tell(self.first, self.second)
+        self.assertIsNotNone(self.second.crashes.find_quarantine(("sound",)))
+        self.clock.advance(1.0)
+        self.first.crashes.record_answer(("sound",))
+        self.tell(self.first, self.second)
+        self.assertIsNone(self.second.crashes.find_quarantine(("sound",)))
+
+    def test_full_report_makes_up_for_a_lost_acquittal(self) -> None:
+        self.tell(self.first)
+        for number in range(3):
+            self.crash(self.first, number, "sound")
+        self.tell(self.first, self.second)
+        self.clock.advance(1.0)
+        self.first.crashes.record_answer(("sound",))
+        self.tell(self.first)
+        self.clock.advance(FULL_REPORT_INTERVAL_MS)
+        self.first.workload.count_request(5)
+        self.tell(self.first, self.second)
+        self.assertIsNone(self.second.crashes.find_quarantine(("sound",)))
+
+    def test_entries_without_crashes_tell_nothing_of_them(self) -> None:
+        self.first.workload.count_request(5)
+        self.first.crashes.record_answer(FAULTY)
+        report = self.tell(self.first)
+        self.assertEqual((report.crashes, report.acquitted), ([], {}))
+
+    def test_report_stays_bounded_under_hostile_prompts(self) -> None:
+        for number in range(300):
+            self.crash(self.first, number, *(f"{number}-{part}" for part in range(32)))
+        report = self.tell(self.first)
+        self.assertLessEqual(len(report.crashes), MAX_TOLD_CRASHES)
+        self.assertLess(len(msgspec.msgpack.encode(report)), 8192)
