Test that no failure of a handler leaves a caller without a status

A request that was read whole ended without an answer when its handler raised: the connection was closed with nothing sent.

test_exception_in_a_handler_closes_only_its_connection expected just this empty answer. Its replacement sends the same two requests, still asks that the other connection is served, and asks for one complete response with status 500 and a closed connection in place of the empty one.

--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/http_server_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/http_server_tests.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 
+import logbook
 import trio
 
 from marigoldarch_node.serving.http_server import Exchange, ServerLimits
 from marigoldarch_node.tests.serving.support import open_stream, read_all, read_until, serving
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from marigoldarch_node.serving.http_server import Headers
+
+    Handler = Callable[[Exchange], Awaitable[None]]
+
 GET = b"GET /x?y=1 HTTP/1.1\r\nhost: a\r\n\r\n"
 LIMITS = ServerLimits(header_bytes=300, body_bytes=10, header_timeout_ms=200, idle_timeout_ms=300)
 
@@ -22,11 +31,13 @@
 class HttpServerTests(unittest.TestCase):
     """Sends raw bytes to a server on loopback."""
 
-    def talk(self, *sent: bytes, limits: ServerLimits | None = None) -> bytes:
+    def talk(
+        self, *sent: bytes, limits: ServerLimits | None = None, handler: Handler = echo
+    ) -> bytes:
         """Send bytes; return all that the server sends until it closes the connection."""
 
         async def run() -> bytes:
-            async with serving(echo, limits) as (_, address):
+            async with serving(handler, limits) as (_, address):
                 stream = await open_stream(address)
                 for data in sent:
                     await stream.send_all(data)
@@ -94,7 +105,7 @@
         self.assertIn(b"part", data)
         self.assertNotIn(b"0\r\n\r\n", data)
 
-    def test_exception_in_a_handler_closes_only_its_connection(self) -> None:
+    def test_exception_in_a_handler_leaves_no_caller_without_a_status(self) -> None:
         async def fail(exchange: Exchange) -> None:
             if exchange.request.target == "/bad":
                 raise ValueError("bad")
@@ -108,9 +119,70 @@
                 return await read_all(bad), await read_until(good, b"fine")
 
         bad, good = trio.run(run)
-        self.assertEqual(bad, b"")
+        self.assert_whole_failure(bad)
         self.assertIn(b"fine", good)
 
+    def test_response_that_cannot_be_encoded_leaves_no_caller_without_a_status(self) -> None:
+        # h11 checks some headers when it encodes a response, and accepts no other one after that.
+        invalid_heads = (
+            (200, [(b"x", b"two\nlines")]),
+            (99, []),
+            (200, [(b"content-length", b"many")]),
+            (200, [(b"transfer-encoding", b"gzip")]),
+        )
+        for method in (b"GET", b"HEAD", b"CONNECT"):
+            for status, headers in invalid_heads:
+
+                async def fail(
+                    exchange: Exchange, status: int = status, headers: Headers = headers
+                ) -> None:
+                    await exchange.answer(status, headers, b"body")
+
+                request = method + b" /bad HTTP/1.1\r\nhost: a\r\n\r\n"
+                self.assert_whole_failure(self.talk(request, handler=fail))
+
+    def test_handler_that_returns_without_a_response_leaves_no_caller_without_a_status(
+        self,
+    ) -> None:
+        async def forget(exchange: Exchange) -> None:
+            return
+
+        self.assert_whole_failure(self.talk(GET, handler=forget))
+
+    def test_exception_after_the_head_of_a_response_makes_it_incomplete(self) -> None:
+        async def fail(exchange: Exchange) -> None:
+            await exchange.send_head(200, [])
+            await exchange.send_data(b"part")
+            raise ValueError("bad")
+
+        data = self.talk(GET, handler=fail)
+        self.assertIn(b"part", data)
+        self.assertNotIn(b"0\r\n\r\n", data)
+        self.assertNotIn(b" 500 ", data)
+
+    def test_failed_handler_is_logged_with_its_request(self) -> None:
+        async def fail(exchange: Exchange) -> None:
+            exchange.log_name = "r-17"
+            raise ValueError("bad")
+
+        with logbook.TestHandler() as handler:
+            self.talk(b"PUT /bad HTTP/1.1\r\nhost: a\r\n\r\n", handler=fail)
+        (record,) = [item for item in handler.records if item.message == "handler failed"]
+        self.assertEqual(
+            (record.extra["request"], record.extra["method"], record.extra["target"]),
+            ("r-17", "PUT", "/bad"),
+        )
+        self.assertRegex(record.extra["caller"], r"^127\.0\.0\.1:\d+$")
+
+    def assert_whole_failure(self, data: bytes) -> None:
+        """Check that the data is one complete response with status 500 and no body."""
+        head, separator, body = data.partition(b"\r\n\r\n")
+        self.assertRegex(data, rb"^HTTP/1\.1 500 ")
+        self.assertEqual((separator, body), (b"\r\n\r\n", b""))
+        lines = head.lower().split(b"\r\n")
+        self.assertIn(b"content-length: 0", lines)
+        self.assertIn(b"connection: close", lines)
+
     def test_closing_server_announces_it_and_closes_idle_connections(self) -> None:
         async def run() -> tuple[bytes, bytes]:
             async with serving(echo) as (server, address):
