Answer 500 when a handler fails before its response began

Callers saw a request that was read whole end with a closed connection and no status. Cause: a handler that raised made the server abort the connection, also where nothing had been sent; and is_head_sent was set before the head was encoded, so a head that h11 refuses looked sent. Ruled out: answering through the connection's own h11 state, which refuses every response after one that could not be encoded.

The caller now gets a complete 500, which promises nothing, with Connection: close; a handler that returns without any response counts as failed too. A response that has begun is cut as before. The line 'handler failed' names request, method, target and the caller's address, and 'request ended' says 'handler failed' in place of 'caller gone'.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -76,7 +76,11 @@
 
 @dataclass
 class Exchange:
-    """One request and its response."""
+    """One request and its response.
+
+    `is_head_sent` is set as soon as any byte of the response may have been sent. The handler sets
+    `log_name` to the name of the request in logs once it has read one.
+    """
 
     request: Request
     connection: _ServerConnection
@@ -84,11 +88,18 @@
     is_complete: bool = False
     is_aborted: bool = False
     has_caller_disconnected: bool = False
+    log_name: str = ""
+
+    @property
+    def lacks_response(self) -> bool:
+        """Return whether the caller still waits for a response of which nothing was sent."""
+        return not (self.is_head_sent or self.is_aborted or self.has_caller_disconnected)
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Begin the response; without `content-length` the body is sent chunked."""
+        data = self.connection.encode_head(status, headers)
         self.is_head_sent = True
-        await self.connection.send(self.connection.encode_head(status, headers))
+        await self.connection.send(data)
 
     async def send_data(self, data: bytes) -> None:
         """Send a part of the body."""
@@ -101,7 +112,6 @@
 
     async def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a complete response in one write."""
-        self.is_head_sent = True
         protocol = self.connection.protocol
         if not any(name == b"content-length" for name, _ in headers):
             headers = [*headers, (b"content-length", b"%d" % len(body))]
@@ -109,7 +119,7 @@
         if body and self.request.method != "HEAD":
             data += protocol.send(h11.Data(data=body))
         data += protocol.send(h11.EndOfMessage()) or b""
-        self.is_complete = True
+        self.is_head_sent = self.is_complete = True
         await self.connection.send(data)
 
     def abort(self) -> None:
@@ -138,7 +148,7 @@
     def __init__(self, stream: trio.SocketStream, state: ServerState) -> None:
         self._stream = stream
         self._state = state
-        self._input_ended = False
+        self._caller = _peer_address(stream)
         self._idle_scope: trio.CancelScope | None = None
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=READ_BYTES)
         self.is_closing = False
@@ -185,25 +195,42 @@
             nursery.start_soon(self._watch_for_disconnect, exchange, nursery.cancel_scope)
             await self._run_handler(exchange)
             nursery.cancel_scope.cancel()
+        if exchange.lacks_response:
+            await self._send_refusal(500)
+            return False
         if exchange.is_aborted or exchange.has_caller_disconnected or not exchange.is_complete:
             return False
         is_done = self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
         return is_done and not self.is_closing and not self._state.is_closing
 
     async def _run_handler(self, exchange: Exchange) -> None:
-        """Run the handler; if it raises, only this connection is closed."""
+        """Run the handler; if it raises, only this connection is closed.
+
+        A response that has begun is cut then; `_serve_request` sends one if none has.
+        """
         try:
             await self._state.handler(exchange)
         except CallerDisconnectedError:
             exchange.has_caller_disconnected = True
         except Exception as error:
-            log.error(
-                "handler failed",
-                error=type(error).__name__,
-                target=exchange.request.target,
-                trace=traceback.format_exc(limit=-4),
-            )
-            exchange.abort()
+            self._log_failure(exchange, type(error).__name__, traceback.format_exc(limit=-4))
+            if exchange.is_head_sent:
+                exchange.abort()
+        else:
+            if exchange.lacks_response:
+                self._log_failure(exchange, "no response", "")
+
+    def _log_failure(self, exchange: Exchange, error: str, trace: str) -> None:
+        log.error(
+            "handler failed",
+            request=exchange.log_name,
+            method=exchange.request.method,
+            target=exchange.request.target,
+            caller=self._caller,
+            error=error,
+            is_head_sent=exchange.is_head_sent,
+            trace=trace,
+        )
 
     async def _watch_for_disconnect(self, exchange: Exchange, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller closes the connection.
@@ -292,13 +319,21 @@
         self.protocol.receive_data(data)
 
     async def _refuse(self, status: int) -> None:
-        """Send an error response to a request that cannot be read, and close the connection."""
-        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
+        """Send an error response to a request that cannot be read; the connection closes then."""
+        if self.protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._send_refusal(status)
+
+    async def _send_refusal(self, status: int) -> None:
+        """Send an error response in place of any other, of which nothing may have been sent.
+
+        It is encoded apart from the connection's state, which accepts no response once one could
+        not be encoded.
+        """
+        protocol = h11.Connection(h11.SERVER)
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
-        data = self.protocol.send(h11.Response(status_code=status, headers=headers))
+        data = protocol.send(h11.Response(status_code=status, headers=headers))
         try:
-            await self.send(data + (self.protocol.send(h11.EndOfMessage()) or b""))
+            await self.send(data + (protocol.send(h11.EndOfMessage()) or b""))
             await self._stream.send_eof()
             with trio.move_on_after(LINGER_TIMEOUT_S):
                 while await self._stream.receive_some(READ_BYTES):
@@ -307,6 +342,15 @@
             return
 
 
+def _peer_address(stream: trio.SocketStream) -> str:
+    """Return `IP:PORT` of the other end, empty if the connection has ended already."""
+    try:
+        host, port = stream.socket.getpeername()[:2]
+    except OSError:
+        return ""
+    return f"{host}:{port}"
+
+
 class HttpServer:
     """A server on one listening address."""
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -120,6 +120,7 @@
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request; the caller gets one final response, or its connection is aborted."""
         request_info = self._dialect.read_request(exchange.request)
+        exchange.log_name = request_info.request_id
         call: Call | None = None
         outcome = "caller gone"
         try:
@@ -130,6 +131,9 @@
             await self._refuse(exchange, request_info, refusal)
         except CallerDisconnectedError:
             exchange.has_caller_disconnected = True
+        except Exception:
+            outcome = "handler failed"
+            raise
         finally:
             self._log_end(exchange, request_info, call, outcome)
 
