Test that a failure beside a disconnect does not end the server

The exception leaves the connection's task as an ExceptionGroup, which nothing catches; in an entry it ends the process and every request in it.

--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/http_server_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/http_server_tests.py
@@ -174,6 +174,37 @@
         )
         self.assertRegex(record.extra["caller"], r"^127\.0\.0\.1:\d+$")
 
+    def test_failure_beside_a_disconnect_does_not_end_the_server(self) -> None:
+        # Both together are a BaseExceptionGroup, of which only the cancellation is absorbed.
+        is_waiting = trio.Event()
+
+        async def fail_when_cancelled() -> None:
+            try:
+                await trio.sleep_forever()
+            finally:
+                raise ValueError("bad")
+
+        async def fail(exchange: Exchange) -> None:
+            if exchange.request.target != "/bad":
+                await exchange.answer(200, [], b"fine")
+                return
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fail_when_cancelled)
+                is_waiting.set()
+                await trio.sleep_forever()
+
+        async def run() -> bytes:
+            async with serving(fail) as (_, address):
+                bad = await open_stream(address)
+                await bad.send_all(b"GET /bad HTTP/1.1\r\nhost: a\r\n\r\n")
+                await is_waiting.wait()
+                await bad.aclose()
+                good = await open_stream(address)
+                await good.send_all(GET)
+                return await read_until(good, b"fine")
+
+        self.assertIn(b"fine", trio.run(run))
+
     def assert_whole_failure(self, data: bytes) -> None:
         """Check that the data is one complete response with status 500 and no body."""
         head, separator, body = data.partition(b"\r\n\r\n")
