--- a/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -397,5 +397,13 @@
             await connection.run()
         except OSError:
             stream.socket.close()
+        except Exception as error:
+            # For example of a handler whose tasks failed while it was cancelled.
+            stream.socket.close()
+            log.error(
+                "connection failed",
+                error=type(error).__name__,
+                trace=traceback.format_exc(limit=-4),
+            )
         finally:
             self._state.connections.discard(connection)
