Read decimal numbers of headers and events in one place, within bounds

Cause: isdigit() before int(), and no upper bounds. Ruled out: a patch at each place.

marigoldarch/decimals.py now reads such numbers; a value out of bounds counts as missing, as other malformed values do.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from marigoldarch.decimals import parse_whole_number
 from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch.serving.attempts import FailureReason
 from marigoldarch_node.serving.http_server import READ_BYTES
@@ -217,6 +218,6 @@
     """Return the timeout of a `Keep-Alive` header, which is in whole seconds there."""
     for item in keep_alive.split(","):
         name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return int(value) * 1000.0
+        if name.lower() == "timeout" and (seconds := parse_whole_number(value)) is not None:
+            return seconds * 1000.0
     return None
--- a/packages/marigoldarch/marigoldarch/serving/event_stream.py
+++ b/packages/marigoldarch/marigoldarch/serving/event_stream.py
@@ -8,6 +8,7 @@
 
 from typing import NamedTuple
 
+from marigoldarch.decimals import parse_whole_number
 from marigoldarch.exceptions import StreamError
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -63,6 +64,6 @@
 def _event_id(event: bytes) -> int | None:
     for line in event.splitlines():
         name, _, value = line.partition(b":")
-        if name == b"id" and value.strip().isdigit():
-            return int(value)
+        if name == b"id" and (number := parse_whole_number(value)) is not None:
+            return number
     return None
