--- a/packages/marigoldarch/marigoldarch/serving/declaration.py
+++ b/packages/marigoldarch/marigoldarch/serving/declaration.py
@@ -147,6 +147,12 @@
     second: str
 
 
+class InvalidCustomerName(NamedTuple):
+    """The name of a customer cannot be sent as the value of a header."""
+
+    name: str
+
+
 DeclarationFault = (
     UnreadableDeclaration
     | UnknownService
@@ -154,6 +160,7 @@
     | InvalidWeights
     | NonPositiveTimeout
     | SharedKey
+    | InvalidCustomerName
 )
 
 
@@ -174,6 +181,11 @@
             return f"the timeout of route {route} must be more than 0"
         case SharedKey(first=first, second=second):
             return f"customers {first} and {second} share a key"
+        case InvalidCustomerName(name=name):
+            return (
+                f"the name of customer {name!r} must not be empty, and have no control characters"
+                " and no blanks at its ends"
+            )
 
 
 def validate_declaration(
--- a/packages/marigoldarch/marigoldarch/tests/serving/declaration_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/declaration_tests.py
@@ -7,6 +7,7 @@
 from marigoldarch.serving.declaration import (
     Customer,
     DuplicateRoute,
+    InvalidCustomerName,
     InvalidWeights,
     NonPositiveTimeout,
     SharedKey,
@@ -58,3 +59,15 @@
         customers = (Customer("a", ("k", "k"), None),)
         sound = declaration(customers=customers)
         self.assertEqual(validate_declaration(sound), sound)
+
+    def test_weights_must_have_a_finite_sum(self) -> None:
+        services = (WeightedService("engines", 1.7e308), WeightedService("desk", 1.7e308))
+        self.assertEqual(self.fault(route(services=services)), InvalidWeights("quiz"))
+
+    def test_name_of_a_customer_that_no_header_can_hold_is_refused(self) -> None:
+        for name in ("a\nb", " a", "a ", "\x00"):
+            fault = self.fault(customers=(Customer(name, ("k",), None),))
+            self.assertEqual(fault, InvalidCustomerName(name))
+            self.assertIn(repr(name), describe_fault(fault))
+        sound = declaration(customers=(Customer("caf\xe9 1", ("k",), None),))
+        self.assertEqual(validate_declaration(sound), sound)
