Keep odd numbers and names of a declaration out of the request path

Callers of whole services saw no status, or lost their entry, after a declaration whose numbers or names the code cannot work with, though it was accepted. Causes: durations beyond 64 bits in work reports, divisions by a rate of 0, infinities, names that h11 refuses, negative timeouts for trio.

A service whose engine figures give no finite durations is served as one without figures, and 'engine figures ignored' names it: the operators' rules do not make such a declaration invalid, so it must not be refused.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -94,6 +94,8 @@
             before=before,
             routes=len(table.declaration.routes),
         )
+        for service in table.ignored_engines:
+            log.warning("engine figures ignored", service=service, version=table.version)
 
     async def wait_for_table(self, timeout_ms: Millis) -> RoutingTable | None:
         """Return the routing table, waiting for the first one; None after the timeout."""
--- a/packages/marigoldarch/marigoldarch/serving/declaration.py
+++ b/packages/marigoldarch/marigoldarch/serving/declaration.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 from typing import NamedTuple
 
 from marigoldarch.clock import Millis
+from marigoldarch.header_values import is_header_value
+
+MAX_ENGINE_FIGURE = 1e12
+"""Larger figures of an engine are not used: sums and products of them could overflow."""
+
+MIN_PREFILL_TOKENS_PER_MS = 1e-6
+"""Likewise, smaller prefill rates are not used."""
 
 
 class RepeatRule(StrEnum):
@@ -71,6 +79,13 @@
     steps_per_pass: int
     helper_hop_ms: Millis
 
+    @property
+    def is_usable(self) -> bool:
+        """Return whether the engine formula gives a finite duration for every request."""
+        is_bounded = all(0 <= figure <= MAX_ENGINE_FIGURE for figure in self)
+        has_rate = self.prefill_tokens_per_ms >= MIN_PREFILL_TOKENS_PER_MS
+        return is_bounded and has_rate and self.step_ms > 0 and self.steps_per_pass > 0
+
 
 class Service(NamedTuple):
     """A service; `engine` is None if its targets have no engine formula."""
@@ -129,7 +144,7 @@
 
 
 class InvalidWeights(NamedTuple):
-    """A weight of a route is negative, or its weights add up to 0."""
+    """A weight of a route is negative, or its weights add up to 0 or to infinity."""
 
     route: str
 
@@ -175,7 +190,8 @@
             return f"two routes have host {host} and prefix {prefix}"
         case InvalidWeights(route=route):
             return (
-                f"the weights of route {route} must not be negative and must add up to more than 0"
+                f"the weights of route {route} must not be negative and must add up to more than 0,"
+                " and to a finite sum"
             )
         case NonPositiveTimeout(route=route):
             return f"the timeout of route {route} must be more than 0"
@@ -183,8 +199,8 @@
             return f"customers {first} and {second} share a key"
         case InvalidCustomerName(name=name):
             return (
-                f"the name of customer {name!r} must not be empty, and have no control characters"
-                " and no blanks at its ends"
+                f"the name of customer {name!r} must have no control characters, and no blanks at"
+                " its ends"
             )
 
 
@@ -204,6 +220,8 @@
         prefixes.add(prefix)
     key_owners: dict[str, str] = {}
     for customer in declaration.customers:
+        if customer.name and not is_header_value(customer.name):
+            return InvalidCustomerName(customer.name)
         for key in customer.keys:
             owner = key_owners.setdefault(key, customer.name)
             if owner != customer.name:
@@ -216,7 +234,7 @@
         if item.service not in services:
             return UnknownService(route.name, item.service)
     weights = [item.weight for item in route.services]
-    if min(weights, default=0) < 0 or sum(weights) <= 0:
+    if min(weights, default=0) < 0 or not 0 < sum(weights) < math.inf:
         return InvalidWeights(route.name)
     if route.timeout_ms <= 0:
         return NonPositiveTimeout(route.name)
--- a/packages/marigoldarch/marigoldarch/serving/routing.py
+++ b/packages/marigoldarch/marigoldarch/serving/routing.py
@@ -21,6 +21,13 @@
     def __init__(self, declaration: ServingDeclaration) -> None:
         self._declaration = declaration
         self._services = {service.name: service for service in declaration.services}
+        self._ignored_engines = [
+            service.name
+            for service in declaration.services
+            if service.engine is not None and not service.engine.is_usable
+        ]
+        for name in self._ignored_engines:
+            self._services[name] = self._services[name]._replace(engine=None)
         self._routes: dict[str, dict[str, Route]] = {}
         for route in declaration.routes:
             self._routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
@@ -38,6 +45,11 @@
         """Return the declaration."""
         return self._declaration
 
+    @property
+    def ignored_engines(self) -> list[str]:
+        """Return the services whose engine figures are not usable; they count as having none."""
+        return self._ignored_engines
+
     @property
     def requires_keys(self) -> bool:
         """Return whether routes that are not public need a customer's key."""
