--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/http_server_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/http_server_tests.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import os
+import time
 import unittest
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import logbook
 import trio
 
-from marigoldarch_node.serving.http_server import Exchange, ServerLimits
+from marigoldarch_node.serving.http_server import Exchange, HttpServer, ServerLimits
+from marigoldarch_node.serving.limit_history import LimitHistory
 from marigoldarch_node.tests.serving.support import open_stream, read_all, read_until, serving
 
 if TYPE_CHECKING:
@@ -205,6 +209,155 @@
 
         self.assertIn(b"fine", trio.run(run))
 
+    def after_change(self, first_ms: float, second_ms: float, pause_s: float) -> bytes:
+        """Change the idle limit 0.1 s after a connection has begun to wait for a request.
+
+        Return what the caller gets for one that it sends after a pause from there.
+        """
+
+        async def run() -> bytes:
+            history = LimitHistory(ServerLimits(idle_timeout_ms=first_ms))
+            async with serving(echo, history=history) as (_, address):
+                stream = await open_stream(address)
+                await trio.sleep(0.1)
+                history.change(ServerLimits(idle_timeout_ms=second_ms), 0.0)
+                await trio.sleep(pause_s)
+                with suppress(trio.BrokenResourceError):
+                    await stream.send_all(GET)
+                    return await read_until(stream, b"y=1 ")
+                return b""
+
+        return trio.run(run)
+
+    def test_connection_idle_since_before_a_longer_limit_is_kept_for_it(self) -> None:
+        self.assertIn(b" 200 ", self.after_change(300.0, 900.0, pause_s=0.5))
+        self.assertEqual(self.after_change(300.0, 600.0, pause_s=0.8), b"")
+
+    def test_connection_idle_since_before_a_shorter_limit_keeps_the_longer_one(self) -> None:
+        self.assertIn(b" 200 ", self.after_change(800.0, 200.0, pause_s=0.5))
+        self.assertEqual(self.after_change(400.0, 200.0, pause_s=0.6), b"")
+
+    def test_limit_that_was_in_force_in_between_counts(self) -> None:
+        async def run() -> bytes:
+            history = LimitHistory(ServerLimits(idle_timeout_ms=300.0))
+            async with serving(echo, history=history) as (_, address):
+                stream = await open_stream(address)
+                await trio.sleep(0.1)
+                history.change(ServerLimits(idle_timeout_ms=900.0), 0.0)
+                history.change(ServerLimits(idle_timeout_ms=200.0), 0.0)
+                await trio.sleep(0.5)
+                await stream.send_all(GET)
+                return await read_until(stream, b"y=1 ")
+
+        self.assertIn(b" 200 ", trio.run(run))
+
+    def test_connections_closed_as_idle_are_counted(self) -> None:
+        async def run() -> int:
+            async with serving(echo, LIMITS) as (server, address):
+                streams = [await open_stream(address) for _ in range(3)]
+                for stream in streams:
+                    self.assertEqual(await read_all(stream), b"")
+                return server.idle_timeouts
+
+        self.assertEqual(trio.run(run), 3)
+
+    def test_request_that_has_arrived_when_the_idle_limit_strikes_is_served(self) -> None:
+        async def run() -> bytes:
+            async with serving(echo, LIMITS) as (_, address):
+                stream = await open_stream(address)
+                await trio.sleep(0.05)
+                # The whole loop stands still while the request arrives and the limit passes.
+                os.write(stream.socket.fileno(), GET)
+                time.sleep(LIMITS.idle_timeout_ms / 1000.0)
+                return await read_until(stream, b"y=1 ")
+
+        for _ in range(5):
+            self.assertIn(b" 200 ", trio.run(run))
+
+    def test_request_that_arrives_after_the_idle_limit_has_struck_is_served(self) -> None:
+        class SlowHistory(LimitHistory):
+            """A request arrives while the server looks up the limits before it closes."""
+
+            def longest_idle_timeout_ms(self, since_ms: float) -> float:
+                os.write(stream.socket.fileno(), GET)
+                return super().longest_idle_timeout_ms(since_ms)
+
+        async def run() -> bytes:
+            nonlocal stream
+            async with serving(echo, history=SlowHistory(LIMITS)) as (_, address):
+                stream = await open_stream(address)
+                return await read_until(stream, b"y=1 ")
+
+        stream: trio.SocketStream
+        self.assertIn(b" 200 ", trio.run(run))
+
+    def test_request_that_has_arrived_at_a_stopping_server_is_served(self) -> None:
+        async def run() -> bytes:
+            async with serving(echo) as (server, address):
+                stream = await open_stream(address)
+                await trio.sleep(0.05)
+                server.announce_closing()
+                os.write(stream.socket.fileno(), GET)
+                server.close_idle()
+                return await read_all(stream)
+
+        data = trio.run(run)
+        self.assertIn(b" 200 ", data)
+        self.assertIn(b"connection: close", data)
+
+    def test_connection_opened_to_a_stopping_server_is_served(self) -> None:
+        async def run() -> bytes:
+            async with serving(echo) as (server, address):
+                server.announce_closing()
+                stream = await open_stream(address)
+                await trio.sleep(0.05)
+                await stream.send_all(GET)
+                return await read_all(stream)
+
+        data = trio.run(run)
+        self.assertIn(b" 200 ", data)
+        self.assertIn(b"connection: close", data)
+
+    def test_connection_without_notice_of_its_end_is_served_while_the_server_stops(self) -> None:
+        async def run() -> bytes:
+            async with serving(answer_and_stop) as (server, address):
+                servers.append(server)
+                stream = await open_stream(address)
+                await stream.send_all(GET)
+                first = await read_until(stream, b"fine")
+                self.assertNotIn(b"connection: close", first)
+                await stream.send_all(GET)
+                return await read_all(stream)
+
+        servers: list[HttpServer] = []
+
+        async def answer_and_stop(exchange: Exchange) -> None:
+            await exchange.answer(200, [], b"fine")
+            servers[0].announce_closing()
+
+        data = trio.run(run)
+        self.assertIn(b" 200 ", data)
+        self.assertIn(b"connection: close", data)
+
+    def test_part_of_a_request_behind_another_one_is_not_idle(self) -> None:
+        async def run() -> bytes:
+            async with serving(slow_echo, LIMITS._replace(header_timeout_ms=2000.0)) as (
+                _,
+                address,
+            ):
+                stream = await open_stream(address)
+                await stream.send_all(GET + b"GET /z HT")
+                await read_until(stream, b"y=1 ")
+                await trio.sleep(0.6)
+                await stream.send_all(b"TP/1.1\r\nhost: a\r\n\r\n")
+                return await read_until(stream, b"/z ")
+
+        async def slow_echo(exchange: Exchange) -> None:
+            await trio.sleep(0.05)
+            await echo(exchange)
+
+        self.assertIn(b"GET /z", trio.run(run))
+
     def assert_whole_failure(self, data: bytes) -> None:
         """Check that the data is one complete response with status 500 and no body."""
         head, separator, body = data.partition(b"\r\n\r\n")
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -9,6 +9,7 @@
 
 from marigoldarch.clock import ManualClock
 from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
+from marigoldarch_node.serving.limit_history import LimitHistory
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -28,11 +29,14 @@
 
 @asynccontextmanager
 async def serving(
-    handler: Callable[[Exchange], Awaitable[None]], limits: ServerLimits | None = None
+    handler: Callable[[Exchange], Awaitable[None]],
+    limits: ServerLimits | None = None,
+    history: LimitHistory | None = None,
 ) -> AsyncIterator[tuple[HttpServer, str]]:
-    """Run a server; yield it and its address."""
+    """Run a server with fixed limits or with a history of them; yield it and its address."""
+    history = history or LimitHistory(limits or ServerLimits())
     address = await free_address()
-    state = ServerState(handler, lambda: limits or ServerLimits(), ManualClock())
+    state = ServerState(handler, lambda: history.current, ManualClock())
     server = HttpServer(state)
     async with trio.open_nursery() as nursery:
         await nursery.start(server.serve, address)
