Close an idle connection only after the longest limit since its wait began

Callers reuse connections that were idle for up to four fifths of the limit that they know. After a change from a shorter to a longer limit, a connection that was idle already kept the shorter one, and the caller's request crossed the close: no answer and no refusal, beside a change of the declaration. Ruled out as sufficient: looking up the limit again when the old one strikes, which misses a limit that was in force in between.

A connection idle since before a lowering keeps the limit that it began with, as before. The gauge caller_idle_timeouts counts connections closed so.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -48,6 +48,7 @@
     ServerLimits,
     ServerState,
 )
+from marigoldarch_node.serving.limit_history import LimitHistory
 from marigoldarch_node.serving.metrics import ServingMetrics
 from marigoldarch_node.serving.metrics_server import serve_metrics
 from marigoldarch_node.serving.peer_stream import (
@@ -157,14 +158,14 @@
         self._datagrams = await DatagramSocket.open(settings.peer_address, Hello | HostsKnown)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            limits = ServerLimits(body_bytes=MAX_DOCUMENT_BYTES)
+            limits = LimitHistory(ServerLimits(body_bytes=MAX_DOCUMENT_BYTES))
             for address, handler in (
                 (settings.peer_address, self._serve_peer),
                 (settings.control_address, self._serve_control_request),
                 (settings.directory_address, self._serve_control_request),
             ):
                 if address:
-                    state = ServerState(handler, lambda: limits, self._clock)
+                    state = ServerState(handler, limits, self._clock)
                     await nursery.start(HttpServer(state).serve, address)
             await serve_metrics(settings, self._metrics, self._clock, self._gauge_values, nursery)
             nursery.start_soon(self._store.run, lambda: self._presence.control_hosts)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -152,6 +152,7 @@
         state = self._state
         return {
             "caller_connections": self._caller_server.open_connections,
+            "caller_idle_timeouts": self._caller_server.idle_timeouts,
             "usable_targets": len(state.target_view.usable),
             "other_entries": state.workload.peer_count,
             "summarized_data_centres": state.workload.summary_count,
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -16,11 +16,13 @@
 from marigoldarch_node.clock import SystemClock
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import ServerLimits
+from marigoldarch_node.serving.limit_history import LimitHistory
 from marigoldarch_node.serving.metrics import ServingMetrics
 from marigoldarch_node.serving.shared_workload import SharedWorkload
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
+    from marigoldarch.serving.declaration import CallerLimits
     from marigoldarch.serving.routing import RoutingTable
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.dialect import ResponseInfo
@@ -55,6 +57,7 @@
         self.candidates = CandidateSource(
             settings.data_centre, self.target_view, self.workload.view, self.health, self.waits
         )
+        self.limits = LimitHistory(ServerLimits())
         self.stop_began_ms: Millis | None = None
         self._table: RoutingTable | None = None
         self._has_table = trio.Event()
@@ -88,6 +91,7 @@
             return
         self._table = table
         self._has_table.set()
+        self.limits.change(_server_limits(table.declaration.limits), self.clock.monotonic_ms())
         log.info(
             "declaration in force",
             version=table.version,
@@ -103,18 +107,6 @@
             await self._has_table.wait()
         return self._table
 
-    def limits(self) -> ServerLimits:
-        """Return the limits on callers' requests under the declaration in force."""
-        if self._table is None:
-            return ServerLimits()
-        limits = self._table.declaration.limits
-        return ServerLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_ms,
-            limits.idle_timeout_ms,
-        )
-
     def record_failure(self, target_id: str, *, is_unreachable: bool) -> None:
         """Record a failed attempt; if it suspends the target, report that to the other entries."""
         now_ms = self.clock.monotonic_ms()
@@ -207,6 +199,15 @@
         return next(matches, "")
 
 
+def _server_limits(limits: CallerLimits) -> ServerLimits:
+    return ServerLimits(
+        limits.header_bytes,
+        limits.body_bytes,
+        limits.header_timeout_ms,
+        limits.idle_timeout_ms,
+    )
+
+
 async def run_cleanup(state: EntryState, interval_s: float = 0.5) -> None:
     """Drop the work of silent entries and the state of former targets, until cancelled."""
     while True:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -25,6 +25,7 @@
     from collections.abc import Awaitable, Callable
 
     from marigoldarch.clock import Clock, Millis
+    from marigoldarch_node.serving.limit_history import LimitHistory
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -133,12 +134,16 @@
 
 @dataclass
 class ServerState:
-    """The handler, limits and connections of a server."""
+    """The handler, limits and connections of a server.
+
+    `idle_timeouts` counts the connections that were closed at the idle timeout.
+    """
 
     handler: Callable[[Exchange], Awaitable[None]]
-    limits: Callable[[], ServerLimits]
+    limits: LimitHistory
     clock: Clock
     is_closing: bool = False
+    idle_timeouts: int = 0
     connections: set[_ServerConnection] = field(default_factory=set)
 
 
@@ -150,12 +155,14 @@
         self._state = state
         self._caller = _peer_address(stream)
         self._idle_scope: trio.CancelScope | None = None
+        self._is_told_to_close = False
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=READ_BYTES)
         self.is_closing = False
 
     def close_if_idle(self) -> None:
         """Close the connection if it waits for a request."""
         if self._idle_scope is not None:
+            self._is_told_to_close = True
             self._idle_scope.cancel()
 
     def encode_head(self, status: int, headers: Headers) -> bytes:
@@ -253,17 +260,14 @@
 
     async def _read_request(self) -> Request | None:
         """Return the next request, or None if the connection ends before one is complete."""
-        limits = self._state.limits()
+        limits = self._state.limits.current
         event = self.protocol.next_event()
         if event is h11.NEED_DATA:
             if self._state.is_closing:
                 return None
-            with trio.move_on_after(limits.idle_timeout_ms / 1000.0) as self._idle_scope:
-                await self._receive()
-            was_idle = self._idle_scope.cancelled_caught
-            self._idle_scope = None
-            if was_idle:
+            if not await self._wait_for_input():
                 return None
+            limits = self._state.limits.current
             event = self.protocol.next_event()
         received_ms = self._state.clock.monotonic_ms()
         with trio.move_on_after(limits.header_timeout_ms / 1000.0) as scope:
@@ -292,6 +296,30 @@
             received_ms,
         )
 
+    async def _wait_for_input(self) -> bool:
+        """Receive the first bytes of a request; return False if the connection is to be closed.
+
+        Callers reuse an idle connection by the limits that they know. It is therefore closed only
+        after the longest idle timeout that was in force since the wait began.
+        """
+        limits = self._state.limits
+        began_ms, began_s = self._state.clock.monotonic_ms(), trio.current_time()
+        timeout_ms = limits.current.idle_timeout_ms
+        while True:
+            with trio.CancelScope(deadline=began_s + timeout_ms / 1000.0) as self._idle_scope:
+                await self._receive()
+            was_idle = self._idle_scope.cancelled_caught
+            self._idle_scope = None
+            if not was_idle:
+                return True
+            longest_ms = limits.longest_idle_timeout_ms(began_ms)
+            if self._is_told_to_close:
+                return False
+            if longest_ms <= timeout_ms:
+                self._state.idle_timeouts += 1
+                return False
+            timeout_ms = longest_ms
+
     async def _read_body(self, limits: ServerLimits) -> bytes | None:
         parts: list[bytes] = []
         size = 0
@@ -364,6 +392,11 @@
         """Return the number of open connections."""
         return len(self._state.connections)
 
+    @property
+    def idle_timeouts(self) -> int:
+        """Return how many connections were closed at the idle timeout so far."""
+        return self._state.idle_timeouts
+
     async def serve(
         self, address: str, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/metrics_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics_server.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
+from marigoldarch_node.serving.limit_history import LimitHistory
 from marigoldarch_node.serving.metrics import METRICS_PATH
 
 if TYPE_CHECKING:
@@ -37,5 +38,5 @@
         plain = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
         await exchange.answer(200, plain, content)
 
-    server = HttpServer(ServerState(handle, ServerLimits, clock))
+    server = HttpServer(ServerState(handle, LimitHistory(ServerLimits()), clock))
     await nursery.start(server.serve, f"{settings.ip}:{settings.metrics_port}")
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -36,7 +36,7 @@
     """Run a server with fixed limits or with a history of them; yield it and its address."""
     history = history or LimitHistory(limits or ServerLimits())
     address = await free_address()
-    state = ServerState(handler, lambda: history.current, ManualClock())
+    state = ServerState(handler, history, ManualClock())
     server = HttpServer(state)
     async with trio.open_nursery() as nursery:
         await nursery.start(server.serve, address)
