Serve a request whose bytes arrived when its connection closes as idle

Callers saw a closed connection and no status when their request arrived just as the idle limit struck, or as a stopping entry closed its idle connections: the server closed with the bytes in the socket's buffer. A request of which a part had arrived behind the one before it was closed as idle too; it now has the time limit of headers.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -265,7 +265,9 @@
         if event is h11.NEED_DATA:
             if self._state.is_closing:
                 return None
-            if not await self._wait_for_input():
+            # Bytes behind the last request are the begin of the next one, so this is no idle time.
+            has_begun = bool(self.protocol.trailing_data[0])
+            if not has_begun and not await self._wait_for_input():
                 return None
             limits = self._state.limits.current
             event = self.protocol.next_event()
@@ -313,6 +315,10 @@
             if not was_idle:
                 return True
             longest_ms = limits.longest_idle_timeout_ms(began_ms)
+            if self._stream.socket.is_readable():
+                # A request has arrived at the same moment: it is served.
+                await self._receive()
+                return True
             if self._is_told_to_close:
                 return False
             if longest_ms <= timeout_ms:
