Serve connections to a stopping entry until they are told of its end

Callers saw a closed connection and no status during the three seconds in which a stopping entry still accepts requests: a new connection was closed before its request was read, and so was one whose last response had been sent just before the stop began, without Connection: close. Cause: both places asked only whether the server stops. Ruled out: an effect on the drain, which closes idle connections every 50 ms once the three seconds are over.

A connection now ends after a response that announces it, or idle at the end of the three seconds.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -207,8 +207,8 @@
             return False
         if exchange.is_aborted or exchange.has_caller_disconnected or not exchange.is_complete:
             return False
-        is_done = self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
-        return is_done and not self.is_closing and not self._state.is_closing
+        # After a response that announced the end of the connection, h11 is not in these states.
+        return self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
 
     async def _run_handler(self, exchange: Exchange) -> None:
         """Run the handler; if it raises, only this connection is closed.
@@ -263,8 +263,6 @@
         limits = self._state.limits.current
         event = self.protocol.next_event()
         if event is h11.NEED_DATA:
-            if self._state.is_closing:
-                return None
             # Bytes behind the last request are the begin of the next one, so this is no idle time.
             has_begun = bool(self.protocol.trailing_data[0])
             if not has_begun and not await self._wait_for_input():
