Drop datagrams that are nested too deeply

Any datagram with a field that is nested some thousand levels deep ended an entry or a control host, and with an entry all its requests: msgspec raises RecursionError, which is none of its own errors, and the receiving task runs in the node's nursery. Such a datagram, relayed reports included, is dropped and logged like others that cannot be decoded.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/datagrams.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/datagrams.py
@@ -60,7 +60,7 @@
                 continue
             try:
                 message = self._decoder.decode(data)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            except (msgspec.DecodeError, RecursionError) as error:
                 log.warning("undecodable datagram dropped", peer=sender[0], reason=str(error))
                 continue
             await handle(message)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -261,7 +261,7 @@
         """Apply a report from another data centre, and forward it to the entries of this one."""
         try:
             report = msgspec.msgpack.decode(data, type=WorkReport | PoolSummary)
-        except msgspec.MsgspecError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             log.warning("relayed report dropped", reason=str(error))
             return
         await self._datagrams.send_encoded(
