--- a/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/pool_view_tests.py
@@ -96,6 +96,12 @@
         self.assertFalse(self.view.start("e1", attempt(1, 7), 10.0))
         self.assertEqual(self.view.load_of(7).prefill_until_ms, 100.0)
 
+    def test_attempt_whose_targets_share_a_hash_ends(self) -> None:
+        # Targets are known by the CRC-32 of their ids, which two of them may share.
+        self.view.start("e1", attempt(1, 7, 7), 0.0)
+        self.view.end("e1", 1, 10.0)
+        self.assertTrue(self.view.load_of(7).is_empty)
+
     def test_attempts_missing_from_the_complete_list_are_removed(self) -> None:
         self.view.start("e1", attempt(1, 7), 0.0)
         self.view.start("e2", attempt(1, 7), 0.0)
