End an attempt whose targets share a hash

A request whose prompt two targets with the same CRC-32 of their ids read raised KeyError as it ended, in the entry that ran it, and in the others a report of it ended the datagram task and the node. With 12,000 targets two ids share a hash on about one site in sixty (n²/2^33), and both would have to be chosen for one prompt; it was found by reading and has not been seen.

--- a/packages/marigoldarch/marigoldarch/serving/pool_view.py
+++ b/packages/marigoldarch/marigoldarch/serving/pool_view.py
@@ -254,7 +254,7 @@
         if tracked is None:
             return
         self._remove_pending_prefill(key, tracked, now_ms)
-        for target in tracked.attempt.targets:
+        for target in set(tracked.attempt.targets):
             load = self._loads[target]
             load.running.pop(key, None)
             load.helping.pop(key, None)
