--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_connections_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_connections_tests.py
@@ -141,3 +141,28 @@
 
         with self.assertRaises(UnreachableError):
             trio.run(run)
+
+    def test_response_that_arrives_before_the_request_is_sent_does_not_fail_it(self) -> None:
+        # h11 can send no request once it has read a response.
+        async def talk(stream: trio.SocketStream) -> None:
+            await stream.send_all(HEAD + b"\r\nab")
+            await trio.sleep(5)
+
+        async def run() -> list[int]:
+            statuses: list[int] = []
+            connections = TargetConnectionPool(ManualClock())
+
+            async def read() -> None:
+                statuses.append((await connection.read_head()).status)
+
+            async with scripted_target(talk) as address:
+                connection = await connections.acquire(address, must_be_new=True)
+                with trio.fail_after(1.0):
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(read)
+                        await trio.sleep(0.05)
+                        await connection.send(REQUEST)
+                connections.release(connection, None)
+            return statuses
+
+        self.assertEqual(trio.run(run), [200])
