Read a target's response only once its request is encoded

Callers saw no status when a target sends bytes as soon as a connection is open, such as a refusal of a connection too many or bytes that are no answer, and the reading task came first: h11 accepts no request any more then, and the handler failed. It needs the bytes to be there when the connection is returned, as on an entry whose loop is busy for a round trip. Ruled out: sending before reading, which would hide a target that answers early while a long body is being sent.

read_head now waits until send has encoded the request. It was found by reading; that a caller met it is not shown.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
 import h11
@@ -79,8 +79,9 @@
 class TargetConnection:
     """A connection in use for one request.
 
-    `is_sent` is true once the whole request was sent, `has_received_bytes` once any byte of a
-    response has arrived.
+    `is_encoded` is set once the request is ready to be sent; nothing is read before that. `is_sent`
+    is true once the whole request was sent, `has_received_bytes` once any byte of a response has
+    arrived.
     """
 
     address: str
@@ -89,6 +90,7 @@
     is_reused: bool
     is_sent: bool = False
     has_received_bytes: bool = False
+    is_encoded: trio.Event = field(default_factory=trio.Event)
 
     async def send(self, request: TargetRequest) -> None:
         """Send a request; if that fails, reading the response raises the error."""
@@ -97,6 +99,7 @@
         if request.body:
             data += self.protocol.send(h11.Data(data=request.body))
         data += self.protocol.send(h11.EndOfMessage()) or b""
+        self.is_encoded.set()
         try:
             await self.connection.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -104,7 +107,13 @@
         self.is_sent = True
 
     async def read_head(self) -> ResponseHead:
-        """Return the head of the response; raise `ResponseError` if there is none."""
+        """Return the head of the response; raise `ResponseError` if there is none.
+
+        It waits until another task has called `send`: h11 encodes no request once it has read a
+        response, and some targets send bytes as soon as a connection is open.
+        """
+        if not self.is_encoded.is_set():
+            await self.is_encoded.wait()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
