--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -8,12 +8,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 import trio
 
+from marigoldarch.decimals import parse_whole_number
 from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch.serving.attempts import FailureReason
 from marigoldarch_node.serving.http_server import READ_BYTES
@@ -78,8 +79,9 @@
 class TargetConnection:
     """A connection in use for one request.
 
-    `is_sent` is true once the whole request was sent, `has_received_bytes` once any byte of a
-    response has arrived.
+    `is_encoded` is set once the request is ready to be sent; nothing is read before that. `is_sent`
+    is true once the whole request was sent, `has_received_bytes` once any byte of a response has
+    arrived.
     """
 
     address: str
@@ -88,6 +90,7 @@
     is_reused: bool
     is_sent: bool = False
     has_received_bytes: bool = False
+    is_encoded: trio.Event = field(default_factory=trio.Event)
 
     async def send(self, request: TargetRequest) -> None:
         """Send a request; if that fails, reading the response raises the error."""
@@ -96,6 +99,7 @@
         if request.body:
             data += self.protocol.send(h11.Data(data=request.body))
         data += self.protocol.send(h11.EndOfMessage()) or b""
+        self.is_encoded.set()
         try:
             await self.connection.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -103,7 +107,13 @@
         self.is_sent = True
 
     async def read_head(self) -> ResponseHead:
-        """Return the head of the response; raise `ResponseError` if there is none."""
+        """Return the head of the response; raise `ResponseError` if there is none.
+
+        It waits until another task has called `send`: h11 encodes no request once it has read a
+        response, and some targets send bytes as soon as a connection is open.
+        """
+        if not self.is_encoded.is_set():
+            await self.is_encoded.wait()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -217,6 +227,6 @@
     """Return the timeout of a `Keep-Alive` header, which is in whole seconds there."""
     for item in keep_alive.split(","):
         name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return int(value) * 1000.0
+        if name.lower() == "timeout" and (seconds := parse_whole_number(value)) is not None:
+            return seconds * 1000.0
     return None
