--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -152,6 +152,7 @@
         state = self._state
         return {
             "caller_connections": self._caller_server.open_connections,
+            "caller_idle_timeouts": self._caller_server.idle_timeouts,
             "usable_targets": len(state.target_view.usable),
             "other_entries": state.workload.peer_count,
             "summarized_data_centres": state.workload.summary_count,
@@ -261,7 +262,7 @@
         """Apply a report from another data centre, and forward it to the entries of this one."""
         try:
             report = msgspec.msgpack.decode(data, type=WorkReport | PoolSummary)
-        except msgspec.MsgspecError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             log.warning("relayed report dropped", reason=str(error))
             return
         await self._datagrams.send_encoded(
