--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/memory_reservations_tests.py
@@ -0,0 +1,53 @@
+"""Tests of memory reservations at helpers that send faulty responses."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from marigoldarch.tests.serving.support import target
+from marigoldarch_node.serving.entry_state import EntryState
+from marigoldarch_node.serving.memory_reservations import ReservationManager
+from marigoldarch_node.serving.settings import ServingSettings
+from marigoldarch_node.serving.target_connections import TargetConnectionPool
+from marigoldarch_node.tests.serving.support import PlainDialect, read_until, scripted_target
+
+SETTINGS = ServingSettings("e1", "10.0.0.1", "dc1", 7340, ["10.0.1.1:80"])
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n"
+
+
+class FaultyHelperTests(unittest.TestCase):
+    """Helpers whose responses no sound target sends."""
+
+    def release_after_response(self, response: bytes) -> int:
+        """Reserve memory at a helper that sends `response` each time, then release it.
+
+        Returns the number of leases that are left. Raises what ends the manager, and with it the
+        process of an entry.
+        """
+
+        async def talk(stream: trio.SocketStream) -> None:
+            while await read_until(stream, b"\r\n\r\n"):
+                await stream.send_all(response)
+
+        async def run() -> int:
+            state = EntryState(SETTINGS, 1)
+            connections = TargetConnectionPool(state.clock)
+            manager = ReservationManager(state, PlainDialect(), connections)
+            async with scripted_target(talk) as address, trio.open_nursery() as nursery:
+                nursery.start_soon(manager.run)
+                reservations = manager.create([target("t", address=address)], 1000)
+                await manager.reserve(reservations)
+                manager.release(reservations)
+                await trio.sleep(0.5)
+                nursery.cancel_scope.cancel()
+            return manager.lease_count
+
+        return trio.run(run)
+
+    # Guards against the end of an entry's process by one header of a helper.
+    def test_unreadable_idle_timeout_of_a_helper_does_not_end_the_manager(self) -> None:
+        for value in (b"\xb2", b"9" * 400, b"9" * 5000):
+            response = OK + b"keep-alive: timeout=" + value + b"\r\n\r\n"
+            self.assertEqual(self.release_after_response(response), 0)
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -8,16 +8,57 @@
 import trio
 
 from marigoldarch.clock import ManualClock
+from marigoldarch_node.serving.dialect import RequestInfo, ResponseInfo
 from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
+from marigoldarch_node.serving.target_connections import TargetRequest
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
-    from marigoldarch_node.serving.http_server import Exchange
+    from marigoldarch.clock import Millis
+    from marigoldarch.serving.targets import Target
+    from marigoldarch_node.serving.dialect import ForwardingInfo
+    from marigoldarch_node.serving.http_server import Exchange, Headers, Request
+    from marigoldarch_node.serving.target_connections import ResponseHead
 
 READ_TIMEOUT_S = 3.0
 
 
+class PlainDialect:
+    """A dialect that takes each request for `r1` at the host of `declaration`, and signs nothing."""
+
+    def read_request(self, request: Request) -> RequestInfo:
+        """Decode the path; the rest is fixed."""
+        return RequestInfo("r1", "desk.example", request.target, "", None, None, None)
+
+    def target_headers(self, request: Request, forwarding: ForwardingInfo) -> Headers:
+        """Return the one header that each request needs."""
+        return [(b"host", b"target")]
+
+    def reservation(
+        self, target: Target, reservation_id: str, tokens: int, hold_ms: Millis
+    ) -> TargetRequest:
+        """Return a request without a body."""
+        return TargetRequest("PUT", f"/memory/{reservation_id}", [(b"host", b"target")], b"")
+
+    def release(self, target: Target, reservation_id: str) -> TargetRequest:
+        """Return a request without a body."""
+        return TargetRequest("DELETE", f"/memory/{reservation_id}", [(b"host", b"target")], b"")
+
+    def read_response(self, head: ResponseHead) -> ResponseInfo:
+        """Take each response for a signed one to `r1`."""
+        is_event_stream = head.header(b"content-type") == "text/event-stream"
+        return ResponseInfo("r1", False, True, is_event_stream, None, "")
+
+    def caller_headers(self, head: ResponseHead) -> Headers:
+        """Return no headers."""
+        return []
+
+    def refusal_headers(self, request_id: str, retry_after_ms: Millis | None) -> Headers:
+        """Return no headers."""
+        return []
+
+
 async def free_address() -> str:
     """Return a loopback address on which nothing listens."""
     listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
