Header values of a target no longer end an entry's process

What callers saw: by reading the code, one response to a release or a renewal of memory with `keep-alive: timeout=` and a value that int() or the product in float refuses ends the nursery of the reservation manager and with it the whole entry; in an attempt the same ends the caller's connection without an answer. Ruled out: h11 refuses such content lengths, chunk sizes and statuses itself (tried one by one).

--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -38,6 +39,9 @@
 
 MAX_IDLE_PER_TARGET = 4
 
+_WHOLE_SECONDS = re.compile(r"[0-9]{1,9}")
+"""An idle timeout with other or more digits counts as missing."""
+
 
 class UnreachableError(MarigoldarchError):
     """No connection could be opened, so nothing was sent."""
@@ -217,6 +221,6 @@
     """Return the timeout of a `Keep-Alive` header, which is in whole seconds there."""
     for item in keep_alive.split(","):
         name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
+        if name.lower() == "timeout" and _WHOLE_SECONDS.fullmatch(value.strip()):
             return int(value) * 1000.0
     return None
