--- a/packages/marigoldarch/marigoldarch/tests/serving/event_stream_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/event_stream_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 
 from hypothesis import given
@@ -38,3 +39,25 @@
     def test_event_without_an_end_is_an_error(self) -> None:
         with self.assertRaises(StreamError):
             EventSplitter().feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+    # Guards against a target that holds the processor with one event in small chunks, searched from
+    # its start for each chunk.
+    def test_processor_time_does_not_grow_with_the_square_of_an_event(self) -> None:
+        splitter = EventSplitter()
+        began_s = time.process_time()
+        for _ in range(MAX_EVENT_BYTES // 64):
+            splitter.feed(b"x" * 64)
+        self.assertEqual(splitter.feed(b"\n\n")[0].data, b"x" * MAX_EVENT_BYTES + b"\n\n")
+        self.assertLess(time.process_time() - began_s, 2.0)
+
+    # Guards against the same with many events in one chunk.
+    def test_processor_time_does_not_grow_with_the_square_of_a_chunk(self) -> None:
+        began_s = time.process_time()
+        events = EventSplitter().feed(b"a\n\n" * 80_000)
+        self.assertEqual(len(events), 80_000)
+        self.assertLess(time.process_time() - began_s, 2.0)
+
+    # Guards against the end of a caller's connection by an id that int() refuses to read.
+    def test_id_of_too_many_digits_is_no_number(self) -> None:
+        events = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\ndata: a\n\n")
+        self.assertEqual([event.event_id for event in events], [None])
