Search each byte of a stream for the end of an event once

What callers saw: nothing yet; a target that sends an event in small chunks, or many small events at once, holds the processor of its entry and so delays all its callers. Cause: for each chunk the incomplete event was searched from its start, and for each event of a chunk all that follows was searched for both terminators and copied. Change: one search that goes on where the last one ended, in a buffer that is cut once a chunk.

--- a/packages/marigoldarch/marigoldarch/serving/event_stream.py
+++ b/packages/marigoldarch/marigoldarch/serving/event_stream.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 from marigoldarch.exceptions import StreamError
 
 MAX_EVENT_BYTES = 1024 * 1024
-_EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+_EVENT_TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
+_LONGEST_TERMINATOR_BYTES = 4
 
 
 class StreamEvent(NamedTuple):
@@ -25,16 +27,22 @@
     """Splits a body into complete events, and keeps the incomplete one at the end."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether an incomplete event is kept."""
         return bool(self._buffer)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._buffer)
+
     def take_partial_event(self) -> bytes:
         """Return the incomplete event, and drop it."""
-        partial_event, self._buffer = self._buffer, b""
+        partial_event = bytes(self._buffer)
+        self._buffer.clear()
         return partial_event
 
     def feed(self, data: bytes) -> list[StreamEvent]:
@@ -42,23 +50,21 @@
 
         Raises `StreamError` for an incomplete event of more than `MAX_EVENT_BYTES`.
         """
+        # The bytes before hold no terminator, at most the beginning of one.
+        searched = max(0, len(self._buffer) - _LONGEST_TERMINATOR_BYTES + 1)
         self._buffer += data
+        ends = [match.end() for match in _EVENT_TERMINATOR.finditer(self._buffer, searched)]
         events: list[StreamEvent] = []
-        while (end := self._first_event_end()) >= 0:
-            event, self._buffer = self._buffer[:end], self._buffer[end:]
+        begin = 0
+        for end in ends:
+            event = bytes(self._buffer[begin:end])
             events.append(StreamEvent(event, _event_id(event)))
+            begin = end
+        del self._buffer[:begin]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise StreamError(f"an incomplete event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
-    def _first_event_end(self) -> int:
-        ends = [
-            self._buffer.find(terminator) + len(terminator)
-            for terminator in _EVENT_TERMINATORS
-            if terminator in self._buffer
-        ]
-        return min(ends, default=-1)
-
 
 def _event_id(event: bytes) -> int | None:
     for line in event.splitlines():
