An event id of too many digits is no number

What callers saw: a stream that breaks off without a retry, and a traceback in the log. Cause: int() refuses more than 4300 digits with ValueError, which nothing on the way expects. Change: an id of more than 18 digits counts as none, as one that is no number does. The event is still forwarded. Before: ValueError in the test; after: 6 tests of the module pass.

--- a/packages/marigoldarch/marigoldarch/serving/event_stream.py
+++ b/packages/marigoldarch/marigoldarch/serving/event_stream.py
@@ -12,12 +12,13 @@
 from marigoldarch.exceptions import StreamError
 
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_ID_DIGITS = 18
 _EVENT_TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
 _LONGEST_TERMINATOR_BYTES = 4
 
 
 class StreamEvent(NamedTuple):
-    """The bytes of one event; `event_id` is its id, None without a numeric one."""
+    """The bytes of one event; `event_id` is its id, None without a number of `MAX_ID_DIGITS`."""
 
     data: bytes
     event_id: int | None
@@ -69,6 +70,7 @@
 def _event_id(event: bytes) -> int | None:
     for line in event.splitlines():
         name, _, value = line.partition(b":")
-        if name == b"id" and value.strip().isdigit():
-            return int(value)
+        digits = value.strip()
+        if name == b"id" and digits.isdigit() and len(digits) <= MAX_ID_DIGITS:
+            return int(digits)
     return None
