Tests: a target that sends bytes without end

Bodies (with a huge length, chunked, unframed, in chunks of one byte), informational responses and a stream of chunks of one byte are read until the deadline of 12 s, then answered 504; the retry on another target comes too late. A head and an incomplete event are bounded already, but no log line names request and limit. The scripted target stops at 48 MiB, so that a failing test does not fill the machine.

--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
@@ -0,0 +1,239 @@
+"""Tests of an entry whose target sends bytes without end."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, NamedTuple
+from unittest.mock import patch
+
+import logbook
+import trio
+
+from marigoldarch.serving.declaration import RepeatRule
+from marigoldarch.serving.routing import RoutingTable
+from marigoldarch.tests.serving.support import call_once, declaration, route, target
+from marigoldarch_node.serving.attempt import EntryContext
+from marigoldarch_node.serving.entry_state import EntryState
+from marigoldarch_node.serving.http_server import HttpServer, ServerState
+from marigoldarch_node.serving.memory_reservations import ReservationManager
+from marigoldarch_node.serving.proxy import Proxy
+from marigoldarch_node.serving.settings import ServingSettings
+from marigoldarch_node.serving.target_connections import TargetConnectionPool
+from marigoldarch_node.tests.serving.support import (
+    PlainDialect,
+    free_address,
+    open_stream,
+    read_until,
+    scripted_target,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from marigoldarch.serving.declaration import Route
+
+SETTINGS = ServingSettings("e1", "10.0.0.1", "dc1", 7340, ["10.0.1.1:80"])
+DEADLINE_MS = 12_000.0
+LATEST_END_S = 8.0
+MAX_SENT_BYTES = 48 * 1024 * 1024
+"""What a scripted target sends at most, so that a failing test does not fill the machine."""
+
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+SOCKET_BUFFER_BYTES = 12 * 1024 * 1024
+"""What the kernel may hold of the bytes that a target has sent, in both directions."""
+
+POST = call_once(is_public=True, timeout_ms=DEADLINE_MS)
+STREAM = route(is_public=True, attempt_limit=1, timeout_ms=DEADLINE_MS)
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+EVENTS = b"content-type: text/event-stream\r\n"
+
+
+class EndlessTarget:
+    """A target that sends a beginning and then a filler without end, to each request."""
+
+    def __init__(self, beginning: bytes, filler: bytes) -> None:
+        self._beginning = beginning
+        self._filler = filler * max(1, 65_536 // len(filler))
+        self.sent_bytes = 0
+
+    async def talk(self, stream: trio.SocketStream) -> None:
+        """Answer one request."""
+        await read_until(stream, b"\r\n\r\n")
+        await stream.send_all(self._beginning)
+        while self.sent_bytes < MAX_SENT_BYTES:
+            await stream.send_all(self._filler)
+            self.sent_bytes += len(self._filler)
+        await trio.sleep_forever()
+
+
+class Outcome(NamedTuple):
+    """The response to a caller, and what it took."""
+
+    response: bytes
+    elapsed_s: float
+    processor_s: float
+
+
+@asynccontextmanager
+async def entry(*routes: Route) -> AsyncIterator[tuple[EntryState, str]]:
+    """Run the caller's side of an entry that knows no targets; yield its state and its address."""
+    state = EntryState(SETTINGS, 1)
+    state.apply_table(RoutingTable(declaration(*routes)))
+    state.target_view.connect("c1")
+    state.target_view.mark_complete("c1")
+    connections = TargetConnectionPool(state.clock)
+    dialect = PlainDialect()
+    reservations = ReservationManager(state, dialect, connections)
+    proxy = Proxy(EntryContext(state, dialect, connections, reservations))
+    server = HttpServer(ServerState(proxy.handle, state.limits, state.clock))
+    address = await free_address()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve, address)
+        yield state, address
+        nursery.cancel_scope.cancel()
+
+
+async def request(address: str, used: Route) -> Outcome:
+    """Send a request of a route; return the outcome when the entry has closed or responded."""
+    began_s, began_processor_s = time.monotonic(), time.process_time()
+    stream = await open_stream(address)
+    path = used.path_prefix.encode()
+    await stream.send_all(
+        b"GET %bx HTTP/1.1\r\nhost: desk.example\r\nconnection: close\r\n\r\n" % path
+    )
+    parts: list[bytes] = []
+    with trio.move_on_after(DEADLINE_MS / 1000.0 + 1.0):
+        while data := await stream.receive_some(65_536):
+            parts.append(data)
+    await stream.aclose()
+    return Outcome(
+        b"".join(parts),
+        time.monotonic() - began_s,
+        time.process_time() - began_processor_s,
+    )
+
+
+class EndlessResponsesTests(unittest.TestCase):
+    """One faulty target must not fill the memory or hold the processor of an entry."""
+
+    def check_end(self, used: Route, beginning: bytes, filler: bytes, max_bytes: int) -> None:
+        """Check that the response ends as garbled, early, and after at most `max_bytes`."""
+        endless = EndlessTarget(beginning, filler)
+        failures: list[str] = []
+
+        async def run() -> Outcome:
+            async with entry(used) as (state, address), scripted_target(endless.talk) as faulty:
+                state.target_view.update_target("c1", target("t", address=faulty))
+                with patch.object(state, "record_failure", lambda name, **_: failures.append(name)):
+                    return await request(address, used)
+
+        with logbook.TestHandler() as handler:
+            outcome = trio.run(run)
+        self.assertEqual(outcome.response.split(b"\r\n")[0], b"HTTP/1.1 502 ")
+        self.assertLess(outcome.elapsed_s, LATEST_END_S)
+        self.assertLessEqual(endless.sent_bytes, max_bytes + SOCKET_BUFFER_BYTES)
+        self.assertEqual(failures, ["t"])
+        lines = [item for item in handler.records if item.message == "response over a limit"]
+        self.assertEqual([line.extra["target"] for line in lines], ["t"])
+        self.assertEqual([line.extra["request"] for line in lines], ["r1"])
+        self.assertTrue(all(line.extra["limit"] for line in lines))
+
+    # Guards against a target that fills an entry with the headers of one response.
+    def test_head_without_end_ends_the_attempt(self) -> None:
+        self.check_end(POST, OK, b"x: y\r\n", 0)
+        self.check_end(POST, OK + b"x: ", b"y", 0)
+
+    # Guards against a target that holds the processor with responses that are not the final one.
+    def test_informational_responses_without_end_end_the_attempt(self) -> None:
+        self.check_end(POST, b"", b"HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n", 0)
+
+    # Guards against a target that fills an entry's memory with a body that ends too late or never.
+    def test_body_of_a_huge_length_ends_the_attempt(self) -> None:
+        beginning = OK + b"content-length: 1000000000000\r\n\r\n"
+        self.check_end(POST, beginning, b"x" * 4096, MAX_RESPONSE_BYTES)
+
+    def test_chunked_body_without_end_ends_the_attempt(self) -> None:
+        filler = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+        self.check_end(POST, OK + CHUNKED, filler, MAX_RESPONSE_BYTES)
+
+    def test_unframed_body_without_end_ends_the_attempt(self) -> None:
+        self.check_end(POST, OK + b"\r\n", b"x" * 4096, MAX_RESPONSE_BYTES)
+
+    # Guards against a target that holds the processor with a body in chunks of one byte.
+    def test_body_of_tiny_chunks_without_end_ends_the_attempt(self) -> None:
+        self.check_end(POST, OK + CHUNKED, b"1\r\nx\r\n", 1024 * 1024)
+
+    # Guards against a target whose stream fills an entry with one event.
+    def test_stream_without_event_ends_ends_the_attempt(self) -> None:
+        beginning = OK + EVENTS + b"\r\n"
+        self.check_end(STREAM, beginning, b"data: x" * 512 + b"\n", 1024 * 1024)
+
+    def test_stream_of_tiny_chunks_without_event_ends_ends_the_attempt(self) -> None:
+        self.check_end(STREAM, OK + EVENTS + CHUNKED, b"1\r\nx\r\n", 1024 * 1024)
+
+    # Guards against a request that fails although another target would serve it.
+    def test_request_is_retried_on_another_target(self) -> None:
+        endless = EndlessTarget(OK + b"\r\n", b"x" * 4096)
+        used = call_once(
+            is_public=True,
+            timeout_ms=DEADLINE_MS,
+            attempt_limit=2,
+            repeat_rule=RepeatRule.IDEMPOTENT,
+        )
+
+        async def talk(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            await stream.send_all(OK + b"content-length: 2\r\n\r\nok")
+
+        async def run() -> list[Outcome]:
+            async with (
+                entry(used) as (state, address),
+                scripted_target(endless.talk) as faulty,
+                scripted_target(talk) as sound,
+            ):
+                state.target_view.update_target("c1", target("t", address=faulty))
+                state.target_view.update_target("c1", target("u", address=sound))
+                return [await request(address, used) for _ in range(4)]
+
+        outcomes = trio.run(run)
+        self.assertTrue(all(outcome.response.endswith(b"ok") for outcome in outcomes))
+        self.assertTrue(all(outcome.elapsed_s < LATEST_END_S for outcome in outcomes))
+        self.assertGreater(endless.sent_bytes, 0)
+
+    # Guards against a bound that cuts sound responses.
+    def test_large_body_under_the_bound_arrives_unchanged(self) -> None:
+        body = bytes(range(256)) * (MAX_RESPONSE_BYTES // 256)
+
+        async def talk(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            await stream.send_all(OK + b"content-length: %d\r\n\r\n" % len(body) + body)
+            await trio.sleep_forever()
+
+        async def run() -> Outcome:
+            async with entry(POST) as (state, address), scripted_target(talk) as sound:
+                state.target_view.update_target("c1", target("t", address=sound))
+                return await request(address, POST)
+
+        self.assertTrue(trio.run(run).response.endswith(b"\r\n\r\n" + body))
+
+    def test_stream_of_any_length_arrives_complete(self) -> None:
+        event = b"data: " + b"x" * 1000 + b"\n\n"
+        count = 2 * MAX_RESPONSE_BYTES // len(event)
+
+        async def talk(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            length = b"content-length: %d\r\n\r\n" % (count * len(event))
+            await stream.send_all(OK + EVENTS + length + event * count)
+            await trio.sleep_forever()
+
+        async def run() -> Outcome:
+            async with entry(STREAM) as (state, address), scripted_target(talk) as sound:
+                state.target_view.update_target("c1", target("t", address=sound))
+                return await request(address, STREAM)
+
+        response = trio.run(run).response
+        self.assertEqual(response.count(event), count)
+        self.assertTrue(response.endswith(b"0\r\n\r\n"))
