Bound what a response of a target takes of an entry

What callers saw: one target that sends bytes without end is read until the deadline, and the callers of its requests get 504 then, too late for another target; a body grows in the entry's memory as fast as the link allows until the process is ended. Cause: a body that is no stream was joined without a bound, informational responses were skipped without a count, and chunks of one byte were read as long as they came. A head (16 KiB in h11) and an incomplete event (1 MiB) were bounded, for one response; nothing was bounded in sum. Ruled out: a head without end (431 of h11 before as well, now with a log line), content lengths and chunk sizes of too many digits (refused by h11). Change: a body has max_response_bytes (16 MiB), all bodies and incomplete events of an entry max_held_response_bytes (32 MiB), incomplete ones of one target half of it. A response over a bound counts as garbled, the connection is closed, the failure counts against the target, and one line names target, request and limit. Memory taken by other responses does not count against the target. After 64 pieces that arrived at once other tasks run. An attempt keeps its error response no longer than until the next attempt is planned. Not bounded: complete small events without end, which are a stream until the deadline.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from marigoldarch.exceptions import StreamError
+from marigoldarch.exceptions import EventTooLongError, StreamError
 from marigoldarch.serving.attempts import (
     FailureReason,
     NotSent,
@@ -19,11 +19,12 @@
 )
 from marigoldarch.serving.candidates import cached_name_hash
 from marigoldarch.serving.engine_formula import decode_pass_ms
-from marigoldarch.serving.event_stream import EventSplitter
+from marigoldarch.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
 from marigoldarch.serving.pool_view import RunningAttempt
 from marigoldarch.serving.response_origin import ResponseOrigin
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import CallerDisconnectedError
+from marigoldarch_node.serving.response_memory import ResponseMemoryFullError
 from marigoldarch_node.serving.stall_detector import StallDetector
 from marigoldarch_node.serving.target_connections import (
     ResponseError,
@@ -93,6 +94,8 @@
         self._sent_ms: Millis = 0.0
         self._event_count = 0
         self._has_caller_disconnected = False
+        self._held_response = context.state.response_memory.open(self._target_id)
+        self._is_target_at_fault = True
 
     async def run(self) -> Delivered | AttemptOutcome:
         """Send the request and relay the response; return the outcome.
@@ -183,6 +186,11 @@
         head, body = self._withheld_failure
         await self._call.exchange.answer(head.status, self._dialect.caller_headers(head), body)
 
+    def close(self) -> None:
+        """Drop the response and free its memory."""
+        self._withheld_failure = None
+        self._held_response.close()
+
     def _record_outcome(
         self, outcome: Delivered | AttemptOutcome | None
     ) -> Delivered | AttemptOutcome:
@@ -193,7 +201,7 @@
                 return self._incomplete_outcome(FailureReason.TIMEOUT)
             case Delivered():
                 self._state.health.note_success(self._target_id, now_ms)
-            case OutcomeUnknown() | StreamBroken() | TargetFailed():
+            case OutcomeUnknown() | StreamBroken() | TargetFailed() if self._is_target_at_fault:
                 self._state.record_failure(self._target_id, is_unreachable=False)
         return outcome
 
@@ -252,8 +260,13 @@
                 return await self._relay_stream(connection, head, response_info)
             return await self._relay_whole(connection, head, response_info)
         except ResponseError as error:
+            self._is_target_at_fault = not isinstance(error, ResponseMemoryFullError)
+            if error.limit:
+                self._log_limit(error.limit)
             return None, self._incomplete_outcome(error.reason)
-        except StreamError:
+        except StreamError as error:
+            if isinstance(error, EventTooLongError):
+                self._log_limit(f"event bytes {MAX_EVENT_BYTES}")
             return None, self._incomplete_outcome(FailureReason.GARBLED)
         except CallerDisconnectedError:
             # Raised again outside the nursery, which would wrap it in an exception group.
@@ -277,7 +290,7 @@
         self, connection: TargetConnection, head: ResponseHead, response_info: ResponseInfo
     ) -> tuple[ResponseHead | None, Delivered | AttemptOutcome]:
         """Relay a response that is not a stream, once its body is complete and valid."""
-        body = b"".join([chunk async for chunk in connection.chunks()])
+        body = await self._read_body(connection)
         if response_info.request_id not in ("", self._call.request_id):
             return None, OutcomeUnknown(FailureReason.GARBLED)
         if response_info.proves_not_run:
@@ -294,6 +307,15 @@
         await self._call.exchange.answer(head.status, self._dialect.caller_headers(head), body)
         return head, Delivered()
 
+    async def _read_body(self, connection: TargetConnection) -> bytes:
+        """Return the body; raise `ResponseError` if it is faulty or takes too much memory."""
+        body = bytearray()
+        async for chunk in connection.chunks():
+            self._held_response.add(len(chunk))
+            body += chunk
+        self._held_response.complete()
+        return bytes(body)
+
     async def _relay_stream(
         self, connection: TargetConnection, head: ResponseHead, response_info: ResponseInfo
     ) -> tuple[ResponseHead | None, Delivered | AttemptOutcome]:
@@ -301,6 +323,7 @@
         if response_info.request_id != self._call.request_id or not response_info.is_signed:
             return None, self._incomplete_outcome(FailureReason.GARBLED)
         splitter = EventSplitter()
+        self._held_response.begin_event(0)
         last_event_ms = self._state.clock.monotonic_ms()
         async with aclosing(connection.chunks()) as chunks:
             while True:
@@ -329,10 +352,19 @@
     async def _forward_events(
         self, head: ResponseHead, splitter: EventSplitter, data: bytes
     ) -> None:
-        """Forward the events that a chunk completes; raise `StreamError` if one is missing."""
+        """Forward the events that a chunk completes.
+
+        Raises `StreamError` if one is missing, and `ResponseError` if the incomplete one takes too
+        much memory.
+        """
         exchange = self._call.exchange
         parts: list[bytes] = []
-        for event in splitter.feed(data):
+        events = splitter.feed(data)
+        if events:
+            self._held_response.begin_event(splitter.partial_bytes)
+        else:
+            self._held_response.add(len(data))
+        for event in events:
             last = self._plan.last_event
             if event.event_id is not None:
                 if last is not None and event.event_id != last + 1:
@@ -363,6 +395,15 @@
             self._target_id, (now_ms - previous_ms) / (events * expected_ms)
         )
 
+    def _log_limit(self, limit: str) -> None:
+        """Log that the response exceeds a bound."""
+        log.warning(
+            "response over a limit",
+            request=self._call.request_id,
+            target=self._target_id,
+            limit=limit,
+        )
+
     def _incomplete_outcome(self, reason: FailureReason) -> AttemptOutcome:
         """Return the outcome of an attempt without a complete, valid response."""
         if self._call.exchange.is_head_sent:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -161,6 +161,7 @@
             "tickets": self._reservations.lease_count,
             "leaving_targets": len(state.target_view.leaving),
             "waiting_targets": state.waits.count,
+            "held_response_bytes": state.response_memory.held_bytes,
         }
 
     async def _serve_health(self, exchange: Exchange) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -17,6 +17,7 @@
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import ServerLimits
 from marigoldarch_node.serving.metrics import ServingMetrics
+from marigoldarch_node.serving.response_memory import ResponseMemory
 from marigoldarch_node.serving.shared_workload import SharedWorkload
 
 if TYPE_CHECKING:
@@ -45,6 +46,9 @@
         # Only the spread differs between entries; it takes nothing from `rng`.
         spread = random.Random(f"waits/{start_id}").random()
         self.waits = TargetWaits(WaitSettings(bounds.max_target_wait_ms, spread))
+        self.response_memory = ResponseMemory(
+            bounds.max_response_bytes, bounds.max_held_response_bytes
+        )
         self.metrics = ServingMetrics()
         budget = RetryBudgetSettings(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms)
         self.workload = SharedWorkload(settings.peer_address, start_id, self.clock, budget)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
@@ -37,6 +37,7 @@
 """How often a lease is renewed: three renewals in a row may be lost."""
 
 REQUEST_TIMEOUT_S = 0.35
+MAX_RESPONSE_BYTES = 64 * 1024
 CHECK_INTERVAL_S = 0.1
 
 log = EventLog("tickets")
@@ -163,11 +164,12 @@
             try:
                 await connection.send(request)
                 response = await connection.read_head()
-                async for _ in connection.chunks():
-                    pass
+                await connection.read_body(MAX_RESPONSE_BYTES)
                 head = response
                 self._record_signals(target, connection, response)
-            except ResponseError:
+            except ResponseError as error:
+                if error.limit:
+                    log.warning("response over a limit", target=target.target_id, limit=error.limit)
                 return 0
             finally:
                 self._connections.release(connection, head)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import closing
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -173,33 +174,33 @@
             placement = await self._wait_for_placement(call)
             plan = self._plan_attempt(call, placement, last_event)
             self._log_placement(call, placement)
-            attempt = Attempt(self._context, plan)
-            outcome = await attempt.run()
-            if isinstance(outcome, Delivered):
-                return "delivered"
-            target_id = placement.targets[0].target_id
-            call.history.record(target_id, outcome)
-            step = call.history.next_step(outcome, self._remaining_budget(call))
-            self._log_attempt(call, plan, outcome, step)
-            last_event = plan.last_event
-            match step:
-                case TryAgain():
-                    continue
-                case DeliverFailure():
-                    await attempt.deliver_withheld_failure()
-                    return f"target failed: {_status_of(outcome)}"
-                case CutStream():
-                    call.exchange.abort()
-                    return "stream cut"
-                case Refuse(retry_after_ms=retry_after_ms):
-                    raise RefusalError(
-                        503, "no target ran it", self._retry_after_ms(call, retry_after_ms)
-                    )
-                case Fail(is_timeout=is_timeout):
-                    if call.exchange.is_head_sent:
+            with closing(Attempt(self._context, plan)) as attempt:
+                outcome = await attempt.run()
+                if isinstance(outcome, Delivered):
+                    return "delivered"
+                target_id = placement.targets[0].target_id
+                call.history.record(target_id, outcome)
+                step = call.history.next_step(outcome, self._remaining_budget(call))
+                self._log_attempt(call, plan, outcome, step)
+                last_event = plan.last_event
+                match step:
+                    case TryAgain():
+                        continue
+                    case DeliverFailure():
+                        await attempt.deliver_withheld_failure()
+                        return f"target failed: {_status_of(outcome)}"
+                    case CutStream():
                         call.exchange.abort()
                         return "stream cut"
-                    raise RefusalError(504 if is_timeout else 502, "outcome unknown")
+                    case Refuse(retry_after_ms=retry_after_ms):
+                        raise RefusalError(
+                            503, "no target ran it", self._retry_after_ms(call, retry_after_ms)
+                        )
+                    case Fail(is_timeout=is_timeout):
+                        if call.exchange.is_head_sent:
+                            call.exchange.abort()
+                            return "stream cut"
+                        raise RefusalError(504 if is_timeout else 502, "outcome unknown")
 
     async def _wait_for_placement(self, call: Call) -> Placement:
         """Return where the next attempt runs, after waiting for capacity if that is in time."""
--- a/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
@@ -16,7 +16,7 @@
 
 
 class Bounds(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Limits that the infrastructure sets: time to stop, the retry budget, and targets' waits."""
+    """Limits: time to stop, the retry budget, targets' waits, and the memory for their responses."""
 
     stop_grace_ms: float = 8000.0
     """How long a node may take to stop before the infrastructure kills it."""
@@ -32,6 +32,12 @@
     max_target_wait_ms: float = 60_000.0
     """The longest wait that a target may ask for, so that a faulty value does not disable it."""
 
+    max_response_bytes: int = 16 * 1024 * 1024
+    """The size of the body of a target's response that is not a stream."""
+
+    max_held_response_bytes: int = 32 * 1024 * 1024
+    """The size of all responses that an entry holds at once."""
+
 
 class ServingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The settings of one node; addresses are `IP:PORT`, empty where nothing is served."""
@@ -93,5 +99,12 @@
             raise ConfigurationError(f"{name}: use IP:PORT, not {address!r}")
     if not settings.bounds.max_target_wait_ms > 0:
         raise ConfigurationError("bounds.max_target_wait_ms: use more than 0")
+    if settings.bounds.max_response_bytes < 1:
+        raise ConfigurationError("bounds.max_response_bytes: use 1 byte or more")
+    if settings.bounds.max_held_response_bytes < 2 * settings.bounds.max_response_bytes:
+        raise ConfigurationError(
+            f"bounds.max_held_response_bytes: {settings.bounds.max_held_response_bytes} is less than "
+            "twice bounds.max_response_bytes; raise it or lower the other"
+        )
     if settings.tolerated_losses < 0:
         raise ConfigurationError("tolerated_losses: use 0 or more")
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -39,6 +39,18 @@
 
 MAX_IDLE_PER_TARGET = 4
 
+MAX_HEAD_BYTES = 16 * 1024
+"""The size of an incomplete head, line of a chunk or trailer."""
+
+MAX_INFORMATIONAL_RESPONSES = 16
+"""How many responses with a status below 200 may precede the final one."""
+
+PIECES_PER_TURN = 64
+"""Of the pieces of a body that have arrived at once, so many are handled before other tasks run."""
+
+HEADERS_TOO_LARGE_STATUS = 431
+"""The status that h11 suggests when a head exceeds its bound."""
+
 _WHOLE_SECONDS = re.compile(r"[0-9]{1,9}")
 """An idle timeout with other or more digits counts as missing."""
 
@@ -48,11 +60,15 @@
 
 
 class ResponseError(MarigoldarchError):
-    """The target sent no complete, valid response."""
+    """The target sent no complete, valid response.
 
-    def __init__(self, reason: FailureReason) -> None:
+    `limit` names the bound that the response exceeded, and is empty if it exceeded none.
+    """
+
+    def __init__(self, reason: FailureReason, limit: str = "") -> None:
         super().__init__(str(reason))
         self.reason = reason
+        self.limit = limit
 
 
 class TargetRequest(NamedTuple):
@@ -108,25 +124,39 @@
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the response; raise `ResponseError` if there is none."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
-            if isinstance(event, h11.InformationalResponse):
-                continue
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
-            raise ResponseError(FailureReason.GARBLED)
+            if not isinstance(event, h11.InformationalResponse):
+                raise ResponseError(FailureReason.GARBLED)
+        limit = f"informational responses {MAX_INFORMATIONAL_RESPONSES}"
+        raise ResponseError(FailureReason.GARBLED, limit)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise `ResponseError` if it is incomplete or invalid."""
+        pieces = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                pieces += 1
+                if pieces % PIECES_PER_TURN == 0:
+                    await trio.lowlevel.checkpoint()
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
                 raise ResponseError(FailureReason.GARBLED)
 
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Return the body; raise `ResponseError` if it is faulty or exceeds `max_bytes`."""
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > max_bytes:
+                raise ResponseError(FailureReason.GARBLED, f"body bytes {max_bytes}")
+        return bytes(body)
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the response was read completely and no further bytes have arrived."""
@@ -148,7 +178,9 @@
         except h11.RemoteProtocolError as error:
             is_closed_early = self.protocol.their_state is h11.ERROR and not self.has_received_bytes
             reason = FailureReason.RESET if is_closed_early else FailureReason.GARBLED
-            raise ResponseError(reason) from error
+            is_too_long = error.error_status_hint == HEADERS_TOO_LARGE_STATUS
+            limit = f"head bytes {MAX_HEAD_BYTES}" if is_too_long else ""
+            raise ResponseError(reason, limit) from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ResponseError(FailureReason.RESET) from error
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
@@ -214,7 +246,8 @@
     def _wrap_connection(
         self, address: str, connection: Connection, *, is_reused: bool
     ) -> TargetConnection:
-        return TargetConnection(address, connection, h11.Connection(h11.CLIENT), is_reused)
+        protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        return TargetConnection(address, connection, protocol, is_reused)
 
 
 def _keep_alive_timeout_ms(keep_alive: str) -> Millis | None:
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
@@ -203,6 +203,49 @@
         self.assertTrue(all(outcome.elapsed_s < LATEST_END_S for outcome in outcomes))
         self.assertGreater(endless.sent_bytes, 0)
 
+    # Guards against a target that fills an entry with many responses, each below its bound.
+    def test_many_responses_of_a_target_leave_memory_to_the_others(self) -> None:
+        part = b"x" * (4 * 1024 * 1024)
+        body = b"y" * (8 * 1024 * 1024)
+
+        async def stay_incomplete(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            await stream.send_all(OK + b"content-length: 5000000\r\n\r\n" + part)
+            await trio.sleep_forever()
+
+        async def serve(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            await stream.send_all(OK + b"content-length: %d\r\n\r\n" % len(body) + body)
+
+        async def run() -> tuple[int, Outcome, int]:
+            async with (
+                entry(POST) as (state, address),
+                scripted_target(stay_incomplete) as faulty,
+                scripted_target(serve) as sound,
+            ):
+                state.target_view.update_target("c1", target("t", address=faulty))
+                async with trio.open_nursery() as nursery:
+                    for _ in range(8):
+                        nursery.start_soon(request, address, POST)
+                    with trio.fail_after(LATEST_END_S):
+                        while not state.health.is_suspended("t", state.clock.monotonic_ms()):
+                            await trio.sleep(0.01)
+                    held_bytes = state.response_memory.held_bytes
+                    state.target_view.update_target("c1", target("u", address=sound))
+                    state.target_view.remove_target("c1", "t")
+                    outcome = await request(address, POST)
+                    nursery.cancel_scope.cancel()
+                with trio.fail_after(LATEST_END_S):
+                    while state.response_memory.held_bytes:
+                        await trio.sleep(0.01)
+                return held_bytes, outcome, state.response_memory.held_bytes
+
+        held_bytes, outcome, left_bytes = trio.run(run)
+        self.assertLessEqual(held_bytes, MAX_RESPONSE_BYTES)
+        self.assertGreaterEqual(held_bytes, MAX_RESPONSE_BYTES // 2)
+        self.assertTrue(outcome.response.endswith(body))
+        self.assertEqual(left_bytes, 0)
+
     # Guards against a bound that cuts sound responses.
     def test_large_body_under_the_bound_arrives_unchanged(self) -> None:
         body = bytes(range(256)) * (MAX_RESPONSE_BYTES // 256)
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/memory_reservations_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/memory_reservations_tests.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+import logbook
 import trio
 
 from marigoldarch.tests.serving.support import target
@@ -51,3 +52,24 @@
         for value in (b"\xb2", b"9" * 400, b"9" * 5000):
             response = OK + b"keep-alive: timeout=" + value + b"\r\n\r\n"
             self.assertEqual(self.release_after_response(response), 0)
+
+    # Guards against a helper that holds the processor with the response to an order.
+    def test_body_without_end_of_a_helper_ends_the_order(self) -> None:
+        async def talk(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 1_000_000)
+            await trio.sleep_forever()
+
+        async def run() -> str:
+            state = EntryState(SETTINGS, 1)
+            connections = TargetConnectionPool(state.clock)
+            manager = ReservationManager(state, PlainDialect(), connections)
+            async with scripted_target(talk) as address:
+                reservations = manager.create([target("t", address=address)], 1000)
+                refusing_target = await manager.reserve(reservations)
+            return refusing_target.target_id
+
+        with logbook.TestHandler() as handler:
+            self.assertEqual(trio.run(run), "t")
+        lines = [item for item in handler.records if item.message == "response over a limit"]
+        self.assertEqual([line.extra["target"] for line in lines], ["t"])
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/settings_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/settings_tests.py
@@ -43,6 +43,8 @@
             (VALID + "tolerated_losses = -1\n", "tolerated_losses"),
             (VALID.replace("control_hosts = [", "control_hosts = [] #"), "control_hosts"),
             (VALID.replace('node = "edge-1"', 'node = ""'), "node"),
+            (VALID + "[bounds]\nmax_response_bytes = 0\n", "max_response_bytes"),
+            (VALID + "[bounds]\nmax_response_bytes = 20000000\n", "max_held_response_bytes"),
             ("not toml", "TOML"),
         ):
             with self.subTest(option=option), self.assertRaisesRegex(ConfigurationError, option):
--- a/packages/marigoldarch/marigoldarch/exceptions.py
+++ b/packages/marigoldarch/marigoldarch/exceptions.py
@@ -39,5 +39,9 @@
     """A target's stream violates the protocol of permits, attempts and offsets."""
 
 
+class EventTooLongError(StreamError):
+    """An event of a target's stream exceeds the bound on its size."""
+
+
 class NodeFailedError(MarigoldarchError):
     """An invariant of the core is violated; the node stops rather than act on a corrupt state."""
--- a/packages/marigoldarch/marigoldarch/serving/event_stream.py
+++ b/packages/marigoldarch/marigoldarch/serving/event_stream.py
@@ -9,7 +9,7 @@
 import re
 from typing import NamedTuple
 
-from marigoldarch.exceptions import StreamError
+from marigoldarch.exceptions import EventTooLongError
 
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_ID_DIGITS = 18
@@ -49,7 +49,7 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes; return the events that are complete now.
 
-        Raises `StreamError` for an incomplete event of more than `MAX_EVENT_BYTES`.
+        Raises `EventTooLongError` for an incomplete event of more than `MAX_EVENT_BYTES`.
         """
         # The bytes before hold no terminator, at most the beginning of one.
         searched = max(0, len(self._buffer) - _LONGEST_TERMINATOR_BYTES + 1)
@@ -63,7 +63,7 @@
             begin = end
         del self._buffer[:begin]
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise StreamError(f"an incomplete event exceeds {MAX_EVENT_BYTES} bytes")
+            raise EventTooLongError(f"an incomplete event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
 
