--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/edge/target_client_tests.py
@@ -0,0 +1,79 @@
+"""Tests of calls to targets that send bytes without end."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+
+from marigoldarch.identifiers import PermitId, TargetAddress
+from marigoldarch_node.calls import Payload
+from marigoldarch_node.edge.target_client import TargetClient, TargetError
+from marigoldarch_node.tests.serving.support import read_until, scripted_target
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from marigoldarch.entry.stream import Frame
+
+LATEST_END_S = 8.0
+MAX_SENT_BYTES = 48 * 1024 * 1024
+"""What a scripted target sends at most, so that a failing test does not fill the machine."""
+
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+PERMIT = PermitId(7, 1)
+PAYLOAD = Payload(model="m", prompt="p", max_tokens=10)
+
+
+class EndlessAnswersTests(unittest.TestCase):
+    """One faulty target must not fill the memory or hold the processor of a node."""
+
+    def call_endless_target(
+        self, filler: bytes, call: Callable[[TargetClient, TargetAddress], Awaitable[object]]
+    ) -> float:
+        """Call a target that sends chunks without end; return the processor time of the failure."""
+
+        async def talk(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            await stream.send_all(CHUNKED)
+            data = filler * (65_536 // len(filler))
+            for _ in range(MAX_SENT_BYTES // len(data)):
+                await stream.send_all(data)
+            await trio.sleep_forever()
+
+        async def run() -> float:
+            async with scripted_target(talk) as address:
+                began_s = time.process_time()
+                with trio.fail_after(LATEST_END_S), self.assertRaisesRegex(TargetError, "exceeds"):
+                    await call(TargetClient(), TargetAddress("t", "i", address))
+                return time.process_time() - began_s
+
+        return trio.run(run)
+
+    async def generate(self, client: TargetClient, address: TargetAddress) -> list[Frame]:
+        """Return the frames of a stream."""
+        frames = client.generate(address, PERMIT, 1, PAYLOAD, priority=0, offset=0, rank=0, size=1)
+        return [frame async for frame in frames]
+
+    async def call_service(self, client: TargetClient, address: TargetAddress) -> str:
+        """Return the answer of a plain service."""
+        return await client.call_service(address, PERMIT, 1, PAYLOAD)
+
+    # Guards against a target that holds the processor with a frame, each of whose chunks was
+    # searched together with all bytes before it.
+    def test_frame_without_end_ends_the_call(self) -> None:
+        filler = b"40\r\n" + b"x" * 64 + b"\r\n"
+        self.assertLess(self.call_endless_target(filler, self.generate), 5.0)
+
+    # Guards against the same with chunks of one byte, each of which costs processor time.
+    def test_frame_of_tiny_chunks_without_end_ends_the_call(self) -> None:
+        self.call_endless_target(b"1\r\nx\r\n", self.generate)
+
+    def test_answer_of_tiny_chunks_without_end_ends_the_call(self) -> None:
+        self.call_endless_target(b"1\r\nx\r\n", self.call_service)
+
+    def test_answer_without_end_ends_the_call(self) -> None:
+        filler = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+        self.call_endless_target(filler, self.call_service)
