Bound the time that a frame or an answer of a target may cost

What callers saw: nothing yet; a target of the product's own interface that sends one frame in small chunks holds the processor of its node until the caller gives up. Cause: for each chunk the incomplete line was copied and split again, and nothing bounded the number of chunks. Change: lines are split in a module of their own, which searches each byte once; a frame may arrive in 8,192 chunks, an answer in 32,768. Not bounded: informational responses, which httpcore skips without a count; answers in sum over a node.

--- a/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
@@ -13,6 +13,7 @@
 from marigoldarch.entry.stream import Frame
 from marigoldarch.exceptions import CodecError, MarigoldarchError
 from marigoldarch_node.edge.connection_pool import HttpcoreConnectionPool
+from marigoldarch_node.lines import LineSplitter, LineTooLongError
 
 if TYPE_CHECKING:
     from marigoldarch.effects import OrderTarget
@@ -22,7 +23,11 @@
 CONNECT_TIMEOUT_S = 1.0
 COMMAND_TIMEOUT_S = 2.0
 MAX_LINE_BYTES = 1024 * 1024
+MAX_LINE_CHUNKS = 8192
+"""The number of chunks or reads in which a line may arrive; each costs processor time."""
+
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_CHUNKS = 32_768
 MAX_COMMAND_ANSWER_BYTES = 16 * 1024
 MAX_FRAME_TOKENS = 1_000_000
 NOT_RUN = "not_run"
@@ -193,17 +198,20 @@
         size += len(chunk)
         if size > max_bytes:
             raise TargetError(f"the answer exceeds {max_bytes} bytes", is_unsent=False)
+        if len(chunks) > MAX_ANSWER_CHUNKS:
+            raise TargetError(f"the answer exceeds {MAX_ANSWER_CHUNKS} chunks", is_unsent=False)
     return b"".join(chunks)
 
 
 async def _read_lines(response: httpcore.Response) -> AsyncIterator[bytes]:
-    incomplete_line = b""
+    splitter = LineSplitter(MAX_LINE_BYTES, MAX_LINE_CHUNKS)
     async for chunk in response.aiter_stream():
-        *lines, incomplete_line = (incomplete_line + chunk).split(b"\n")
-        for line in lines:
+        for line in splitter.feed(chunk):
             yield line
-        if len(incomplete_line) > MAX_LINE_BYTES:
-            raise TargetError(f"a frame exceeds {MAX_LINE_BYTES} bytes", is_unsent=False)
+        try:
+            splitter.check()
+        except LineTooLongError as error:
+            raise TargetError(f"a frame is too long: {error}", is_unsent=False) from error
 
 
 def _parse_frame(line: bytes) -> Frame:
