Bound lines and bodies from peers

What callers saw: nothing; a node whose peer sends a line or a document without end fills its memory. The bound on a line, MAX_LINE_BYTES, was declared and used nowhere, and each read copied and split the incomplete line again, as the links of the product's own nodes did. Change: streams of peers and links use the splitter of lines, a line of a peer has 64 MiB, and a document 64 MiB, as much as a control host accepts.

--- a/packages/marigoldarch-node/marigoldarch_node/edge/peer_links.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/peer_links.py
@@ -23,6 +23,7 @@
 from marigoldarch.messages import MESSAGES, Message
 from marigoldarch_node.edge.http import HttpError, HttpRequest, Route, authorization_header
 from marigoldarch_node.edge.listener import tcp_socket_options
+from marigoldarch_node.lines import LineSplitter, LineTooLongError
 from marigoldarch_node.logs import get_logger
 from marigoldarch_node.security.keys import KeyRing, Role
 from marigoldarch_node.security.tls import TlsContexts
@@ -228,16 +229,18 @@
         is_known = self._settings.keys.allows(Role.PEER, request.bearer_key)
         if not is_known or sender not in self._known_nodes:
             raise HttpError(401, "unknown_peer", "the peer key or node name is wrong")
-        incomplete_line = b""
+        splitter = LineSplitter(MAX_BATCH_BYTES)
         while True:
             message = await request.receive()
             if message["type"] == "http.disconnect":
                 return
-            *lines, incomplete_line = (incomplete_line + message.get("body", b"")).split(b"\n")
-            for line in lines:
+            for line in splitter.feed(message.get("body", b"")):
                 self._receive_batch(sender, line)
-            if len(incomplete_line) > MAX_BATCH_BYTES:
-                raise HttpError(413, "batch_too_large", "a batch of messages is too large")
+            try:
+                splitter.check()
+            except LineTooLongError as error:
+                message = "a batch of messages is too large"
+                raise HttpError(413, "batch_too_large", message) from error
             if not message.get("more_body"):
                 await request.send_json(200, {})
                 return
--- a/packages/marigoldarch-node/marigoldarch_node/lines.py
+++ b/packages/marigoldarch-node/marigoldarch_node/lines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from marigoldarch.exceptions import MarigoldarchError
 
 
@@ -12,10 +14,11 @@
 class LineSplitter:
     """Splits chunks into lines without their ends, and keeps the incomplete line.
 
-    An incomplete line may have `max_bytes` and arrive in `max_pieces` chunks.
+    An incomplete line may have `max_bytes` and arrive in `max_pieces` chunks, without that in any
+    number of them.
     """
 
-    def __init__(self, max_bytes: int, max_pieces: int) -> None:
+    def __init__(self, max_bytes: int, max_pieces: float = math.inf) -> None:
         self._max_bytes = max_bytes
         self._max_pieces = max_pieces
         self._incomplete_line = bytearray()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -52,6 +52,7 @@
 from marigoldarch_node.serving.metrics_server import serve_metrics
 from marigoldarch_node.serving.peer_stream import (
     DOCUMENT_PATH,
+    MAX_DOCUMENT_BYTES,
     MESSAGES_PATH,
     REMOTE_STATUS_INTERVAL,
     Subscribers,
@@ -86,7 +87,6 @@
 accepts requests, as some callers use it for three times as long."""
 
 INSTALLATION = "serving"
-MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 
 STORE_TIMING = ControlSettings(
     append_interval_ms=100.0,
--- a/packages/marigoldarch-node/marigoldarch_node/serving/peer_stream.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/peer_stream.py
@@ -15,6 +15,8 @@
 
 from marigoldarch.codec import decode_json, encode_json
 from marigoldarch.exceptions import CodecError
+from marigoldarch.serving.attempts import FailureReason
+from marigoldarch_node.lines import LineSplitter, LineTooLongError
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.sockets import connect
 from marigoldarch_node.serving.target_connections import (
@@ -50,6 +52,7 @@
 """The same as `IDLE_TIMEOUT_S` for a stream from another data centre: three of its intervals."""
 
 MAX_LINE_BYTES = 64 * 1024 * 1024
+MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 
 log = EventLog("peers")
 
@@ -252,16 +255,18 @@
         with trio.fail_after(RESPONSE_TIMEOUT_MS / 1000.0):
             await connection.send(_get_request(path))
             await connection.read_head()
-        rest = b""
+        splitter = LineSplitter(MAX_LINE_BYTES)
         chunks = connection.chunks()
         while True:
             with trio.fail_after(idle_timeout_s()):
                 data = await anext(chunks, None)
             if data is None:
                 return
-            *lines, rest = (rest + data).split(b"\n")
-            for line in lines:
+            for line in splitter.feed(data):
                 yield line
+            splitter.check()
+    except LineTooLongError as error:
+        raise ResponseError(FailureReason.GARBLED, str(error)) from error
     finally:
         connection.connection.close()
 
@@ -275,7 +280,7 @@
         try:
             await connection.send(_get_request(path))
             head = await connection.read_head()
-            body = b"".join([chunk async for chunk in connection.chunks()])
+            body = await connection.read_body(MAX_DOCUMENT_BYTES)
         finally:
             connection.connection.close()
     if head.status != 200:
