--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
@@ -246,6 +246,31 @@
         self.assertTrue(outcome.response.endswith(body))
         self.assertEqual(left_bytes, 0)
 
+    # Guards against a sound target that is set aside as others have filled the entry.
+    def test_full_memory_does_not_count_against_the_target(self) -> None:
+        failures: list[str] = []
+
+        async def talk(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            await stream.send_all(OK + b"content-length: 2\r\n\r\nok")
+
+        async def run() -> tuple[Outcome, Outcome]:
+            async with entry(POST) as (state, address), scripted_target(talk) as sound:
+                state.target_view.update_target("c1", target("t", address=sound))
+                responses = [state.response_memory.open("u") for _ in range(2)]
+                for response in responses:
+                    response.add(MAX_RESPONSE_BYTES)
+                    response.complete()
+                with patch.object(state, "record_failure", lambda name, **_: failures.append(name)):
+                    full = await request(address, POST)
+                responses[0].close()
+                return full, await request(address, POST)
+
+        full, free = trio.run(run)
+        self.assertEqual(full.response.split(b"\r\n")[0], b"HTTP/1.1 502 ")
+        self.assertEqual(failures, [])
+        self.assertTrue(free.response.endswith(b"ok"))
+
     # Guards against a bound that cuts sound responses.
     def test_large_body_under_the_bound_arrives_unchanged(self) -> None:
         body = bytes(range(256)) * (MAX_RESPONSE_BYTES // 256)
