--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import closing
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -204,24 +205,25 @@
             attempt, outcome = await attempts.run(plan)
             if isinstance(outcome, Delivered):
                 return "delivered"
-            step = call.history.next_step(outcome, self._remaining_budget(call))
-            self._log_attempt(call, attempt.plan, outcome, step)
-            match step:
-                case TryAgain():
-                    continue
-                case DeliverFailure():
-                    await attempt.deliver_withheld_failure()
-                    return f"target failed: {_status_of(outcome)}"
-                case CutStream():
-                    raise StreamCutError(_detail_of(outcome))
-                case Refuse(retry_after_ms=retry_after_ms):
-                    raise RefusalError(
-                        503, "no target ran it", self._retry_after_ms(call, retry_after_ms)
-                    )
-                case Fail(is_timeout=is_timeout):
-                    if call.exchange.is_head_sent:
+            with closing(attempt):
+                step = call.history.next_step(outcome, self._remaining_budget(call))
+                self._log_attempt(call, attempt.plan, outcome, step)
+                match step:
+                    case TryAgain():
+                        continue
+                    case DeliverFailure():
+                        await attempt.deliver_withheld_failure()
+                        return f"target failed: {_status_of(outcome)}"
+                    case CutStream():
                         raise StreamCutError(_detail_of(outcome))
-                    raise RefusalError(504 if is_timeout else 502, "outcome unknown")
+                    case Refuse(retry_after_ms=retry_after_ms):
+                        raise RefusalError(
+                            503, "no target ran it", self._retry_after_ms(call, retry_after_ms)
+                        )
+                    case Fail(is_timeout=is_timeout):
+                        if call.exchange.is_head_sent:
+                            raise StreamCutError(_detail_of(outcome))
+                        raise RefusalError(504 if is_timeout else 502, "outcome unknown")
 
     async def _wait_for_placement(self, call: Call) -> Placement:
         """Return where the next attempt runs, after waiting for capacity if that is in time."""
