--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -163,6 +163,7 @@
             "leaving_targets": len(state.target_view.leaving),
             "waiting_targets": state.waits.count,
             "suspected_parts": state.crashes.suspect_count,
+            "held_response_bytes": state.response_memory.held_bytes,
         }
 
     async def _serve_health(self, exchange: Exchange) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
@@ -61,11 +61,18 @@
         self._nursery: trio.Nursery | None = None
 
     async def run(self, plan: AttemptPlan) -> AttemptEnd:
-        """Run a first attempt, and others while it is silent; return the last one that ended."""
-        async with trio.open_nursery() as self._nursery:
-            self._start(plan)
-        if self._has_caller_disconnected:
-            raise CallerDisconnectedError
+        """Run a first attempt, and others while it is silent; return the last one that ended.
+
+        The caller has to close this attempt.
+        """
+        try:
+            async with trio.open_nursery() as self._nursery:
+                self._start(plan)
+            if self._has_caller_disconnected:
+                raise CallerDisconnectedError
+        except BaseException:
+            self._set_last_end(None)
+            raise
         return self._last_end
 
     def on_silent(self, attempt: Attempt, silent_ms: Millis) -> None:
@@ -125,9 +132,14 @@
                     history.record_superseded()
                 log.info("attempt superseded", request=self._call.request_id, target=target_id)
             case Delivered():
-                self._last_end = AttemptEnd(attempt, outcome)
+                self._set_last_end(AttemptEnd(attempt, outcome))
             case _:
                 history.record(target_id, outcome)
-                self._last_end = AttemptEnd(attempt, outcome)
+                self._set_last_end(AttemptEnd(attempt, outcome))
                 if self._running:
                     self._log_end(self._call, attempt.plan, outcome, AwaitOther())
+
+    def _set_last_end(self, end: AttemptEnd | None) -> None:
+        if self._last_end is not None:
+            self._last_end.attempt.close()
+        self._last_end = end
--- a/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
@@ -16,7 +16,7 @@
 
 
 class Bounds(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Limits that the infrastructure sets: time to stop, the retry budget, targets' waits and crashes."""
+    """Limits: time to stop, the retry budget, targets' waits and crashes, and the memory for responses."""
 
     stop_grace_ms: float = 8000.0
     """How long a node may take to stop before the infrastructure kills it."""
@@ -38,6 +38,12 @@
     crash_quarantine_ms: float = 120_000.0
     """How long they are not sent at first; twice as long each time that a target crashes after it."""
 
+    max_response_bytes: int = 16 * 1024 * 1024
+    """The size of the body of a target's response that is not a stream."""
+
+    max_held_response_bytes: int = 32 * 1024 * 1024
+    """The size of all responses that an entry holds at once."""
+
 
 class ServingSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The settings of one node; addresses are `IP:PORT`, empty where nothing is served."""
@@ -107,5 +113,12 @@
         raise ConfigurationError(
             f"bounds.crash_quarantine_ms: use more than 0, not {settings.bounds.crash_quarantine_ms}"
         )
+    if settings.bounds.max_response_bytes < 1:
+        raise ConfigurationError("bounds.max_response_bytes: use 1 byte or more")
+    if settings.bounds.max_held_response_bytes < 2 * settings.bounds.max_response_bytes:
+        raise ConfigurationError(
+            f"bounds.max_held_response_bytes: {settings.bounds.max_held_response_bytes} is less than "
+            "twice bounds.max_response_bytes; raise it or lower the other"
+        )
     if settings.tolerated_losses < 0:
         raise ConfigurationError("tolerated_losses: use 0 or more")
--- a/packages/marigoldarch/marigoldarch/serving/event_stream.py
+++ b/packages/marigoldarch/marigoldarch/serving/event_stream.py
@@ -6,17 +6,20 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 from marigoldarch.decimals import parse_whole_number
-from marigoldarch.exceptions import StreamError
+from marigoldarch.exceptions import EventTooLongError
 
 MAX_EVENT_BYTES = 1024 * 1024
-_EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+MAX_EVENT_ID = 10**18 - 1
+_EVENT_TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
+_LONGEST_TERMINATOR_BYTES = 4
 
 
 class StreamEvent(NamedTuple):
-    """The bytes of one event; `event_id` is its id, None without a numeric one."""
+    """The bytes of one event; `event_id` is its id, None without a number up to `MAX_EVENT_ID`."""
 
     data: bytes
     event_id: int | None
@@ -26,44 +29,48 @@
     """Splits a body into complete events, and keeps the incomplete one at the end."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether an incomplete event is kept."""
         return bool(self._buffer)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._buffer)
+
     def take_partial_event(self) -> bytes:
         """Return the incomplete event, and drop it."""
-        partial_event, self._buffer = self._buffer, b""
+        partial_event = bytes(self._buffer)
+        self._buffer.clear()
         return partial_event
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes; return the events that are complete now.
 
-        Raises `StreamError` for an incomplete event of more than `MAX_EVENT_BYTES`.
+        Raises `EventTooLongError` for an incomplete event of more than `MAX_EVENT_BYTES`.
         """
+        # The bytes before hold no terminator, at most the beginning of one.
+        searched = max(0, len(self._buffer) - _LONGEST_TERMINATOR_BYTES + 1)
         self._buffer += data
+        ends = [match.end() for match in _EVENT_TERMINATOR.finditer(self._buffer, searched)]
         events: list[StreamEvent] = []
-        while (end := self._first_event_end()) >= 0:
-            event, self._buffer = self._buffer[:end], self._buffer[end:]
+        begin = 0
+        for end in ends:
+            event = bytes(self._buffer[begin:end])
             events.append(StreamEvent(event, _event_id(event)))
+            begin = end
+        del self._buffer[:begin]
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise StreamError(f"an incomplete event exceeds {MAX_EVENT_BYTES} bytes")
+            raise EventTooLongError(f"an incomplete event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
-    def _first_event_end(self) -> int:
-        ends = [
-            self._buffer.find(terminator) + len(terminator)
-            for terminator in _EVENT_TERMINATORS
-            if terminator in self._buffer
-        ]
-        return min(ends, default=-1)
-
 
 def _event_id(event: bytes) -> int | None:
     for line in event.splitlines():
         name, _, value = line.partition(b":")
-        if name == b"id" and (number := parse_whole_number(value)) is not None:
+        if name == b"id" and (number := parse_whole_number(value, MAX_EVENT_ID)) is not None:
             return number
     return None
