Count an attempt from the moment of its placement

What callers saw: nothing yet; the reviewer measured that of 16 requests that arrive together at two targets of eight slots all went to one ([16, 0], [8, 8] before), and that eight streams that break off together were sent again six to eight times where the retry budget allows three.

Class of fault: a decision and its record, between which others decide.

Change: the attempt is counted where it is planned, before any other task can run. The two tests of concurrent_attempts_tests failed before and pass now.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -128,6 +128,13 @@
         """Return whether anything may have been sent to the target."""
         return self._sent_ms > 0.0
 
+    def begin(self) -> None:
+        """Count the attempt as running work, so that placements in the same moment see it."""
+        work = self._running_work()
+        if self._concerns_other_data_centres(work):
+            work = work._replace(is_widely_reported=True)
+        self._work_number = self._state.workload.start(work)
+
     def supersede(self) -> None:
         """Give up the attempt, as another one of the request responds."""
         self._scope.cancel()
@@ -138,10 +145,6 @@
         When the caller disconnects, the attempt is cancelled, and the connection to the target is
         closed at once.
         """
-        work = self._running_work()
-        if self._concerns_other_data_centres(work):
-            work = work._replace(is_widely_reported=True)
-        self._work_number = self._state.workload.start(work)
         try:
             with self._scope:
                 if self._plan.reservations:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
@@ -104,6 +104,7 @@
 
     def _start(self, plan: AttemptPlan) -> None:
         attempt = Attempt(self._context, plan, self)
+        attempt.begin()
         self._running.append(attempt)
         self._nursery.start_soon(self._run_attempt, attempt)
 
