Check the order of events before they count as the response

What callers saw: a stream that looks complete and lacks events, if a target sent good events and a wrong one in the same bytes; a cut stream, if a second target's first event had a wrong id while the first target was silent and sound.

Cause: the id of each event was recorded as sent to the caller before the events of the same chunk were all checked and sent, and the second attempt took the response over before its events were checked. Class of fault: a record of what was done, made before it is done.

Change: a pure function gives the events in order; these are sent and recorded, and only they take the response over. The first event out of order then ends the attempt.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -19,7 +19,12 @@
 )
 from marigoldarch.serving.candidates import cached_name_hash
 from marigoldarch.serving.engine_formula import decode_pass_ms
-from marigoldarch.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
+from marigoldarch.serving.event_stream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    StreamEvent,
+    events_in_order,
+)
 from marigoldarch.serving.pool_view import RunningAttempt
 from marigoldarch.serving.response_origin import ResponseOrigin
 from marigoldarch_node.serving.event_log import EventLog
@@ -410,28 +415,32 @@
         Raises `StreamError` if one is missing, and `ResponseError` if the incomplete one takes too
         much memory.
         """
-        exchange = self._call.exchange
         events = splitter.feed(data)
         if not events:
             self._held_response.add(len(data))
             return
         self._held_response.begin_event(splitter.partial_bytes)
-        await self._claim_response()
-        parts: list[bytes] = []
-        for event in events:
-            last = self._call.last_event
-            if event.event_id is not None:
-                if last is not None and event.event_id != last + 1:
-                    raise StreamError(f"event {event.event_id} follows event {last} of the stream")
-                self._call.last_event = event.event_id
-            parts.append(event.data)
+        sound = events_in_order(events, self._call.last_event)
+        if sound:
+            await self._claim_response()
+            await self._send_events(head, sound)
+        if len(sound) < len(events):
+            wrong, last = events[len(sound)].event_id, self._call.last_event
+            raise StreamError(f"event {wrong} follows event {last} of the stream")
+
+    async def _send_events(self, head: ResponseHead, events: list[StreamEvent]) -> None:
+        """Send events to the caller, after the response head if it was not sent yet."""
+        exchange = self._call.exchange
+        ids = [event.event_id for event in events if event.event_id is not None]
+        if ids:
+            self._call.last_event = ids[-1]
         if not self._event_count:
             self._state.workload.finish_prefill(self._work_number)
             if not exchange.is_head_sent:
                 self._record_first_response()
                 await exchange.send_head(head.status, self._dialect.caller_headers(head))
-        self._event_count += len(parts)
-        await exchange.send_data(b"".join(parts))
+        self._event_count += len(events)
+        await exchange.send_data(b"".join(event.data for event in events))
 
     def _measure_slowdown(self, previous_ms: Millis, now_ms: Millis, events: int) -> None:
         """Record the time per event relative to the predicted duration of an engine pass.
--- a/packages/marigoldarch/marigoldarch/serving/event_stream.py
+++ b/packages/marigoldarch/marigoldarch/serving/event_stream.py
@@ -68,6 +68,21 @@
         return events
 
 
+def events_in_order(events: list[StreamEvent], last: int | None) -> list[StreamEvent]:
+    """Return the events up to the first whose id does not follow the one before.
+
+    `last` is the id of the event before the first one, None if there is none. Events without an id
+    are in order.
+    """
+    for position, event in enumerate(events):
+        if event.event_id is None:
+            continue
+        if last is not None and event.event_id != last + 1:
+            return events[:position]
+        last = event.event_id
+    return events
+
+
 def _event_id(event: bytes) -> int | None:
     for line in event.splitlines():
         name, _, value = line.partition(b":")
--- a/packages/marigoldarch/marigoldarch/tests/serving/event_stream_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/event_stream_tests.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from marigoldarch.exceptions import StreamError
-from marigoldarch.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
+from marigoldarch.serving.event_stream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    StreamEvent,
+    events_in_order,
+)
 
 BODY = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid:3\ndata: c\n\n"
 
@@ -61,3 +66,21 @@
     def test_id_of_too_many_digits_is_no_number(self) -> None:
         events = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\ndata: a\n\n")
         self.assertEqual([event.event_id for event in events], [None])
+
+
+class EventOrderTests(unittest.TestCase):
+    """The events of a stream that may be sent to the caller."""
+
+    def ids_in_order(self, ids: list[int | None], last: int | None) -> list[int | None]:
+        """Return the ids of the events in order."""
+        events = [StreamEvent(b"", number) for number in ids]
+        return [event.event_id for event in events_in_order(events, last)]
+
+    def test_events_up_to_a_gap_are_in_order(self) -> None:
+        self.assertEqual(self.ids_in_order([3, 4, 6, 7], 2), [3, 4])
+        self.assertEqual(self.ids_in_order([3, 3], 2), [3])
+        self.assertEqual(self.ids_in_order([4], 2), [])
+
+    def test_first_event_and_events_without_an_id_are_in_order(self) -> None:
+        self.assertEqual(self.ids_in_order([5, None, 6], None), [5, None, 6])
+        self.assertEqual(self.ids_in_order([None, 3], 2), [None, 3])
