Take a stream without framing and without events for a broken one

What callers saw: a stream that looks complete and lacks events, if a target without a length and without chunks ended before its first event, as it does when it crashes then: its connection just closes.

Change: such an end counts as cut. An empty stream with chunks or a length stays complete (a test of it passes before and after).

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -399,7 +399,8 @@
                     if events_before:
                         self._call.record_pause(now_ms - last_event_ms)
                     last_event_ms = now_ms
-        if splitter.has_partial_event:
+        # Without framing, a stream that has not begun looks the same as one that was broken off.
+        if splitter.has_partial_event or not (self._event_count or head.is_framed):
             return None, self._incomplete_outcome(FailureReason.CUT)
         await self._claim_response()
         if not self._call.exchange.is_head_sent:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -93,6 +93,11 @@
                 return value.decode("latin-1")
         return ""
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the body has a length or chunks; else it ends with the connection."""
+        return bool(self.header(b"content-length") or self.header(b"transfer-encoding"))
+
 
 @dataclass
 class TargetConnection:
