Do not take the silence of a target for its speed

What callers saw: nothing directly; a target that had been silent for 1.4 s counted as up to 20 times slow and was shunned by all entries for seconds (the reviewer computed 5.7 to 9.0 s).

Cause: since a silent target keeps its connection, the gap ended with an event and was measured like any other; before, the wait had ended with the attempt. Change: a gap in which the target was reported as silent is not measured.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -116,6 +116,7 @@
         )
         self._scope = trio.CancelScope()
         self._is_silence_recorded = False
+        self._was_silent = False
         self._withheld_failure: tuple[ResponseHead, bytes] | None = None
         self._sent_ms: Millis = 0.0
         self._event_count = 0
@@ -166,6 +167,7 @@
 
     def _report_silence(self, silent_ms: Millis) -> None:
         """Record a silent target as failing, once, and report its silence."""
+        self._was_silent = True
         if not self._is_silence_recorded:
             self._is_silence_recorded = True
             self._state.record_failure(self._target_id, is_unreachable=False)
@@ -393,12 +395,15 @@
                 events_before = self._event_count
                 await self._forward_events(head, splitter, data)
                 now_ms = self._state.clock.monotonic_ms()
-                if events_before and self._event_count > events_before:
-                    self._measure_slowdown(last_event_ms, now_ms, self._event_count - events_before)
-                if self._event_count > events_before:
-                    if events_before:
-                        self._call.record_pause(now_ms - last_event_ms)
+                new_events = self._event_count - events_before
+                if events_before and new_events:
+                    # A silence says nothing of the speed at which the target goes on.
+                    if not self._was_silent:
+                        self._measure_slowdown(last_event_ms, now_ms, new_events)
+                    self._call.record_pause(now_ms - last_event_ms)
+                if new_events:
                     last_event_ms = now_ms
+                    self._was_silent = False
         # Without framing, a stream that has not begun looks the same as one that was broken off.
         if splitter.has_partial_event or not (self._event_count or head.is_framed):
             return None, self._incomplete_outcome(FailureReason.CUT)
