--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -203,6 +203,8 @@
     async def _send_and_relay(self) -> Delivered | AttemptOutcome:
         """Connect to the primary target, send the request and relay the response."""
         call, target = self._call, self._plan.placement.targets[0]
+        if self._scope.cancel_called:
+            await trio.lowlevel.checkpoint()
         try:
             connection = await self._connections.acquire(
                 target.address, must_be_new=not call.route.may_repeat
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -308,9 +308,12 @@
 
     def _plan_hedge(self, call: Call, running: int) -> AttemptPlan | HedgeObstacle:
         """Return the plan of an attempt beside running ones, or why there is none now."""
-        obstacle = call.history.find_hedge_obstacle(running, self._remaining_budget(call))
+        # Cheap conditions first: this is asked again and again for each silent target.
+        obstacle = call.history.find_hedge_obstacle(running, self._spendable_budget(call))
         if obstacle is not None:
             return obstacle
+        if not self._has_other_target(call):
+            return HedgeObstacle.NO_OTHER_TARGET
         placement = self._choose_placement(call)
         if isinstance(placement, Saturated):
             return HedgeObstacle.NO_ROOM
@@ -346,11 +349,18 @@
 
     def _remaining_budget(self, call: Call) -> Budget:
         """Return the remaining time, and whether a retry is allowed and another target is left."""
-        has_retry = self._state.workload.allows_retry(cached_name_hash(call.service.name))
-        now_ms = self._now_ms()
+        budget = self._spendable_budget(call)
+        return budget._replace(has_other_target=self._has_other_target(call))
+
+    def _has_other_target(self, call: Call) -> bool:
+        """Return whether a target is left that has not failed this request."""
         failed = call.history.failed_targets
-        other_candidates = self._state.candidates.find(call.service.name, failed, now_ms)
-        return Budget(call.deadline_ms - now_ms, has_retry, bool(other_candidates))
+        return self._state.candidates.has_any(call.service.name, failed)
+
+    def _spendable_budget(self, call: Call) -> Budget:
+        """Return the remaining time, and whether a retry is allowed, without looking for targets."""
+        has_retry = self._state.workload.allows_retry(cached_name_hash(call.service.name))
+        return Budget(call.deadline_ms - self._now_ms(), has_retry)
 
     async def _refuse(
         self, exchange: Exchange, request_info: RequestInfo, refusal: RefusalError
--- a/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
@@ -27,6 +27,9 @@
 CHECK_INTERVAL_MS: Millis = 300.0
 """How often to check for signs of life: a third of the shortest time allowed for a pause."""
 
+MAX_REPORT_INTERVAL_MS: Millis = 2400.0
+"""The time between two reports of a silent target doubles up to this: each may cost a placement."""
+
 
 class StallDetector:
     """Watches the waits for a target; time spent sending to the caller does not count.
@@ -67,6 +70,7 @@
 
     async def run(self) -> None:
         """Report the target while it has been silent for too long; until cancelled."""
+        report_interval_ms = CHECK_INTERVAL_MS
         while True:
             now_ms = self._state.clock.monotonic_ms()
             since_ms = self._waiting_since_ms
@@ -74,9 +78,15 @@
             if since_ms is not None:
                 left_ms = stall_deadline_ms(self._stall_state(since_ms)) - now_ms
                 if left_ms <= 0:
-                    self._on_silent(now_ms - since_ms)
-                    left_ms = CHECK_INTERVAL_MS
-            await trio.sleep(min(left_ms, CHECK_INTERVAL_MS) / 1000.0)
+                    # After a pause of this process the data may have come and not been read yet.
+                    await trio.lowlevel.checkpoint()
+                    if self._waiting_since_ms == since_ms:
+                        self._on_silent(now_ms - since_ms)
+                    left_ms = report_interval_ms
+                    report_interval_ms = min(2 * report_interval_ms, MAX_REPORT_INTERVAL_MS)
+                else:
+                    left_ms, report_interval_ms = min(left_ms, CHECK_INTERVAL_MS), CHECK_INTERVAL_MS
+            await trio.sleep(left_ms / 1000.0)
 
     def _stall_state(self, since_ms: Millis) -> StallState:
         """Return what decides how long to wait for the target, which is silent since `since_ms`."""
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/stall_detector_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/stall_detector_tests.py
@@ -48,7 +48,7 @@
                     nursery.start_soon(self.detector.run)
                     await trio.sleep(0.5)
                 self.assertEqual(self.reports_ms, [60_000.0, 60_000.0])
-                await trio.sleep(0.4)
+                await trio.sleep(0.9)
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
@@ -89,6 +89,29 @@
         self.assertEqual(forwarded, [3])
         self.assertEqual(len(self.reports_ms), 1)
 
+    def test_target_whose_data_waits_to_be_read_is_not_reported(self) -> None:
+        """Guards against a second attempt after each pause of the whole process."""
+
+        async def main() -> None:
+            send, receive = trio.open_memory_channel[int](1)
+
+            async def read() -> None:
+                with self.detector.waiting(has_begun=True):
+                    await receive.receive()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                await trio.testing.wait_all_tasks_blocked()
+                self.clock.advance(60_000.0)
+                nursery.start_soon(self.detector.run)
+                send.send_nowait(3)
+                await trio.sleep(0.4)
+                nursery.cancel_scope.cancel()
+
+        for _ in range(10):
+            trio.run(main)
+        self.assertEqual(self.reports_ms, [])
+
     def test_waiting_for_the_caller_does_not_count(self) -> None:
         async def main() -> None:
             async with trio.open_nursery() as nursery:
--- a/packages/marigoldarch/marigoldarch/serving/candidates.py
+++ b/packages/marigoldarch/marigoldarch/serving/candidates.py
@@ -51,6 +51,12 @@
             if target.target_id not in excluded
         ]
 
+    def has_any(self, service: str, excluded: set[str]) -> bool:
+        """Return whether a service has a target whose id is not excluded."""
+        self._refresh()
+        targets = self._targets_by_service.get(service, [])
+        return any(target.target_id not in excluded for target, _ in targets)
+
     def has_near(self, service: str) -> bool:
         """Return whether requests are placed among near targets first."""
         self._refresh()
