--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -19,7 +19,12 @@
 )
 from marigoldarch.serving.candidates import cached_name_hash
 from marigoldarch.serving.engine_formula import decode_pass_ms
-from marigoldarch.serving.event_stream import MAX_EVENT_BYTES, EventSplitter
+from marigoldarch.serving.event_stream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    StreamEvent,
+    events_in_order,
+)
 from marigoldarch.serving.pool_view import RunningAttempt
 from marigoldarch.serving.response_origin import ResponseOrigin
 from marigoldarch_node.serving.event_log import EventLog
@@ -111,6 +116,7 @@
         )
         self._scope = trio.CancelScope()
         self._is_silence_recorded = False
+        self._was_silent = False
         self._withheld_failure: tuple[ResponseHead, bytes] | None = None
         self._sent_ms: Millis = 0.0
         self._event_count = 0
@@ -141,6 +147,13 @@
             return 0.0
         return self._state.clock.monotonic_ms() - self._first_event_ms
 
+    def begin(self) -> None:
+        """Count the attempt as running work, so that placements in the same moment see it."""
+        work = self._running_work()
+        if self._concerns_other_data_centres(work):
+            work = work._replace(is_widely_reported=True)
+        self._work_number = self._state.workload.start(work)
+
     def supersede(self) -> None:
         """Give up the attempt, as another one of the request responds."""
         self._scope.cancel()
@@ -151,10 +164,6 @@
         When the caller disconnects, the attempt is cancelled, and the connection to the target is
         closed at once.
         """
-        work = self._running_work()
-        if self._concerns_other_data_centres(work):
-            work = work._replace(is_widely_reported=True)
-        self._work_number = self._state.workload.start(work)
         try:
             with self._scope:
                 if self._plan.reservations:
@@ -171,6 +180,7 @@
 
     def _report_silence(self, silent_ms: Millis) -> None:
         """Record a silent target as failing, once, and report its silence."""
+        self._was_silent = True
         if not self._is_silence_recorded:
             self._is_silence_recorded = True
             self._state.record_failure(self._target_id, is_unreachable=False)
@@ -206,6 +216,8 @@
     async def _send_and_relay(self) -> Delivered | AttemptOutcome:
         """Connect to the primary target, send the request and relay the response."""
         call, target = self._call, self._plan.placement.targets[0]
+        if self._scope.cancel_called:
+            await trio.lowlevel.checkpoint()
         try:
             connection = await self._connections.acquire(
                 target.address, must_be_new=not call.route.may_repeat
@@ -400,13 +412,17 @@
                 events_before = self._event_count
                 await self._forward_events(head, splitter, data)
                 now_ms = self._state.clock.monotonic_ms()
-                if events_before and self._event_count > events_before:
-                    self._measure_slowdown(last_event_ms, now_ms, self._event_count - events_before)
-                if self._event_count > events_before:
-                    if events_before:
-                        self._call.record_pause(now_ms - last_event_ms)
+                new_events = self._event_count - events_before
+                if events_before and new_events:
+                    # A silence says nothing of the speed at which the target goes on.
+                    if not self._was_silent:
+                        self._measure_slowdown(last_event_ms, now_ms, new_events)
+                    self._call.record_pause(now_ms - last_event_ms)
+                if new_events:
                     last_event_ms = now_ms
-        if splitter.has_partial_event:
+                    self._was_silent = False
+        # Without framing, a stream that has not begun looks the same as one that was broken off.
+        if splitter.has_partial_event or not (self._event_count or head.is_framed):
             return None, self._incomplete_outcome(FailureReason.CUT)
         await self._claim_response()
         if not self._call.exchange.is_head_sent:
@@ -423,29 +439,33 @@
         Raises `StreamError` if one is missing, and `ResponseError` if the incomplete one takes too
         much memory.
         """
-        exchange = self._call.exchange
         events = splitter.feed(data)
         if not events:
             self._held_response.add(len(data))
             return
         self._held_response.begin_event(splitter.partial_bytes)
-        await self._claim_response()
-        parts: list[bytes] = []
-        for event in events:
-            last = self._call.last_event
-            if event.event_id is not None:
-                if last is not None and event.event_id != last + 1:
-                    raise StreamError(f"event {event.event_id} follows event {last} of the stream")
-                self._call.last_event = event.event_id
-            parts.append(event.data)
+        sound = events_in_order(events, self._call.last_event)
+        if sound:
+            await self._claim_response()
+            await self._send_events(head, sound)
+        if len(sound) < len(events):
+            wrong, last = events[len(sound)].event_id, self._call.last_event
+            raise StreamError(f"event {wrong} follows event {last} of the stream")
+
+    async def _send_events(self, head: ResponseHead, events: list[StreamEvent]) -> None:
+        """Send events to the caller, after the response head if it was not sent yet."""
+        exchange = self._call.exchange
+        ids = [event.event_id for event in events if event.event_id is not None]
+        if ids:
+            self._call.last_event = ids[-1]
         if not self._event_count:
             self._first_event_ms = self._state.clock.monotonic_ms()
             self._state.workload.finish_prefill(self._work_number)
             if not exchange.is_head_sent:
                 self._record_first_response()
                 await exchange.send_head(head.status, self._dialect.caller_headers(head))
-        self._event_count += len(parts)
-        await exchange.send_data(b"".join(parts))
+        self._event_count += len(events)
+        await exchange.send_data(b"".join(event.data for event in events))
 
     def _measure_slowdown(self, previous_ms: Millis, now_ms: Millis, events: int) -> None:
         """Record the time per event relative to the predicted duration of an engine pass.
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -340,11 +340,14 @@
 
     def _plan_hedge(self, call: Call, running: int) -> AttemptPlan | HedgeObstacle:
         """Return the plan of an attempt beside running ones, or why there is none now."""
-        obstacle = call.history.find_hedge_obstacle(running, self._remaining_budget(call))
+        # Cheap conditions first: this is asked again and again for each silent target.
+        obstacle = call.history.find_hedge_obstacle(running, self._spendable_budget(call))
         if obstacle is not None:
             return obstacle
         if self._state.crashes.find_quarantine(call.shared_parts) is not None:
             return HedgeObstacle.SUSPECTED_PART
+        if not self._has_other_target(call):
+            return HedgeObstacle.NO_OTHER_TARGET
         placement = self._choose_placement(call)
         if isinstance(placement, Saturated):
             return HedgeObstacle.NO_ROOM
@@ -380,13 +383,20 @@
 
     def _remaining_budget(self, call: Call) -> Budget:
         """Return the remaining time, and whether a retry is allowed and another target is left."""
+        budget = self._spendable_budget(call)
+        return budget._replace(has_other_target=self._has_other_target(call))
+
+    def _has_other_target(self, call: Call) -> bool:
+        """Return whether a target is left that has not failed this request."""
+        failed = call.history.failed_targets
+        return self._state.candidates.has_any(call.service.name, failed)
+
+    def _spendable_budget(self, call: Call) -> Budget:
+        """Return the remaining time, and whether a retry is allowed, without looking for targets."""
         has_retry = self._state.workload.allows_retry(
             cached_name_hash(call.service.name)
         ) and self._state.crashes.may_retry(call.shared_parts)
-        now_ms = self._now_ms()
-        failed = call.history.failed_targets
-        other_candidates = self._state.candidates.find(call.service.name, failed, now_ms)
-        return Budget(call.deadline_ms - now_ms, has_retry, bool(other_candidates))
+        return Budget(call.deadline_ms - self._now_ms(), has_retry)
 
     async def _refuse(
         self, exchange: Exchange, request_info: RequestInfo, refusal: RefusalError
