--- /dev/null
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -0,0 +1,187 @@
+"""Tests of the decision which parts of prompts crash targets."""
+
+from __future__ import annotations
+
+import unittest
+
+from marigoldarch.crash_suspects import (
+    MAX_PARTS_PER_CRASH,
+    CrashSuspects,
+    SuspectSettings,
+    TargetCrash,
+)
+
+SETTINGS = SuspectSettings()
+FAULTY = "faulty"
+SHARED = "shared"
+
+
+def crash(number: int, at_ms: float, *parts: str) -> TargetCrash:
+    """Return the crash of target `number`."""
+    return TargetCrash((number, 1_000), at_ms, parts)
+
+
+class CrashSuspectsCase(unittest.TestCase):
+    """A node with the default settings; crashes are recorded at full seconds."""
+
+    def setUp(self) -> None:
+        self.suspects = CrashSuspects(SETTINGS)
+
+    def record_crashes(self, first: int, last: int, *parts: str) -> None:
+        """Let targets `first` to `last` crash, one a second."""
+        for number in range(first, last + 1):
+            self.suspects.record_crash(crash(number, number * 1000.0, *parts))
+
+    def is_refused(self, now_ms: float, *parts: str) -> bool:
+        """Return whether a request with these parts is refused."""
+        return self.suspects.find_quarantine(parts, now_ms) is not None
+
+
+class FaultyPartTests(CrashSuspectsCase):
+    """Load pattern: each target that begins to answer a request with one part crashes."""
+
+    def test_part_is_quarantined_after_crashes_at_three_moments(self) -> None:
+        self.record_crashes(1, 2, SHARED, FAULTY)
+        self.assertFalse(self.is_refused(2500.0, SHARED, FAULTY))
+        quarantined = self.suspects.record_crash(crash(3, 3000.0, SHARED, FAULTY))
+        self.assertEqual(set(quarantined), {SHARED, FAULTY})
+        found = self.suspects.find_quarantine((SHARED, FAULTY), 3000.0)
+        self.assertEqual((found.crashes, found.left_ms), (3, SETTINGS.quarantine_ms))
+
+    def test_sound_requests_that_share_other_parts_are_sent(self) -> None:
+        self.record_crashes(1, 5, SHARED, FAULTY)
+        self.assertFalse(self.is_refused(5000.0, SHARED))
+        self.assertFalse(self.is_refused(5000.0, SHARED, "sound"))
+        self.assertTrue(self.is_refused(5000.0, SHARED, FAULTY))
+
+    def test_answer_with_a_shared_part_acquits_it_and_not_the_faulty_one(self) -> None:
+        self.record_crashes(1, 5, SHARED, FAULTY)
+        self.assertEqual(self.suspects.record_answer((SHARED, "sound"), 5500.0), (SHARED,))
+        self.assertEqual(self.suspects.count, 1)
+        self.assertTrue(self.is_refused(6000.0, SHARED, FAULTY))
+
+    def test_requests_that_ran_beside_are_sent(self) -> None:
+        for number in range(1, 6):
+            parts = (FAULTY, f"beside-{number}", "beside")
+            self.suspects.record_crash(crash(number, number * 1000.0, *parts))
+        self.assertFalse(self.is_refused(6000.0, "beside", "beside-3"))
+
+    def test_request_that_crashed_targets_at_two_moments_is_not_sent_to_a_third(self) -> None:
+        self.record_crashes(1, 1, SHARED, FAULTY)
+        self.assertTrue(self.suspects.may_retry((SHARED, FAULTY), 1000.0))
+        self.record_crashes(2, 2, SHARED, FAULTY)
+        self.assertFalse(self.suspects.may_retry((SHARED, FAULTY), 2000.0))
+        self.assertTrue(self.suspects.may_retry((SHARED, "beside"), 2000.0))
+
+    def test_popular_part_never_answered_yet_lets_few_requests_through(self) -> None:
+        """Guards against requests that are sent on and on as a shared part explains each crash."""
+        self.record_crashes(1, 4, SHARED, FAULTY)
+        sent = 0
+        for number in range(5, 30):
+            if not self.is_refused(number * 1000.0, FAULTY):
+                sent += 1
+                self.record_crashes(number, number, FAULTY)
+        self.assertLessEqual(sent, SETTINGS.retry_crash_limit)
+
+    def test_repeated_report_of_a_crash_counts_once(self) -> None:
+        for _ in range(5):
+            self.record_crashes(1, 2, FAULTY)
+        self.assertFalse(self.is_refused(3000.0, FAULTY))
+
+    def test_crash_reported_by_two_nodes_accuses_the_parts_of_both(self) -> None:
+        self.record_crashes(1, 3, "beside")
+        self.record_crashes(1, 3, FAULTY)
+        self.assertFalse(self.is_refused(3500.0, "beside"))
+        self.assertTrue(self.is_refused(3500.0, FAULTY, "beside"))
+
+
+class OtherCrashesTests(CrashSuspectsCase):
+    """Load pattern: targets crash for reasons of their own while popular parts run on them."""
+
+    def test_rack_whose_targets_crash_together_quarantines_nothing(self) -> None:
+        for number in range(1, 6):
+            self.suspects.record_crash(crash(number, 1000.0 + number * 10, SHARED, "sound"))
+        self.assertFalse(self.is_refused(1100.0, SHARED))
+        self.assertTrue(self.suspects.may_retry((SHARED,), 1100.0))
+
+    def test_crashes_with_answers_between_them_quarantine_nothing(self) -> None:
+        for number in range(1, 20):
+            self.record_crashes(number, number, SHARED)
+            self.suspects.record_answer((SHARED,), number * 1000.0 + 500.0)
+        self.assertEqual(self.suspects.count, 0)
+
+    def test_answer_that_began_before_a_crash_acquits_of_it(self) -> None:
+        self.record_crashes(1, 3, SHARED)
+        self.suspects.record_answer((SHARED,), 3100.0)
+        self.record_crashes(2, 2, SHARED)
+        self.assertFalse(self.is_refused(3200.0, SHARED))
+        self.assertEqual(self.suspects.count, 0)
+
+
+class QuarantineTests(CrashSuspectsCase):
+    """Load pattern: requests with a faulty part come for longer than a quarantine."""
+
+    def test_quarantine_doubles_with_each_crash_after_it(self) -> None:
+        self.record_crashes(1, 3, FAULTY)
+        now_ms = 3000.0
+        for number in range(4, 12):
+            left_ms = self.suspects.find_quarantine((FAULTY,), now_ms).left_ms
+            expected_ms = min(
+                SETTINGS.quarantine_ms * 2 ** (number - 4), SETTINGS.max_quarantine_ms
+            )
+            self.assertEqual(left_ms, expected_ms)
+            now_ms += left_ms
+            self.assertFalse(self.is_refused(now_ms, FAULTY))
+            now_ms += 1.0
+            self.suspects.record_crash(crash(number, now_ms, FAULTY))
+
+    def test_crashes_of_requests_under_way_do_not_extend_it(self) -> None:
+        self.record_crashes(1, 3, FAULTY)
+        self.record_crashes(4, 9, FAULTY)
+        left_ms = self.suspects.find_quarantine((FAULTY,), 9000.0).left_ms
+        self.assertEqual(left_ms, SETTINGS.quarantine_ms - 6000.0)
+
+    def test_part_is_forgotten_after_its_quarantine(self) -> None:
+        self.record_crashes(1, 3, FAULTY)
+        end_ms = 3000.0 + SETTINGS.quarantine_ms + SETTINGS.memory_ms
+        self.suspects.forget_old(end_ms - 1.0)
+        self.assertEqual(self.suspects.count, 1)
+        self.suspects.forget_old(end_ms)
+        self.assertEqual(self.suspects.count, 0)
+
+    def test_crashes_far_apart_are_forgotten_one_by_one(self) -> None:
+        for number in range(1, 6):
+            at_ms = number * (SETTINGS.memory_ms + 1.0)
+            self.suspects.forget_old(at_ms)
+            self.suspects.record_crash(crash(number, at_ms, SHARED))
+            self.assertFalse(self.is_refused(at_ms, SHARED))
+
+    def test_nodes_end_a_quarantine_at_different_times(self) -> None:
+        lengths_ms = set()
+        for spread in (0.0, 0.5, 1.0):
+            self.suspects = CrashSuspects(SETTINGS._replace(spread=spread))
+            self.record_crashes(1, 3, FAULTY)
+            lengths_ms.add(round(self.suspects.find_quarantine((FAULTY,), 3000.0).left_ms))
+        self.assertEqual(lengths_ms, {120_000, 126_000, 132_000})
+
+
+class RestartedNodeTests(CrashSuspectsCase):
+    """Load pattern: a node starts again while requests with a faulty part come."""
+
+    def test_node_that_knows_nothing_learns_from_the_crashes_of_another(self) -> None:
+        self.record_crashes(1, 5, SHARED, FAULTY)
+        started = CrashSuspects(SETTINGS)
+        for told in self.suspects.crashes_to_tell(5):
+            started.record_crash(told)
+        self.assertIsNotNone(started.find_quarantine((SHARED, FAULTY), 5000.0))
+        self.assertIsNone(started.find_quarantine((SHARED,), 5000.0))
+
+    def test_most_accused_parts_are_told_first(self) -> None:
+        for number in range(1, 4):
+            beside = tuple(f"beside-{number}-{index}" for index in range(50))
+            self.suspects.record_crash(crash(number, number * 1000.0, *beside, FAULTY))
+        told = self.suspects.crashes_to_tell(2)
+        self.assertEqual([item.at_ms for item in told], [3000.0, 2000.0])
+        for item in told:
+            self.assertEqual(item.parts[0], FAULTY)
+            self.assertEqual(len(item.parts), MAX_PARTS_PER_CRASH)
