Keep newer answers and quarantines when an old answer is told late

Callers would have seen more targets crash: a late report of an answer before the crashes ended the quarantine of the crashes after it, so that each such report let requests through up to the next crash. It also replaced a newer answer, so that late reports of older crashes accused a sound part again. The newest answer now counts, and a quarantine stays while the crashes after it suffice for one. Both tests failed before.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -125,19 +125,24 @@
         return acquitted
 
     def acquit(self, part: str, at_ms: Millis) -> None:
-        """Drop a part's crashes up to an instant: a request with it was answered then."""
-        self._acquitted_ms.pop(part, None)
+        """Drop a part's crashes up to an instant: a request with it was answered then.
+
+        A quarantine stays if the crashes that remain suffice for one.
+        """
+        at_ms = max(at_ms, self._acquitted_ms.pop(part, at_ms))
         while len(self._acquitted_ms) >= self._settings.max_parts:
             del self._acquitted_ms[next(iter(self._acquitted_ms))]
         self._acquitted_ms[part] = at_ms
         suspect = self._suspects.get(part)
         if suspect is None:
             return
-        later = {crash: crash_ms for crash, crash_ms in suspect.crashes.items() if crash_ms > at_ms}
-        if later:
-            self._suspects[part] = _Suspect(later)
-        else:
+        suspect.crashes = {
+            crash: crash_ms for crash, crash_ms in suspect.crashes.items() if crash_ms > at_ms
+        }
+        if not suspect.crashes:
             del self._suspects[part]
+        elif self._count_moments(suspect) < self._settings.crash_limit:
+            self._suspects[part] = _Suspect(suspect.crashes)
 
     def find_quarantine(self, parts: Iterable[str], now_ms: Millis) -> Quarantine | None:
         """Return why a request with these shared parts must not be sent, None if it may be."""
--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -117,6 +117,23 @@
         self.assertFalse(self.is_refused(3200.0, SHARED))
         self.assertEqual(self.suspects.count, 0)
 
+    def test_late_report_of_an_old_answer_takes_no_newer_answer_back(self) -> None:
+        self.record_crashes(1, 1, SHARED)
+        self.suspects.acquit(SHARED, 5000.0)
+        self.suspects.acquit(SHARED, 1500.0)
+        self.record_crashes(2, 4, SHARED)
+        self.assertEqual(self.suspects.count, 0)
+
+    def test_late_report_of_an_old_answer_ends_no_quarantine(self) -> None:
+        """Guards against more crashes whenever a node tells of an answer before the first one."""
+        self.record_crashes(1, 4, FAULTY)
+        self.suspects.acquit(FAULTY, 500.0)
+        self.assertTrue(self.is_refused(4500.0, FAULTY))
+        self.suspects.acquit(FAULTY, 1500.0)
+        self.assertTrue(self.is_refused(4500.0, FAULTY))
+        self.suspects.acquit(FAULTY, 2500.0)
+        self.assertFalse(self.is_refused(4500.0, FAULTY))
+
 
 class QuarantineTests(CrashSuspectsCase):
     """Load pattern: requests with a faulty part come for longer than a quarantine."""
