Let several parts together explain the crashes beside which a sound part ran

Sound requests would have been refused for the whole quarantine, since a part was only excused if one other part was accused of all of its crashes: not beside two faulty parts, not beside a faulty one and one crash whose culprit's entry was lost before it could tell, and not beside more crashes than are kept. Nothing ends this early, as a refused part is never answered. All parts with enough crashes that the request lacks now explain together, and one moment may stay unexplained.

Explained crashes are now computed once a request, not once for each of its parts.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -6,8 +6,9 @@
 
 Each crash accuses all shared parts of the requests that ran on the target, also those of sound ones.
 A part is acquitted by an answer to any request with it. It is quarantined after crashes of several
-targets at different moments. A quarantined part does not block a request if the request lacks another
-part that explains all of its crashes: sound requests that ran beside a faulty one are accused with it.
+targets at different moments. A quarantined part does not block a request if other parts, which the request
+lacks, explain all of its crashes but one moment: sound requests that ran beside faulty ones are
+accused with them, and the report of a crash may lack the faulty part.
 
 A quarantine ends after a time that doubles. One more crash then suffices for the next one.
 """
@@ -38,7 +39,10 @@
 
     crash_limit: int = 3
     retry_crash_limit: int = 2
-    """With as many crashes a part's requests are still sent, but only once."""
+    """With as many crashes a part's requests are still sent, but only once.
+
+    A part blocks requests only with as many that no other part explains.
+    """
 
     moment_ms: Millis = 100.0
     quarantine_ms: Millis = 120_000.0
@@ -74,9 +78,14 @@
 
 @dataclass
 class _Suspect:
-    """The crashes of which a part is accused, with their instants, and its newest quarantine."""
+    """The crashes of which a part is accused, with their instants, and its newest quarantine.
+
+    `moments` is the number of crashes, with those at the same moment counted once.
+    """
 
+    part: str
     crashes: dict[CrashId, Millis] = field(default_factory=dict)
+    moments: int = 0
     quarantines: int = 0
     quarantined_until_ms: Millis = float("-inf")
 
@@ -139,32 +148,27 @@
         suspect.crashes = {
             crash: crash_ms for crash, crash_ms in suspect.crashes.items() if crash_ms > at_ms
         }
+        suspect.moments = self._count_moments(suspect.crashes.values())
         if not suspect.crashes:
             del self._suspects[part]
-        elif self._count_moments(suspect) < self._settings.crash_limit:
-            self._suspects[part] = _Suspect(suspect.crashes)
+        elif suspect.moments < self._settings.crash_limit:
+            self._suspects[part] = _Suspect(part, suspect.crashes, suspect.moments)
 
     def find_quarantine(self, parts: Iterable[str], now_ms: Millis) -> Quarantine | None:
         """Return why a request with these shared parts must not be sent, None if it may be."""
         if not self._suspects:
             return None
-        wanted = set(parts)
-        for part in wanted & self._suspects.keys():
-            suspect = self._suspects[part]
-            left_ms = suspect.quarantined_until_ms - now_ms
-            if left_ms > 0.0 and not self._is_explained_without(suspect, wanted):
-                return Quarantine(part, len(suspect.crashes), left_ms)
-        return None
+        settings = self._settings
+        suspected = self._find_unexplained(set(parts), settings.crash_limit)
+        quarantined = [suspect for suspect in suspected if now_ms < suspect.quarantined_until_ms]
+        if not quarantined:
+            return None
+        worst = max(quarantined, key=lambda suspect: len(suspect.crashes))
+        return Quarantine(worst.part, len(worst.crashes), worst.quarantined_until_ms - now_ms)
 
     def may_retry(self, parts: Iterable[str], now_ms: Millis) -> bool:
         """Return whether a request whose target has crashed may be sent to another one."""
-        wanted = set(parts)
-        limit = self._settings.retry_crash_limit
-        return not any(
-            self._count_moments(self._suspects[part]) >= limit
-            and not self._is_explained_without(self._suspects[part], wanted)
-            for part in wanted & self._suspects.keys()
-        )
+        return not self._find_unexplained(set(parts), self._settings.retry_crash_limit)
 
     def crashes_to_tell(self, limit: int) -> list[TargetCrash]:
         """Return the newest crashes, each with its most accused parts, for nodes that lack them."""
@@ -201,20 +205,21 @@
                 key=lambda item: (len(item[1].crashes), item[1].last_crash_ms),
             )
             del self._suspects[weakest[0]]
-        self._suspects[part] = _Suspect()
+        self._suspects[part] = _Suspect(part)
         return self._suspects[part]
 
     def _add_crash(self, suspect: _Suspect, crash: TargetCrash) -> None:
         suspect.crashes[crash.crash_id] = crash.at_ms
         while len(suspect.crashes) > self._settings.max_crashes_per_part:
             del suspect.crashes[min(suspect.crashes, key=lambda item: suspect.crashes[item])]
+        suspect.moments = self._count_moments(suspect.crashes.values())
 
     def _begin_quarantine(self, suspect: _Suspect, at_ms: Millis) -> bool:
         """Begin a quarantine if a crash suffices for one; return whether it does."""
         settings = self._settings
         if at_ms < suspect.quarantined_until_ms:
             return False
-        if not suspect.quarantines and self._count_moments(suspect) < settings.crash_limit:
+        if not suspect.quarantines and suspect.moments < settings.crash_limit:
             return False
         duration_ms = min(
             settings.quarantine_ms * 2**suspect.quarantines, settings.max_quarantine_ms
@@ -225,19 +230,48 @@
         )
         return True
 
-    def _count_moments(self, suspect: _Suspect) -> int:
+    def _count_moments(self, times_ms: Iterable[Millis]) -> int:
         """Return the number of crashes, with those within `moment_ms` of the first counted once."""
         count, moment_ms = 0, float("-inf")
-        for at_ms in sorted(suspect.crashes.values()):
+        for at_ms in sorted(times_ms):
             if at_ms >= moment_ms + self._settings.moment_ms:
                 count, moment_ms = count + 1, at_ms
         return count
 
-    def _is_explained_without(self, suspect: _Suspect, wanted: set[str]) -> bool:
-        """Return whether a part that is not `wanted` is accused of all crashes of a suspect."""
-        crashes = suspect.crashes.keys()
-        return any(
-            crashes <= other.crashes.keys()
-            for part, other in self._suspects.items()
-            if part not in wanted
+    def _find_unexplained(self, wanted: set[str], crash_limit: int) -> list[_Suspect]:
+        """Return the wanted parts with `crash_limit` crashes which other parts do not explain.
+
+        Parts that are not `wanted` explain their crashes if they have as many of their own.
+        """
+        suspects = [self._suspects[part] for part in wanted if part in self._suspects]
+        suspects = [item for item in suspects if self._is_accused(item, crash_limit)]
+        if not suspects:
+            return []
+        others = [
+            suspect
+            for part, suspect in self._suspects.items()
+            if part not in wanted and self._is_accused(suspect, crash_limit)
+        ]
+        explained = {crash_id for suspect in others for crash_id in suspect.crashes}
+        # A part that has reached its limit of crashes has lost those before them.
+        full_ms = max(
+            (
+                min(suspect.crashes.values())
+                for suspect in others
+                if len(suspect.crashes) >= self._settings.max_crashes_per_part
+            ),
+            default=float("-inf"),
         )
+        return [
+            suspect
+            for suspect in suspects
+            if self._count_moments(
+                at_ms
+                for crash_id, at_ms in suspect.crashes.items()
+                if at_ms >= full_ms and crash_id not in explained
+            )
+            >= self._settings.retry_crash_limit
+        ]
+
+    def _is_accused(self, suspect: _Suspect, crash_limit: int) -> bool:
+        return suspect.quarantines > 0 or suspect.moments >= crash_limit
