Find a faulty part among thousands of parts, at a bounded cost

And a faulty part with one crash could be dropped for the other parts of the very crash that accused it again, so that it was never found: 12 crashes without a quarantine at 1,000 parts a prompt. Known parts are now accused first, the weakest are dropped all at once, and of more new parts than half the table a random half-table is taken, so that others come with each crash.

With more than 1,000 new parts a prompt the expected number of crashes rises in proportion.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -15,6 +15,8 @@
 
 from __future__ import annotations
 
+import heapq
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -48,8 +50,8 @@
     quarantine_ms: Millis = 120_000.0
     max_quarantine_ms: Millis = 3_600_000.0
     memory_ms: Millis = 600_000.0
-    max_parts: int = 256
-    max_crashes_per_part: int = 64
+    max_parts: int = 1024
+    max_crashes_per_part: int = 32
     spread: float = 0.0
 
 
@@ -101,6 +103,7 @@
         self._settings = settings
         self._suspects: dict[str, _Suspect] = {}
         self._acquitted_ms: dict[str, Millis] = {}
+        self._random = random.Random(f"crash suspects/{settings.spread}")
 
     @property
     def count(self) -> int:
@@ -112,19 +115,19 @@
 
         The same crash may be recorded again, also with other parts.
         """
-        quarantined = []
-        for part in crash.parts:
-            if crash.at_ms <= self._acquitted_ms.get(part, float("-inf")):
-                continue
-            suspect = self._suspects.get(part)
-            if suspect is None:
-                suspect = self._add_suspect(part)
-            if crash.crash_id in suspect.crashes:
-                continue
+        accused = [
+            part
+            for part in dict.fromkeys(crash.parts)
+            if crash.at_ms > self._acquitted_ms.get(part, float("-inf"))
+        ]
+        known = [self._suspects[part] for part in accused if part in self._suspects]
+        suspects = [item for item in known if crash.crash_id not in item.crashes]
+        for suspect in suspects:
+            self._add_crash(suspect, crash)
+        for suspect in self._add_suspects([part for part in accused if part not in self._suspects]):
             self._add_crash(suspect, crash)
-            if self._begin_quarantine(suspect, crash.at_ms):
-                quarantined.append(part)
-        return tuple(quarantined)
+            suspects.append(suspect)
+        return tuple(item.part for item in suspects if self._begin_quarantine(item, crash.at_ms))
 
     def record_answer(self, parts: Iterable[str], now_ms: Millis) -> tuple[str, ...]:
         """Acquit the parts of a request that was answered completely; return those suspected."""
@@ -158,17 +161,23 @@
         """Return why a request with these shared parts must not be sent, None if it may be."""
         if not self._suspects:
             return None
-        settings = self._settings
-        suspected = self._find_unexplained(set(parts), settings.crash_limit)
-        quarantined = [suspect for suspect in suspected if now_ms < suspect.quarantined_until_ms]
-        if not quarantined:
+        wanted = set(parts)
+        quarantined = [
+            suspect
+            for suspect in self._find_accused(wanted, self._settings.crash_limit)
+            if now_ms < suspect.quarantined_until_ms
+        ]
+        worst = self._find_unexplained(quarantined, wanted, self._settings.crash_limit)
+        if worst is None:
             return None
-        worst = max(quarantined, key=lambda suspect: len(suspect.crashes))
         return Quarantine(worst.part, len(worst.crashes), worst.quarantined_until_ms - now_ms)
 
     def may_retry(self, parts: Iterable[str], now_ms: Millis) -> bool:
         """Return whether a request whose target has crashed may be sent to another one."""
-        return not self._find_unexplained(set(parts), self._settings.retry_crash_limit)
+        wanted = set(parts)
+        limit = self._settings.retry_crash_limit
+        accused = self._find_accused(wanted, limit)
+        return self._find_unexplained(accused, wanted, limit) is None
 
     def crashes_to_tell(self, limit: int) -> list[TargetCrash]:
         """Return the newest crashes, each with its most accused parts, for nodes that lack them."""
@@ -197,16 +206,27 @@
             if now_ms >= at_ms + self._settings.memory_ms:
                 del self._acquitted_ms[part]
 
-    def _add_suspect(self, part: str) -> _Suspect:
-        """Add a part; at the limit, drop the one with the fewest and oldest crashes."""
-        if len(self._suspects) >= self._settings.max_parts:
-            weakest = min(
-                self._suspects.items(),
-                key=lambda item: (len(item[1].crashes), item[1].last_crash_ms),
+    def _add_suspects(self, parts: list[str]) -> list[_Suspect]:
+        """Add parts; at the limit, drop those with the fewest and oldest crashes.
+
+        At most half of all are replaced at once. Of more parts any may be the faulty one, so others
+        are added with each crash.
+        """
+        max_parts = self._settings.max_parts
+        if len(parts) > max_parts // 2:
+            parts = self._random.sample(parts, max_parts // 2)
+        excess = len(self._suspects) + len(parts) - max_parts
+        if excess > 0:
+            weakest = heapq.nsmallest(
+                excess,
+                self._suspects.values(),
+                key=lambda item: (len(item.crashes), item.last_crash_ms),
             )
-            del self._suspects[weakest[0]]
-        self._suspects[part] = _Suspect(part)
-        return self._suspects[part]
+            for suspect in weakest:
+                del self._suspects[suspect.part]
+        added = [_Suspect(part) for part in parts]
+        self._suspects.update((suspect.part, suspect) for suspect in added)
+        return added
 
     def _add_crash(self, suspect: _Suspect, crash: TargetCrash) -> None:
         suspect.crashes[crash.crash_id] = crash.at_ms
@@ -238,40 +258,35 @@
                 count, moment_ms = count + 1, at_ms
         return count
 
-    def _find_unexplained(self, wanted: set[str], crash_limit: int) -> list[_Suspect]:
-        """Return the wanted parts with `crash_limit` crashes which other parts do not explain.
+    def _find_accused(self, parts: Iterable[str], crash_limit: int) -> list[_Suspect]:
+        """Return those of the parts that have `crash_limit` crashes or had a quarantine."""
+        suspects = (self._suspects[part] for part in parts if part in self._suspects)
+        return [item for item in suspects if item.quarantines or item.moments >= crash_limit]
+
+    def _find_unexplained(
+        self, suspects: list[_Suspect], wanted: set[str], crash_limit: int
+    ) -> _Suspect | None:
+        """Return one whose crashes the parts that are not `wanted` do not explain, None if none is.
 
-        Parts that are not `wanted` explain their crashes if they have as many of their own.
+        Parts with `crash_limit` crashes explain them, all together.
         """
-        suspects = [self._suspects[part] for part in wanted if part in self._suspects]
-        suspects = [item for item in suspects if self._is_accused(item, crash_limit)]
         if not suspects:
-            return []
-        others = [
-            suspect
-            for part, suspect in self._suspects.items()
-            if part not in wanted and self._is_accused(suspect, crash_limit)
-        ]
-        explained = {crash_id for suspect in others for crash_id in suspect.crashes}
+            return None
+        others = self._find_accused(self._suspects.keys() - wanted, crash_limit)
+        unexplained = {crash_id for suspect in suspects for crash_id in suspect.crashes}
+        for other in others:
+            unexplained.difference_update(other.crashes)
+            if not unexplained:
+                return None
         # A part that has reached its limit of crashes has lost those before them.
-        full_ms = max(
-            (
-                min(suspect.crashes.values())
-                for suspect in others
-                if len(suspect.crashes) >= self._settings.max_crashes_per_part
-            ),
-            default=float("-inf"),
-        )
-        return [
-            suspect
-            for suspect in suspects
-            if self._count_moments(
+        full = [item for item in others if len(item.crashes) >= self._settings.max_crashes_per_part]
+        since_ms = max((min(item.crashes.values()) for item in full), default=float("-inf"))
+        for suspect in sorted(suspects, key=lambda item: -len(item.crashes)):
+            moments = self._count_moments(
                 at_ms
                 for crash_id, at_ms in suspect.crashes.items()
-                if at_ms >= full_ms and crash_id not in explained
+                if at_ms >= since_ms and crash_id in unexplained
             )
-            >= self._settings.retry_crash_limit
-        ]
-
-    def _is_accused(self, suspect: _Suspect, crash_limit: int) -> bool:
-        return suspect.quarantines > 0 or suspect.moments >= crash_limit
+            if moments >= self._settings.retry_crash_limit:
+                return suspect
+        return None
--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -139,6 +139,51 @@
         self.assertLessEqual(sent, SETTINGS.retry_crash_limit)
 
 
+class HostilePromptsTests(CrashSuspectsCase):
+    """Load pattern: each request holds thousands of parts that no other request holds."""
+
+    def make_parts(self, number: int, count: int, position: int) -> tuple[str, ...]:
+        """Return parts of crash `number`: `count` of its own, with the faulty one at `position`."""
+        parts = [f"{number}-{index}" for index in range(count)]
+        parts.insert(position, FAULTY)
+        return tuple(parts)
+
+    def test_number_of_suspected_parts_stays_bounded(self) -> None:
+        for number in range(1, 20):
+            parts = self.make_parts(number, 3000, 0)
+            self.suspects.record_crash(crash(number, number * 1000.0, *parts))
+            self.assertLessEqual(self.suspects.count, SETTINGS.max_parts)
+        for number in range(3000):
+            self.suspects.acquit(f"answered-{number}", 30_000.0)
+        told = self.suspects.crashes_to_tell(100)
+        self.assertLessEqual(max(len(item.parts) for item in told), MAX_PARTS_PER_CRASH)
+
+    def test_accused_part_is_not_lost_among_the_parts_of_its_own_crash(self) -> None:
+        """Guards against a faulty part that is dropped for the others of the crash that accuses it."""
+        self.suspects.record_crash(crash(1, 1000.0, FAULTY))
+        for number in (2, 3):
+            parts = self.make_parts(number, 3000, 2999)
+            self.suspects.record_crash(crash(number, number * 1000.0, *parts))
+        self.assertTrue(self.is_refused(3500.0, FAULTY))
+
+    def test_faulty_part_is_found_within_few_crashes(self) -> None:
+        for position in (0, 10, 500, 990):
+            self.suspects = CrashSuspects(SETTINGS)
+            crashes = 0
+            while not self.is_refused(crashes * 1000.0, FAULTY):
+                crashes += 1
+                parts = self.make_parts(crashes, 1000, position)
+                self.suspects.record_crash(crash(crashes, crashes * 1000.0, *parts))
+                self.assertLess(crashes, 12, position)
+
+    def test_parts_of_other_crashes_do_not_displace_a_quarantined_part(self) -> None:
+        self.record_crashes(1, 3, FAULTY)
+        for number in range(10, 40):
+            beside = tuple(f"{number // 2}-{index}" for index in range(400))
+            self.suspects.record_crash(crash(number, number * 1000.0, *beside))
+        self.assertTrue(self.is_refused(45_000.0, FAULTY))
+
+
 class OtherCrashesTests(CrashSuspectsCase):
     """Load pattern: targets crash for reasons of their own while popular parts run on them."""
 
