Tell nodes that missed reports of quarantined parts first, and of answers

A node that has started again would have heard only of the newest crashes, of 20 targets of one rack in the test, and sent requests with a faulty part on. Crashes of parts that had a quarantine now come first. A told crash holds up to 16 parts, 8 before: with equal counts the faulty one was cut off behind the others.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -58,7 +58,7 @@
 SPREAD_SHARE = 0.1
 """A node extends quarantines by up to this share."""
 
-MAX_PARTS_PER_CRASH = 8
+MAX_PARTS_PER_CRASH = 16
 """How many parts of a crash are told to other nodes; those with most crashes come first."""
 
 
@@ -180,22 +180,34 @@
         return self._find_unexplained(accused, wanted, limit) is None
 
     def crashes_to_tell(self, limit: int) -> list[TargetCrash]:
-        """Return the newest crashes, each with its most accused parts, for nodes that lack them."""
+        """Return crashes, each with its most accused parts, for nodes that lack them.
+
+        Those with parts that had a quarantine come first, then the newest.
+        """
         parts_by_crash: dict[CrashId, list[str]] = {}
         times_ms: dict[CrashId, Millis] = {}
-        by_crashes = sorted(self._suspects.items(), key=lambda item: -len(item[1].crashes))
-        for part, suspect in by_crashes:
-            for crash_id, at_ms in suspect.crashes.items():
-                times_ms[crash_id] = at_ms
-                parts_by_crash.setdefault(crash_id, []).append(part)
-        newest = sorted(times_ms, key=lambda crash_id: -times_ms[crash_id])[:limit]
+        urgent: set[CrashId] = set()
+        for suspect in sorted(self._suspects.values(), key=lambda item: -len(item.crashes)):
+            times_ms.update(suspect.crashes)
+            if suspect.quarantines:
+                urgent.update(suspect.crashes)
+            for crash_id in suspect.crashes:
+                parts_by_crash.setdefault(crash_id, []).append(suspect.part)
+        first = heapq.nlargest(limit, times_ms, key=lambda item: (item in urgent, times_ms[item]))
         return [
             TargetCrash(
                 crash_id, times_ms[crash_id], tuple(parts_by_crash[crash_id][:MAX_PARTS_PER_CRASH])
             )
-            for crash_id in newest
+            for crash_id in first
         ]
 
+    def acquittals_to_tell(self, limit: int) -> list[tuple[str, Millis]]:
+        """Return the parts acquitted last and when, newest first, for nodes that missed it.
+
+        A node that still suspects such a part refuses its requests, and so never sees an answer.
+        """
+        return heapq.nlargest(limit, self._acquitted_ms.items(), key=lambda item: item[1])
+
     def forget_old(self, now_ms: Millis) -> None:
         """Drop the parts that have long been neither accused nor quarantined."""
         for part, suspect in list(self._suspects.items()):
--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -282,6 +282,35 @@
         self.assertIsNotNone(started.find_quarantine((SHARED, FAULTY), 5000.0))
         self.assertIsNone(started.find_quarantine((SHARED,), 5000.0))
 
+    def test_node_learns_of_quarantined_parts_first(self) -> None:
+        """Guards against a node that hears only of the many targets that crashed with their rack."""
+        self.record_crashes(1, 4, SHARED, FAULTY)
+        for number in range(100, 120):
+            self.suspects.record_crash(crash(number, 5000.0, f"beside-{number % 3}"))
+        started = CrashSuspects(SETTINGS)
+        for told in self.suspects.crashes_to_tell(5):
+            started.record_crash(told)
+        self.assertIsNotNone(started.find_quarantine((SHARED, FAULTY), 5500.0))
+
+    def test_node_that_missed_an_answer_learns_of_it_later(self) -> None:
+        """Guards against a node that alone refuses a sound part which all others serve."""
+        self.record_crashes(1, 3, SHARED)
+        other = CrashSuspects(SETTINGS)
+        for told in self.suspects.crashes_to_tell(5):
+            other.record_crash(told)
+        self.suspects.record_answer((SHARED,), 3500.0)
+        self.suspects.record_answer((SHARED,), 4000.0)
+        self.assertIsNotNone(other.find_quarantine((SHARED,), 4500.0))
+        for part, at_ms in self.suspects.acquittals_to_tell(5):
+            other.acquit(part, at_ms)
+        self.assertIsNone(other.find_quarantine((SHARED,), 4500.0))
+
+    def test_newest_answers_are_told_first(self) -> None:
+        for number in range(1, 10):
+            self.suspects.acquit(f"answered-{number}", number * 1000.0)
+        told = self.suspects.acquittals_to_tell(2)
+        self.assertEqual(told, [("answered-9", 9000.0), ("answered-8", 8000.0)])
+
     def test_most_accused_parts_are_told_first(self) -> None:
         for number in range(1, 4):
             beside = tuple(f"beside-{number}-{index}" for index in range(50))
