Accuse no part of crashes before an answer that the node saw itself

A node forgot its answers to parts that it did not suspect at that moment. One of two new tests failed before, the other bounds the memory.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -103,6 +103,7 @@
         self._settings = settings
         self._suspects: dict[str, _Suspect] = {}
         self._acquitted_ms: dict[str, Millis] = {}
+        self._answered_ms: dict[str, Millis] = {}
         self._random = random.Random(f"crash suspects/{settings.spread}")
 
     @property
@@ -116,9 +117,7 @@
         The same crash may be recorded again, also with other parts.
         """
         accused = [
-            part
-            for part in dict.fromkeys(crash.parts)
-            if crash.at_ms > self._acquitted_ms.get(part, float("-inf"))
+            part for part in dict.fromkeys(crash.parts) if crash.at_ms > self._find_answer_ms(part)
         ]
         known = [self._suspects[part] for part in accused if part in self._suspects]
         suspects = [item for item in known if crash.crash_id not in item.crashes]
@@ -131,20 +130,22 @@
 
     def record_answer(self, parts: Iterable[str], now_ms: Millis) -> tuple[str, ...]:
         """Acquit the parts of a request that was answered completely; return those suspected."""
-        acquitted = tuple(part for part in parts if part in self._suspects)
-        for part in acquitted:
-            self.acquit(part, now_ms)
-        return acquitted
+        acquitted = []
+        for part in parts:
+            # Reports of crashes before the answer may still come.
+            self._remember(self._answered_ms, part, now_ms)
+            if part in self._suspects:
+                self.acquit(part, now_ms)
+                acquitted.append(part)
+        return tuple(acquitted)
 
     def acquit(self, part: str, at_ms: Millis) -> None:
         """Drop a part's crashes up to an instant: a request with it was answered then.
 
         A quarantine stays if the crashes that remain suffice for one.
         """
-        at_ms = max(at_ms, self._acquitted_ms.pop(part, at_ms))
-        while len(self._acquitted_ms) >= self._settings.max_parts:
-            del self._acquitted_ms[next(iter(self._acquitted_ms))]
-        self._acquitted_ms[part] = at_ms
+        self._remember(self._acquitted_ms, part, at_ms)
+        at_ms = self._find_answer_ms(part)
         suspect = self._suspects.get(part)
         if suspect is None:
             return
@@ -214,9 +215,22 @@
             last_ms = max(suspect.last_crash_ms, suspect.quarantined_until_ms)
             if now_ms >= last_ms + self._settings.memory_ms:
                 del self._suspects[part]
-        for part, at_ms in list(self._acquitted_ms.items()):
-            if now_ms >= at_ms + self._settings.memory_ms:
-                del self._acquitted_ms[part]
+        for times_ms in (self._acquitted_ms, self._answered_ms):
+            for part, at_ms in list(times_ms.items()):
+                if now_ms >= at_ms + self._settings.memory_ms:
+                    del times_ms[part]
+
+    def _remember(self, times_ms: dict[str, Millis], part: str, at_ms: Millis) -> None:
+        """Keep the newest instant of a part; at the limit, drop the part set first."""
+        at_ms = max(at_ms, times_ms.pop(part, at_ms))
+        if len(times_ms) >= self._settings.max_parts:
+            del times_ms[next(iter(times_ms))]
+        times_ms[part] = at_ms
+
+    def _find_answer_ms(self, part: str) -> Millis:
+        """Return when a part was last answered, as far as known; negative infinity if never."""
+        never_ms = float("-inf")
+        return max(self._acquitted_ms.get(part, never_ms), self._answered_ms.get(part, never_ms))
 
     def _add_suspects(self, parts: list[str]) -> list[_Suspect]:
         """Add parts; at the limit, drop those with the fewest and oldest crashes.
--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -206,6 +206,21 @@
         self.assertFalse(self.is_refused(3200.0, SHARED))
         self.assertEqual(self.suspects.count, 0)
 
+    def test_late_reports_of_crashes_before_an_answer_accuse_nothing(self) -> None:
+        """Guards against a node that serves a part and refuses it once it hears of old crashes."""
+        self.assertEqual(self.suspects.record_answer((SHARED,), 3500.0), ())
+        self.record_crashes(1, 3, SHARED)
+        self.assertEqual(self.suspects.count, 0)
+        self.assertEqual(self.suspects.acquittals_to_tell(5), [])
+        self.record_crashes(4, 4, SHARED)
+        self.assertEqual(self.suspects.count, 1)
+
+    def test_number_of_remembered_answers_stays_bounded(self) -> None:
+        for number in range(3000):
+            self.suspects.record_answer((f"answered-{number}",), 1000.0)
+        self.record_crashes(1, 1, *(f"answered-{number}" for number in range(3000)))
+        self.assertEqual(self.suspects.count, SETTINGS.max_parts // 2)
+
     def test_late_report_of_an_old_answer_takes_no_newer_answer_back(self) -> None:
         self.record_crashes(1, 1, SHARED)
         self.suspects.acquit(SHARED, 5000.0)
