Fuzz nodes that find parts which crash targets, against an oracle

Three nodes send requests to four targets and tell each other of crashes and answers late, repeatedly, in any order or never; one or two parts crash each target that begins to answer them, targets also crash by themselves, alone or together, and nodes restart. The oracle keeps what each node has heard, and knows the faulty parts: no request with a faulty part is sent, nor sent again, once its node knows enough crashes, unless unanswered parts explain all but one moment; a sound one is refused only for at least two moments that no faulty part explains.

--- a/packages/marigoldarch/marigoldarch/tests/fuzz/run.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/run.py
@@ -13,6 +13,7 @@
 from hypothesis import seed, settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
+from marigoldarch.tests.fuzz.crash_suspects_tests import CrashSuspectMachine
 from marigoldarch.tests.fuzz.declarations_tests import DeclarationMachine
 from marigoldarch.tests.fuzz.ledger_tests import LedgerMachine
 from marigoldarch.tests.fuzz.log_tests import LogMachine
@@ -28,6 +29,7 @@
     "ledger": LedgerMachine,
     "permits": PermitMachine,
     "signals": TargetSignalMachine,
+    "suspects": CrashSuspectMachine,
 }
 
 
