--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/engine.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/engine.py
@@ -89,6 +89,12 @@
         )
         return prefilling + sum(item.prompt_tokens + item.decoded_tokens for item in self._decoding)
 
+    @property
+    def generations(self) -> list[Generation]:
+        """Return the requests that wait or run here, also those of which it prefills a part."""
+        prefilled = [part.generation for part in self._prefills]
+        return [*self._queue, *prefilled, *self._decoding]
+
     def submit(self, generation: Generation) -> None:
         """Queue a request, which waits until a slot and enough memory are free."""
         self._queue.append(generation)
--- a/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/serving_bench/simulation.py
@@ -306,17 +306,19 @@
         if engine.pass_ends_ms is None:
             end_ms = engine.begin_pass(self._now_ms)
             if end_ms is not None:
-                self._schedule(end_ms, lambda: self._end_pass(number))
+                self._schedule(end_ms, lambda: self._end_pass(number, engine))
 
-    def _end_pass(self, number: int) -> None:
-        engine = self._engines[number]
+    def _end_pass(self, number: int, engine: FormulaEngine) -> None:
+        if engine is not self._engines[number]:
+            return
         for generation in engine.end_pass(self._now_ms):
             request = self._requests_by_number[generation.request_id]
+            if generation.is_cancelled:
+                continue
             if generation.pending_prefill_parts == 0 and not generation.event_times_ms:
                 # Keeps this branch from running again before the first event.
                 generation.pending_prefill_parts = -1
-                self._engines[request.first_engine].start_decode(generation)
-                self._begin_pass(request.first_engine)
+                self._begin_answer(request)
             elif len(generation.event_times_ms) == 1:
                 self._publish_change(
                     request,
@@ -329,9 +331,17 @@
                     request,
                     lambda view, entry, item=request: view.end(entry, item.number, self._now_ms),
                 )
+                self._end_answer(request)
         engine.pass_ends_ms = None
         self._begin_pass(number)
 
+    def _begin_answer(self, request: Request) -> None:
+        self._engines[request.first_engine].start_decode(request.generation)
+        self._begin_pass(request.first_engine)
+
+    def _end_answer(self, request: Request) -> None:
+        """Do nothing; subclasses learn here of complete answers."""
+
 
 def _score(requests: list[Request]) -> Result:
     result = Result()
