Let two crashes of a faulty part explain the first three of a shared one

A customer's part that was accused by two crashes under a faulty part and one of another cause was quarantined, and with it the faulty part could get no third crash to explain the others: all of the customer's requests would have been refused for 120 s unless one was under way. While a part has three crashes at most, parts with two now explain them.

One of two new tests failed before, the other guards the opposite side.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -6,9 +6,9 @@
 
 Each crash accuses all shared parts of the requests that ran on the target, also those of sound ones.
 A part is acquitted by an answer to any request with it. It is quarantined after crashes of several
-targets at different moments. A quarantined part does not block a request if other parts, which the request
-lacks, explain all of its crashes but one moment: sound requests that ran beside faulty ones are
-accused with them, and the report of a crash may lack the faulty part.
+targets at different moments. A quarantined part does not block a request if other parts, which the
+request lacks, explain all of its crashes but one moment: sound requests that ran beside faulty ones
+are accused with them, and the report of a crash may lack the faulty part.
 
 A quarantine ends after a time that doubles. One more crash then suffices for the next one.
 """
@@ -168,7 +168,14 @@
             for suspect in self._find_accused(wanted, self._settings.crash_limit)
             if now_ms < suspect.quarantined_until_ms
         ]
-        worst = self._find_unexplained(quarantined, wanted, self._settings.crash_limit)
+        # A faulty part gets no more crashes while parts that come with it are refused, so fewer of
+        # its own explain the first ones of these.
+        limit = self._settings.crash_limit
+        strong = [suspect for suspect in quarantined if suspect.moments > limit]
+        weak = [suspect for suspect in quarantined if suspect.moments <= limit]
+        worst = self._find_unexplained(limit, strong, wanted) or self._find_unexplained(
+            self._settings.retry_crash_limit, weak, wanted
+        )
         if worst is None:
             return None
         return Quarantine(worst.part, len(worst.crashes), worst.quarantined_until_ms - now_ms)
@@ -177,8 +184,7 @@
         """Return whether a request whose target has crashed may be sent to another one."""
         wanted = set(parts)
         limit = self._settings.retry_crash_limit
-        accused = self._find_accused(wanted, limit)
-        return self._find_unexplained(accused, wanted, limit) is None
+        return self._find_unexplained(limit, self._find_accused(wanted, limit), wanted) is None
 
     def crashes_to_tell(self, limit: int) -> list[TargetCrash]:
         """Return crashes, each with its most accused parts, for nodes that lack them.
@@ -290,7 +296,7 @@
         return [item for item in suspects if item.quarantines or item.moments >= crash_limit]
 
     def _find_unexplained(
-        self, suspects: list[_Suspect], wanted: set[str], crash_limit: int
+        self, crash_limit: int, suspects: list[_Suspect], wanted: set[str]
     ) -> _Suspect | None:
         """Return one whose crashes the parts that are not `wanted` do not explain, None if none is.
 
--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -61,6 +61,12 @@
         self.assertEqual(self.suspects.count, 1)
         self.assertTrue(self.is_refused(6000.0, SHARED, FAULTY))
 
+    def test_parts_that_always_come_together_do_not_excuse_each_other(self) -> None:
+        self.record_crashes(1, 3, SHARED, FAULTY, "companion")
+        self.assertTrue(self.is_refused(3500.0, SHARED, FAULTY, "companion"))
+        self.suspects.record_answer((SHARED, "companion"), 3600.0)
+        self.assertTrue(self.is_refused(4000.0, FAULTY))
+
     def test_requests_that_ran_beside_are_sent(self) -> None:
         for number in range(1, 6):
             parts = (FAULTY, f"beside-{number}", "beside")
@@ -115,6 +121,13 @@
         self.record_crashes(7, 7, SHARED)
         self.assertTrue(self.is_refused(7500.0, SHARED))
 
+    def test_sound_part_beside_two_crashes_and_one_of_another_cause_is_sent(self) -> None:
+        """Guards against a customer who is refused whole, as no more crash can show the faulty part."""
+        self.record_crashes(1, 2, SHARED, FAULTY)
+        self.record_crashes(3, 3, SHARED, OTHER_FAULTY)
+        self.assertFalse(self.is_refused(3500.0, SHARED))
+        self.assertTrue(self.is_refused(3500.0, SHARED, FAULTY))
+
     def test_request_cut_by_crashes_of_two_faulty_parts_is_sent_again(self) -> None:
         self.record_crashes(1, 2, SHARED, FAULTY)
         self.record_crashes(3, 4, SHARED, OTHER_FAULTY)
