--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -381,7 +381,7 @@
         await self._claim_response()
         self._record_first_response()
         await self._call.exchange.answer(head.status, self._dialect.caller_headers(head), body)
-        if head.status < 300:
+        if head.status < 300 and head.is_framed:
             self._state.crashes.record_answer(self._call.shared_parts)
         return head, Delivered()
 
@@ -427,7 +427,9 @@
         await self._claim_response()
         if not self._call.exchange.is_head_sent:
             await self._call.exchange.send_head(head.status, self._dialect.caller_headers(head))
-        self._state.crashes.record_answer(self._call.shared_parts)
+        # Without framing, the end of an answer looks the same as a crash between two events.
+        if head.is_framed:
+            self._state.crashes.record_answer(self._call.shared_parts)
         await self._call.exchange.end()
         return head, Delivered()
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
@@ -40,6 +40,7 @@
         workload.on_crash = self._on_peer_crash
         workload.on_acquittal = self._suspects.acquit
         workload.crashes_to_tell = self._suspects.crashes_to_tell
+        workload.acquittals_to_tell = self._suspects.acquittals_to_tell
 
     @property
     def suspect_count(self) -> int:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -43,9 +43,6 @@
 IDLE_REPORT_INTERVAL_MS: Millis = 4500.0
 """The same for an entry without running work."""
 
-ACQUITTAL_REPORT_MS: Millis = 2 * IDLE_REPORT_INTERVAL_MS
-"""How long full reports repeat that a part was acquitted: until each peer has got two of them."""
-
 MAX_TOLD_CRASHES = 16
 MAX_TOLD_ACQUITTALS = 64
 """How many crashes and acquittals a report lists."""
@@ -83,8 +80,8 @@
     slow or leaving: `on_suspended`, `on_slow` and `on_leaving` are called with the reports of peers,
     `on_slow` with the ratio of measured to predicted duration, `on_leaving` with the instant of the
     target's start. `on_crash` is called with each reported crash of a target, `on_acquittal` with a
-    part of prompts and the instant of its answer, and `crashes_to_tell` returns what whole reports
-    tell. Targets and services are given as hashes of their names.
+    part of prompts and the instant of its answer; `crashes_to_tell` and `acquittals_to_tell` return
+    what whole reports tell. Targets and services are given as hashes of their names.
     """
 
     def __init__(self, node: str, start_id: int, clock: Clock, budget: RetryBudgetSettings) -> None:
@@ -104,8 +101,7 @@
         self._leaving: dict[int, int] = {}
         self._unreported_leaving: dict[int, int] = {}
         self._crashes: list[TargetCrash] = []
-        self._acquitted_ms: dict[str, Millis] = {}
-        self._unreported_acquitted_ms: dict[str, Millis] = {}
+        self._acquittals: list[tuple[str, Millis]] = []
         self._requests: Counter[int] = Counter()
         self._peers: dict[str, _Peer] = {}
         self._widely_reported: set[int] = set()
@@ -123,6 +119,7 @@
         self.on_crash: Callable[[TargetCrash], None] = lambda _: None
         self.on_acquittal: Callable[[str, Millis], None] = lambda _, __: None
         self.crashes_to_tell: Callable[[int], list[TargetCrash]] = lambda _: []
+        self.acquittals_to_tell: Callable[[int], list[tuple[str, Millis]]] = lambda _: []
 
     @property
     def view(self) -> PoolView:
@@ -216,7 +213,7 @@
 
     def report_acquittal(self, part: str, at_ms: Millis) -> None:
         """Tell the peers that a request with a suspected part was answered."""
-        self._acquitted_ms[part] = self._unreported_acquitted_ms[part] = at_ms
+        self._acquittals.append((part, at_ms))
         self._has_changes.set()
 
     def keep_leaving_targets(self, targets: set[int]) -> None:
@@ -252,9 +249,8 @@
             self._full_report_count += 1
             self._had_work = bool(works)
         self._has_changes = trio.Event()
-        self._drop_old_acquittals(now_ms)
         crashes = self.crashes_to_tell(MAX_TOLD_CRASHES) if is_full else self._crashes
-        acquitted_ms = self._acquitted_ms if is_full else self._unreported_acquitted_ms
+        acquittals = self.acquittals_to_tell(MAX_TOLD_ACQUITTALS) if is_full else self._acquittals
         report = WorkReport(
             self._node,
             self._start_id,
@@ -268,13 +264,15 @@
             dict(self._requests),
             dict(self._leaving) if is_full else self._unreported_leaving,
             crashes=[_crash_to_wire(crash, now_ms) for crash in crashes[-MAX_TOLD_CRASHES:]],
-            acquitted={part: round(now_ms - at_ms) for part, at_ms in acquitted_ms.items()},
+            acquitted={
+                part: round(now_ms - at_ms) for part, at_ms in acquittals[-MAX_TOLD_ACQUITTALS:]
+            },
         )
         partial = self._partial_report(report)
         self._widely_reported.difference_update(self._ended)
         self._started, self._prefilled, self._ended, self._suspended = [], [], [], []
         self._slow, self._unreported_leaving = {}, {}
-        self._crashes, self._unreported_acquitted_ms = [], {}
+        self._crashes, self._acquittals = [], []
         self._requests.clear()
         return OutgoingReports(
             msgspec.msgpack.encode(report),
@@ -410,18 +408,6 @@
         for part, age_ms in report.acquitted.items():
             self.on_acquittal(part, now_ms - age_ms)
 
-    def _drop_old_acquittals(self, now_ms: Millis) -> None:
-        """Drop the acquittals that full reports have told, and the oldest beyond a bound."""
-        old = [
-            part
-            for part, at_ms in self._acquitted_ms.items()
-            if now_ms >= at_ms + ACQUITTAL_REPORT_MS
-        ]
-        excess = len(self._acquitted_ms) - len(old) - MAX_TOLD_ACQUITTALS
-        kept = [part for part in self._acquitted_ms if part not in old]
-        for part in [*old, *kept[: max(0, excess)]]:
-            del self._acquitted_ms[part]
-
     def _notify_waiters(self) -> None:
         self._work_ended.set()
         self._work_ended = trio.Event()
--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -5,15 +5,19 @@
 sound requests, which share their customer, their route and their other parts with these.
 
 Each crash accuses all shared parts of the requests that ran on the target, also those of sound ones.
-A part is acquitted by an answer to any request with it. It is quarantined after crashes of several
-targets, each under a request that was sent after the crash before. A quarantined part does not block a request if the request lacks another
-part that explains all of its crashes: sound requests that ran beside a faulty one are accused with it.
+A part is acquitted by an answer to any request with it. It is quarantined after several crashes, each
+under a request that was sent after the crash before: the targets of a rack crash under requests that
+were all sent before. Such crashes are of different moments. A quarantined part does not block a request
+if other parts, which the request lacks, explain all of its crashes but one moment: sound requests that
+ran beside faulty ones are accused with them, and the report of a crash may lack the faulty part.
 
 A quarantine ends after a time that doubles. One more crash then suffices for the next one.
 """
 
 from __future__ import annotations
 
+import heapq
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -29,9 +33,8 @@
 class SuspectSettings(NamedTuple):
     """When a part is quarantined and for how long, and how much is remembered.
 
-    A part is quarantined after `crash_limit` crashes, each under a request that was sent after the
-    crash before. Others count as one, as targets of one rack crash together; where it is not known
-    when a request was sent, those within `moment_ms` do. The first quarantine takes
+    A part is quarantined after `crash_limit` crashes at different moments. Where it is not known when
+    a request was sent, crashes within `moment_ms` are of the same moment. The first quarantine takes
     `quarantine_ms`, each following one twice as long, up to `max_quarantine_ms`. A part is forgotten
     `memory_ms` after its last crash and quarantine. `spread`, from 0 to 1, differs between nodes, so
     that not all of them end a quarantine at the same instant.
@@ -39,21 +42,24 @@
 
     crash_limit: int = 3
     retry_crash_limit: int = 2
-    """With as many crashes a part's requests are still sent, but only once."""
+    """With as many crashes a part's requests are still sent, but only once.
+
+    A part blocks requests only with as many that no other part explains.
+    """
 
     moment_ms: Millis = 100.0
     quarantine_ms: Millis = 120_000.0
     max_quarantine_ms: Millis = 3_600_000.0
     memory_ms: Millis = 600_000.0
-    max_parts: int = 256
-    max_crashes_per_part: int = 64
+    max_parts: int = 1024
+    max_crashes_per_part: int = 32
     spread: float = 0.0
 
 
 SPREAD_SHARE = 0.1
 """A node extends quarantines by up to this share."""
 
-MAX_PARTS_PER_CRASH = 8
+MAX_PARTS_PER_CRASH = 16
 """How many parts of a crash are told to other nodes; those with most crashes come first."""
 
 
@@ -82,10 +88,13 @@
     """The crashes of which a part is accused, with their instants, and its newest quarantine.
 
     `sent_ms` are the instants at which the requests that ran were sent, where they are known.
+    `moments` is the number of crashes, with those of the same moment counted once.
     """
 
+    part: str
     crashes: dict[CrashId, Millis] = field(default_factory=dict)
     sent_ms: dict[CrashId, Millis] = field(default_factory=dict)
+    moments: int = 0
     quarantines: int = 0
     quarantined_until_ms: Millis = float("-inf")
 
@@ -101,6 +110,8 @@
         self._settings = settings
         self._suspects: dict[str, _Suspect] = {}
         self._acquitted_ms: dict[str, Millis] = {}
+        self._answered_ms: dict[str, Millis] = {}
+        self._random = random.Random(f"crash suspects/{settings.spread}")
 
     @property
     def count(self) -> int:
@@ -112,76 +123,93 @@
 
         The same crash may be recorded again, also with other parts.
         """
-        quarantined = []
-        for part in crash.parts:
-            if crash.at_ms <= self._acquitted_ms.get(part, float("-inf")):
-                continue
-            suspect = self._suspects.get(part)
-            if suspect is None:
-                suspect = self._add_suspect(part)
-            if crash.crash_id in suspect.crashes:
-                continue
+        accused = [
+            part for part in dict.fromkeys(crash.parts) if crash.at_ms > self._find_answer_ms(part)
+        ]
+        known = [self._suspects[part] for part in accused if part in self._suspects]
+        suspects = [item for item in known if crash.crash_id not in item.crashes]
+        for suspect in suspects:
             self._add_crash(suspect, crash)
-            if self._begin_quarantine(suspect, crash.at_ms):
-                quarantined.append(part)
-        return tuple(quarantined)
+        for suspect in self._add_suspects([part for part in accused if part not in self._suspects]):
+            self._add_crash(suspect, crash)
+            suspects.append(suspect)
+        return tuple(item.part for item in suspects if self._begin_quarantine(item, crash.at_ms))
 
     def record_answer(self, parts: Iterable[str], now_ms: Millis) -> tuple[str, ...]:
         """Acquit the parts of a request that was answered completely; return those suspected."""
-        acquitted = tuple(part for part in parts if part in self._suspects)
-        for part in acquitted:
-            self.acquit(part, now_ms)
-        return acquitted
+        acquitted = []
+        for part in parts:
+            # Reports of crashes before the answer may still come.
+            self._remember(self._answered_ms, part, now_ms)
+            if part in self._suspects:
+                self.acquit(part, now_ms)
+                acquitted.append(part)
+        return tuple(acquitted)
 
     def acquit(self, part: str, at_ms: Millis) -> None:
-        """Drop a part's crashes up to an instant: a request with it was answered then."""
-        self._acquitted_ms.pop(part, None)
-        while len(self._acquitted_ms) >= self._settings.max_parts:
-            del self._acquitted_ms[next(iter(self._acquitted_ms))]
-        self._acquitted_ms[part] = at_ms
+        """Drop a part's crashes up to an instant: a request with it was answered then.
+
+        A quarantine stays if the crashes that remain suffice for one.
+        """
+        self._remember(self._acquitted_ms, part, at_ms)
+        at_ms = self._find_answer_ms(part)
         suspect = self._suspects.get(part)
         if suspect is None:
             return
-        later = {crash: crash_ms for crash, crash_ms in suspect.crashes.items() if crash_ms > at_ms}
-        if later:
-            self._suspects[part] = _Suspect(later, suspect.sent_ms)
-        else:
+        suspect.crashes = {
+            crash: crash_ms for crash, crash_ms in suspect.crashes.items() if crash_ms > at_ms
+        }
+        suspect.moments = self._count_moments(suspect, suspect.crashes)
+        if not suspect.crashes:
             del self._suspects[part]
+        elif suspect.moments < self._settings.crash_limit:
+            self._suspects[part] = _Suspect(part, suspect.crashes, suspect.sent_ms, suspect.moments)
 
     def find_quarantine(self, parts: Iterable[str], now_ms: Millis) -> Quarantine | None:
         """Return why a request with these shared parts must not be sent, None if it may be."""
         if not self._suspects:
             return None
         wanted = set(parts)
-        for part in wanted & self._suspects.keys():
-            suspect = self._suspects[part]
-            left_ms = suspect.quarantined_until_ms - now_ms
-            if left_ms > 0.0 and not self._is_explained_without(suspect, wanted):
-                return Quarantine(part, len(suspect.crashes), left_ms)
-        return None
+        quarantined = [
+            suspect
+            for suspect in self._find_accused(wanted, self._settings.crash_limit)
+            if now_ms < suspect.quarantined_until_ms
+        ]
+        # A faulty part gets no more crashes while parts that come with it are refused, so fewer of
+        # its own explain the first ones of these.
+        limit = self._settings.crash_limit
+        strong = [suspect for suspect in quarantined if suspect.moments > limit]
+        weak = [suspect for suspect in quarantined if suspect.moments <= limit]
+        worst = self._find_unexplained(limit, strong, wanted) or self._find_unexplained(
+            self._settings.retry_crash_limit, weak, wanted
+        )
+        if worst is None:
+            return None
+        return Quarantine(worst.part, len(worst.crashes), worst.quarantined_until_ms - now_ms)
 
     def may_retry(self, parts: Iterable[str], now_ms: Millis) -> bool:
         """Return whether a request whose target has crashed may be sent to another one."""
         wanted = set(parts)
         limit = self._settings.retry_crash_limit
-        return not any(
-            self._count_moments(self._suspects[part]) >= limit
-            and not self._is_explained_without(self._suspects[part], wanted)
-            for part in wanted & self._suspects.keys()
-        )
+        return self._find_unexplained(limit, self._find_accused(wanted, limit), wanted) is None
 
     def crashes_to_tell(self, limit: int) -> list[TargetCrash]:
-        """Return the newest crashes, each with its most accused parts, for nodes that lack them."""
+        """Return crashes, each with its most accused parts, for nodes that lack them.
+
+        Those with parts that had a quarantine come first, then the newest.
+        """
         parts_by_crash: dict[CrashId, list[str]] = {}
         times_ms: dict[CrashId, Millis] = {}
         sent_ms: dict[CrashId, Millis] = {}
-        by_crashes = sorted(self._suspects.items(), key=lambda item: -len(item[1].crashes))
-        for part, suspect in by_crashes:
+        urgent: set[CrashId] = set()
+        for suspect in sorted(self._suspects.values(), key=lambda item: -len(item.crashes)):
+            times_ms.update(suspect.crashes)
             sent_ms.update(suspect.sent_ms)
-            for crash_id, at_ms in suspect.crashes.items():
-                times_ms[crash_id] = at_ms
-                parts_by_crash.setdefault(crash_id, []).append(part)
-        newest = sorted(times_ms, key=lambda crash_id: -times_ms[crash_id])[:limit]
+            if suspect.quarantines:
+                urgent.update(suspect.crashes)
+            for crash_id in suspect.crashes:
+                parts_by_crash.setdefault(crash_id, []).append(suspect.part)
+        first = heapq.nlargest(limit, times_ms, key=lambda item: (item in urgent, times_ms[item]))
         return [
             TargetCrash(
                 crash_id,
@@ -189,29 +217,60 @@
                 tuple(parts_by_crash[crash_id][:MAX_PARTS_PER_CRASH]),
                 sent_ms.get(crash_id),
             )
-            for crash_id in newest
+            for crash_id in first
         ]
 
+    def acquittals_to_tell(self, limit: int) -> list[tuple[str, Millis]]:
+        """Return the parts acquitted last and when, newest first, for nodes that missed it.
+
+        A node that still suspects such a part refuses its requests, and so never sees an answer.
+        """
+        return heapq.nlargest(limit, self._acquitted_ms.items(), key=lambda item: item[1])
+
     def forget_old(self, now_ms: Millis) -> None:
         """Drop the parts that have long been neither accused nor quarantined."""
         for part, suspect in list(self._suspects.items()):
             last_ms = max(suspect.last_crash_ms, suspect.quarantined_until_ms)
             if now_ms >= last_ms + self._settings.memory_ms:
                 del self._suspects[part]
-        for part, at_ms in list(self._acquitted_ms.items()):
-            if now_ms >= at_ms + self._settings.memory_ms:
-                del self._acquitted_ms[part]
-
-    def _add_suspect(self, part: str) -> _Suspect:
-        """Add a part; at the limit, drop the one with the fewest and oldest crashes."""
-        if len(self._suspects) >= self._settings.max_parts:
-            weakest = min(
-                self._suspects.items(),
-                key=lambda item: (len(item[1].crashes), item[1].last_crash_ms),
+        for times_ms in (self._acquitted_ms, self._answered_ms):
+            for part, at_ms in list(times_ms.items()):
+                if now_ms >= at_ms + self._settings.memory_ms:
+                    del times_ms[part]
+
+    def _remember(self, times_ms: dict[str, Millis], part: str, at_ms: Millis) -> None:
+        """Keep the newest instant of a part; at the limit, drop the part set first."""
+        at_ms = max(at_ms, times_ms.pop(part, at_ms))
+        if len(times_ms) >= self._settings.max_parts:
+            del times_ms[next(iter(times_ms))]
+        times_ms[part] = at_ms
+
+    def _find_answer_ms(self, part: str) -> Millis:
+        """Return when a part was last answered, as far as known; negative infinity if never."""
+        never_ms = float("-inf")
+        return max(self._acquitted_ms.get(part, never_ms), self._answered_ms.get(part, never_ms))
+
+    def _add_suspects(self, parts: list[str]) -> list[_Suspect]:
+        """Add parts; at the limit, drop those with the fewest and oldest crashes.
+
+        At most half of all are replaced at once. Of more parts any may be the faulty one, so others
+        are added with each crash.
+        """
+        max_parts = self._settings.max_parts
+        if len(parts) > max_parts // 2:
+            parts = self._random.sample(parts, max_parts // 2)
+        excess = len(self._suspects) + len(parts) - max_parts
+        if excess > 0:
+            weakest = heapq.nsmallest(
+                excess,
+                self._suspects.values(),
+                key=lambda item: (len(item.crashes), item.last_crash_ms),
             )
-            del self._suspects[weakest[0]]
-        self._suspects[part] = _Suspect()
-        return self._suspects[part]
+            for suspect in weakest:
+                del self._suspects[suspect.part]
+        added = [_Suspect(part) for part in parts]
+        self._suspects.update((suspect.part, suspect) for suspect in added)
+        return added
 
     def _add_crash(self, suspect: _Suspect, crash: TargetCrash) -> None:
         suspect.crashes[crash.crash_id] = crash.at_ms
@@ -221,13 +280,14 @@
             oldest = min(suspect.crashes, key=lambda item: suspect.crashes[item])
             del suspect.crashes[oldest]
             suspect.sent_ms.pop(oldest, None)
+        suspect.moments = self._count_moments(suspect, suspect.crashes)
 
     def _begin_quarantine(self, suspect: _Suspect, at_ms: Millis) -> bool:
         """Begin a quarantine if a crash suffices for one; return whether it does."""
         settings = self._settings
         if at_ms < suspect.quarantined_until_ms:
             return False
-        if not suspect.quarantines and self._count_moments(suspect) < settings.crash_limit:
+        if not suspect.quarantines and suspect.moments < settings.crash_limit:
             return False
         duration_ms = min(
             settings.quarantine_ms * 2**suspect.quarantines, settings.max_quarantine_ms
@@ -238,19 +298,46 @@
         )
         return True
 
-    def _count_moments(self, suspect: _Suspect) -> int:
+    def _count_moments(self, suspect: _Suspect, crash_ids: Iterable[CrashId]) -> int:
         """Return the number of crashes under requests that were sent after the counted one before."""
         count, moment_ms = 0, float("-inf")
-        for crash_id, at_ms in sorted(suspect.crashes.items(), key=lambda item: item[1]):
+        for at_ms, crash_id in sorted((suspect.crashes[item], item) for item in crash_ids):
             if suspect.sent_ms.get(crash_id, at_ms - self._settings.moment_ms) >= moment_ms:
                 count, moment_ms = count + 1, at_ms
         return count
 
-    def _is_explained_without(self, suspect: _Suspect, wanted: set[str]) -> bool:
-        """Return whether a part that is not `wanted` is accused of all crashes of a suspect."""
-        crashes = suspect.crashes.keys()
-        return any(
-            crashes <= other.crashes.keys()
-            for part, other in self._suspects.items()
-            if part not in wanted
-        )
+    def _find_accused(self, parts: Iterable[str], crash_limit: int) -> list[_Suspect]:
+        """Return those of the parts that have `crash_limit` crashes or had a quarantine."""
+        suspects = (self._suspects[part] for part in parts if part in self._suspects)
+        return [item for item in suspects if item.quarantines or item.moments >= crash_limit]
+
+    def _find_unexplained(
+        self, crash_limit: int, suspects: list[_Suspect], wanted: set[str]
+    ) -> _Suspect | None:
+        """Return one whose crashes the parts that are not `wanted` do not explain, None if none is.
+
+        Parts with `crash_limit` crashes explain them, all together.
+        """
+        if not suspects:
+            return None
+        others = self._find_accused(self._suspects.keys() - wanted, crash_limit)
+        unexplained = {crash_id for suspect in suspects for crash_id in suspect.crashes}
+        for other in others:
+            unexplained.difference_update(other.crashes)
+            if not unexplained:
+                return None
+        # A part that has reached its limit of crashes has lost those before them.
+        full = [item for item in others if len(item.crashes) >= self._settings.max_crashes_per_part]
+        since_ms = max((min(item.crashes.values()) for item in full), default=float("-inf"))
+        for suspect in sorted(suspects, key=lambda item: -len(item.crashes)):
+            moments = self._count_moments(
+                suspect,
+                (
+                    crash_id
+                    for crash_id, at_ms in suspect.crashes.items()
+                    if at_ms >= since_ms and crash_id in unexplained
+                ),
+            )
+            if moments >= self._settings.retry_crash_limit:
+                return suspect
+        return None
