Refuse requests that wait for a target before a stopping entry ends

What callers saw: a request that waits for room, for another target after a failed attempt or for the first declaration while its entry stops got neither an answer nor a refusal; its connection ended with the process, 0.4 s before the end of the grace. Cause: the wait is bounded by the request's own time only; the stop cancels it with everything else. Ruled out: attempts in progress at targets, which go on to the end as before and are not touched. Change: 1 s before the connections end nothing waits any more: 503 node is stopping, at once again, if nothing ran; 502 if it may have run; a begun stream is cut with that reason. A placement that has room is still taken, and a wait that ends with room as well. Before/after, response of a request that waits, with a grace of 2.4 s: none at 2.0 s / 503, 502 or the cut within 1.5 s; without a declaration none / 503. Not mended: a request whose new attempt is still connecting or reserving memory when everything ends.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -128,16 +128,17 @@
         """Leave the directory, then drain.
 
         New requests are accepted for `ACCEPT_WHILE_STOPPING_MS`, and running ones may finish until
-        the grace time ends.
+        the grace time ends. Those that wait for a target are refused by the proxy before that.
         """
         state = self._state
         began_ms = state.clock.monotonic_ms()
         state.stop_began_ms = began_ms
+        end_ms = began_ms + self._settings.bounds.stop_grace_ms - STOP_MARGIN_MS
+        state.stop_end_ms = end_ms
         self._caller_server.announce_closing()
         await self._send_hello(is_change=True)
         await trio.sleep(ACCEPT_WHILE_STOPPING_MS / 1000.0)
         self._caller_server.close_idle()
-        end_ms = began_ms + self._settings.bounds.stop_grace_ms - STOP_MARGIN_MS
         while self._caller_server.open_connections and state.clock.monotonic_ms() < end_ms:
             self._caller_server.close_idle()
             await trio.sleep(0.05)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -36,7 +37,10 @@
 
 
 class EntryState:
-    """State that all requests of an entry share; it begins without declaration and targets."""
+    """State that all requests of an entry share; it begins without declaration and targets.
+
+    A stop sets `stop_began_ms`, and `stop_end_ms`, when the connections end.
+    """
 
     def __init__(self, settings: ServingSettings, start_id: int) -> None:
         bounds = settings.bounds
@@ -63,6 +67,7 @@
         )
         self.limits = LimitHistory(ServerLimits())
         self.stop_began_ms: Millis | None = None
+        self.stop_end_ms: Millis = math.inf
         self._table: RoutingTable | None = None
         self._has_table = trio.Event()
         self._last_control_message_ms: Millis = 0.0
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -4,7 +4,7 @@
 
 from contextlib import closing
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NoReturn
 
 import trio
 
@@ -51,6 +51,10 @@
 """How long a stopping entry still accepts new requests. Some callers use a directory response for
 three times its time to live; they have moved to other entries by then."""
 
+REFUSE_BEFORE_STOP_END_MS: Millis = 1000.0
+"""Requests that wait while the entry stops are refused this long before its connections end: the
+refusal takes a round trip, and the caller can still go to another entry."""
+
 FIRST_DECLARATION_TIMEOUT_MS: Millis = 700.0
 """How long a request waits for the first declaration after a start: the longest election timeout of
 the control hosts."""
@@ -63,7 +67,8 @@
 """`Retry-After` of a refusal without a better estimate: about five engine passes."""
 
 CAPACITY_POLL_MS: Millis = 50.0
-"""How often a waiting request retries its placement, besides whenever other work ends."""
+"""How often a waiting request retries its placement, besides whenever other work ends, and whether
+it may still wait."""
 
 DEFAULT_CALLER_TIMEOUT_MS: Millis = 60_000.0
 """The timeout of a caller that sends none."""
@@ -162,11 +167,19 @@
         It usually follows within a moment, so the requests wait for it; a refusal would use up the
         callers' retries.
         """
-        table = self._state.table or await self._state.wait_for_table(FIRST_DECLARATION_TIMEOUT_MS)
-        if table is None:
-            raise RefusalError(503, "no declaration yet", DEFAULT_RETRY_AFTER_MS)
+        began_ms = self._now_ms()
+        while (table := self._state.table) is None:
+            if self._is_wait_over():
+                raise RefusalError(503, "node is stopping", 0.0)
+            if self._now_ms() - began_ms >= FIRST_DECLARATION_TIMEOUT_MS:
+                raise RefusalError(503, "no declaration yet", DEFAULT_RETRY_AFTER_MS)
+            await self._state.wait_for_table(CAPACITY_POLL_MS)
         return table
 
+    def _is_wait_over(self) -> bool:
+        """Return whether the entry stops so soon that no request may wait any longer."""
+        return self._now_ms() >= self._state.stop_end_ms - REFUSE_BEFORE_STOP_END_MS
+
     def _admit(self, exchange: Exchange, request_info: RequestInfo, table: RoutingTable) -> Call:
         """Choose route, customer and service; raise `RefusalError` if the request is refused."""
         state = self._state
@@ -232,6 +245,8 @@
             placement = self._choose_placement(call)
             if isinstance(placement, Placement):
                 return placement
+            if self._is_wait_over():
+                self._raise_unplaced(call, "node is stopping", 0.0)
             left_ms = call.deadline_ms - self._now_ms()
             waited_ms = self._now_ms() - began_ms
             is_too_late = placement.retry_after_ms > left_ms * MAX_WAIT_SHARE
@@ -240,7 +255,7 @@
             with trio.move_on_after(CAPACITY_POLL_MS / 1000.0):
                 await self._state.workload.wait_for_work_end()
 
-    def _raise_no_capacity(self, call: Call, placement: Saturated) -> None:
+    def _raise_no_capacity(self, call: Call, placement: Saturated) -> NoReturn:
         """End a request for which no target has capacity; log the load on which that is based."""
         now_ms = self._now_ms()
         candidates = self._state.candidates.find(call.service.name, set(), now_ms)
@@ -257,11 +272,15 @@
             left_ms=round(call.deadline_ms - now_ms),
             view_age_ms=round(self._state.workload.oldest_report_ms),
         )
+        self._raise_unplaced(call, "no room", placement.retry_after_ms)
+
+    def _raise_unplaced(self, call: Call, reason: str, retry_after_ms: Millis) -> NoReturn:
+        """End a request that gets no further attempt, by what its caller may already have."""
         if call.exchange.is_head_sent:
-            raise StreamCutError("no room")
+            raise StreamCutError(reason)
         if call.history.may_have_run:
             raise RefusalError(502, "outcome unknown")
-        raise RefusalError(503, "no room", placement.retry_after_ms)
+        raise RefusalError(503, reason, retry_after_ms)
 
     def _choose_placement(self, call: Call) -> Placement | Saturated:
         """Choose targets for the next attempt among those that have not failed this request."""
