Keep the connection of a silent target for 5 s

What callers saw: the connection of a sound target that reads nothing, or whose host acknowledges nothing, for some 2 s ended, and with it an answer that may not be asked for again. Cause: TCP_USER_TIMEOUT of 1,500 ms holds for all connections that an entry or node opens. The kernel applies it to unacknowledged data, to data that waits as the other side does not read, and in place of the number of keep-alive probes. Ruled out: 10 s, as the product's own interface has it. Its keep-alive begins after 15 s, while a serving entry has no other sign of a dead host, and one value governs both. Change: 5 s and four probes towards targets; 1.5 s between nodes and 20 s to callers as before.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -15,11 +15,7 @@
 import trio
 
 from marigoldarch_node.serving.event_log import EventLog
-from marigoldarch_node.serving.sockets import (
-    CALLER_UNACKNOWLEDGED_TIMEOUT_MS,
-    listen,
-    set_tcp_options,
-)
+from marigoldarch_node.serving.sockets import CALLER_BOUNDS, listen, set_tcp_options
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -430,7 +426,7 @@
         connection = _ServerConnection(stream, self._state)
         self._state.connections.add(connection)
         try:
-            set_tcp_options(stream.socket, CALLER_UNACKNOWLEDGED_TIMEOUT_MS)
+            set_tcp_options(stream.socket, CALLER_BOUNDS)
             await connection.run()
         except OSError:
             stream.socket.close()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/sockets.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/sockets.py
@@ -10,15 +10,28 @@
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-"""An unreachable peer is detected after about 3 s, before callers abandon a stream."""
 
-UNACKNOWLEDGED_TIMEOUT_MS = 1500
-"""How long data sent to a target or peer may stay unacknowledged: long enough for several
-retransmissions, which begin after 200 ms."""
 
-CALLER_UNACKNOWLEDGED_TIMEOUT_MS = 20_000
-"""The same for callers, which may read slowly."""
+class SilenceBounds(NamedTuple):
+    """How long the kernel keeps a connection whose peer acknowledges nothing.
+
+    `unacknowledged_ms` holds for sent data and for data that waits as the peer does not read. On
+    Linux it also takes precedence over the number of keep-alive probes.
+    """
+
+    unacknowledged_ms: int
+    keepalive_probes: int
+
+
+PEER_BOUNDS = SilenceBounds(1500, 2)
+"""For nodes: long enough for several retransmissions, which begin after 200 ms."""
+
+TARGET_BOUNDS = SilenceBounds(5000, 4)
+"""For targets, which may read nothing for a second, and longer on a slow machine. Not longer than a few
+seconds, as a request that may not be sent again waits for a dead host as long."""
+
+CALLER_BOUNDS = SilenceBounds(20_000, 2)
+"""For callers, which may read slowly."""
 
 BACKLOG = 1024
 
@@ -44,15 +57,15 @@
         self.stream.socket.close()
 
 
-def set_tcp_options(sock: trio.socket.SocketType | socket.socket, unacknowledged_ms: int) -> None:
+def set_tcp_options(sock: trio.socket.SocketType | socket.socket, bounds: SilenceBounds) -> None:
     """Set the options of every TCP connection of a node."""
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, bounds.keepalive_probes)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, bounds.unacknowledged_ms)
 
 
 @lru_cache(maxsize=4096)
@@ -62,11 +75,13 @@
     return host, int(port)
 
 
-async def connect(address: str, timeout_ms: float) -> Connection:
+async def connect(
+    address: str, timeout_ms: float, bounds: SilenceBounds = PEER_BOUNDS
+) -> Connection:
     """Open a connection; raise `OSError`, or `trio.TooSlowError` after `timeout_ms`."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
-    set_tcp_options(sock, UNACKNOWLEDGED_TIMEOUT_MS)
+    set_tcp_options(sock, bounds)
     trio_socket = trio.socket.from_stdlib_socket(sock)
     try:
         with trio.fail_after(timeout_ms / 1000.0):
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -18,7 +18,7 @@
 from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch.serving.attempts import FailureReason
 from marigoldarch_node.serving.http_server import READ_BYTES
-from marigoldarch_node.serving.sockets import connect
+from marigoldarch_node.serving.sockets import TARGET_BOUNDS, connect
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -221,7 +221,7 @@
                 return self._wrap_connection(address, item.connection, is_reused=True)
             item.connection.close()
         try:
-            connection = await connect(address, CONNECT_TIMEOUT_MS)
+            connection = await connect(address, CONNECT_TIMEOUT_MS, TARGET_BOUNDS)
         except (OSError, trio.TooSlowError) as error:
             raise UnreachableError(f"{address}: {error}") from error
         return self._wrap_connection(address, connection, is_reused=False)
