--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
@@ -4,7 +4,6 @@
 
 import time
 import unittest
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 from unittest.mock import patch
 
@@ -12,29 +11,17 @@
 import trio
 
 from marigoldarch.serving.declaration import RepeatRule
-from marigoldarch.serving.routing import RoutingTable
-from marigoldarch.tests.serving.support import call_once, declaration, route, target
-from marigoldarch_node.serving.attempt import EntryContext
-from marigoldarch_node.serving.entry_state import EntryState
-from marigoldarch_node.serving.http_server import HttpServer, ServerState
-from marigoldarch_node.serving.memory_reservations import ReservationManager
-from marigoldarch_node.serving.proxy import Proxy
-from marigoldarch_node.serving.settings import ServingSettings
-from marigoldarch_node.serving.target_connections import TargetConnectionPool
+from marigoldarch.tests.serving.support import call_once, route, target
 from marigoldarch_node.tests.serving.support import (
-    PlainDialect,
-    free_address,
+    entry,
     open_stream,
     read_until,
     scripted_target,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from marigoldarch.serving.declaration import Route
 
-SETTINGS = ServingSettings("e1", "10.0.0.1", "dc1", 7340, ["10.0.1.1:80"])
 DEADLINE_MS = 12_000.0
 LATEST_END_S = 8.0
 MAX_SENT_BYTES = 48 * 1024 * 1024
@@ -77,25 +64,6 @@
     processor_s: float
 
 
-@asynccontextmanager
-async def entry(*routes: Route) -> AsyncIterator[tuple[EntryState, str]]:
-    """Run the caller's side of an entry that knows no targets; yield its state and its address."""
-    state = EntryState(SETTINGS, 1)
-    state.apply_table(RoutingTable(declaration(*routes)))
-    state.target_view.connect("c1")
-    state.target_view.mark_complete("c1")
-    connections = TargetConnectionPool(state.clock)
-    dialect = PlainDialect()
-    reservations = ReservationManager(state, dialect, connections)
-    proxy = Proxy(EntryContext(state, dialect, connections, reservations))
-    server = HttpServer(ServerState(proxy.handle, state.limits, state.clock))
-    address = await free_address()
-    async with trio.open_nursery() as nursery:
-        await nursery.start(server.serve, address)
-        yield state, address
-        nursery.cancel_scope.cancel()
-
-
 async def request(address: str, used: Route) -> Outcome:
     """Send a request of a route; return the outcome when the entry has closed or responded."""
     began_s, began_processor_s = time.monotonic(), time.process_time()
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -2,27 +2,37 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager, suppress
+import socket
+from contextlib import asynccontextmanager, contextmanager, suppress
 from typing import TYPE_CHECKING
 
 import trio
 
 from marigoldarch.clock import ManualClock
+from marigoldarch.serving.routing import RoutingTable
+from marigoldarch.tests.serving.support import declaration
+from marigoldarch_node.serving.attempt import EntryContext
 from marigoldarch_node.serving.dialect import RequestInfo, ResponseInfo
+from marigoldarch_node.serving.entry_state import EntryState
 from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
 from marigoldarch_node.serving.limit_history import LimitHistory
-from marigoldarch_node.serving.target_connections import TargetRequest
+from marigoldarch_node.serving.memory_reservations import ReservationManager
+from marigoldarch_node.serving.proxy import Proxy
+from marigoldarch_node.serving.settings import ServingSettings
+from marigoldarch_node.serving.target_connections import TargetConnectionPool, TargetRequest
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
     from marigoldarch.clock import Millis
+    from marigoldarch.serving.declaration import Route
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.dialect import ForwardingInfo
     from marigoldarch_node.serving.http_server import Exchange, Headers, Request
     from marigoldarch_node.serving.target_connections import ResponseHead
 
 READ_TIMEOUT_S = 3.0
+SETTINGS = ServingSettings("e1", "10.0.0.1", "dc1", 7340, ["10.0.1.1:80"])
 
 
 class PlainDialect:
@@ -60,6 +70,35 @@
         return []
 
 
+@contextmanager
+def unanswering_address() -> Iterator[str]:
+    """Yield a loopback address that drops each SYN: its listener has as many connections as it may."""
+    with socket.socket() as listener, socket.socket() as first:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        first.connect(listener.getsockname())
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@asynccontextmanager
+async def entry(*routes: Route) -> AsyncIterator[tuple[EntryState, str]]:
+    """Run the caller's side of an entry that knows no targets; yield its state and its address."""
+    state = EntryState(SETTINGS, 1)
+    state.apply_table(RoutingTable(declaration(*routes)))
+    state.target_view.connect("c1")
+    state.target_view.mark_complete("c1")
+    connections = TargetConnectionPool(state.clock)
+    dialect = PlainDialect()
+    reservations = ReservationManager(state, dialect, connections)
+    proxy = Proxy(EntryContext(state, dialect, connections, reservations))
+    server = HttpServer(ServerState(proxy.handle, state.limits, state.clock))
+    address = await free_address()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve, address)
+        yield state, address
+        nursery.cancel_scope.cancel()
+
+
 async def free_address() -> str:
     """Return a loopback address on which nothing listens."""
     listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
