Suspend a target at once only if it refuses connections

What callers saw: one lost packet took a sound target away from all entries: less room, and a refusal where it was the only one. Cause: a connect that times out after 350 ms counted like a refused one, which suspends at once and is told to the other entries. The kernel repeats a lost SYN after 1 s, not after 200 ms as the constant said. Ruled out: a timeout above 1 s, with which requests to dead hosts would come late to another target. Change: UnreachableError tells whether the connection was refused or reset, and only that suspends at once. A timeout, or no route to the host, is one ordinary failure; two in a row suspend. Left: each entry now spends up to two timeouts on a dead host that refuses nothing, until one entry has had two in a row and told the others.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -197,8 +197,8 @@
             connection = await self._connections.acquire(
                 target.address, must_be_new=not call.route.may_repeat
             )
-        except UnreachableError:
-            self._state.record_failure(self._target_id, is_unreachable=True)
+        except UnreachableError as error:
+            self._state.record_failure(self._target_id, is_unreachable=error.is_refused)
             return NotSent(FailureReason.UNREACHABLE)
         self._sent_ms = self._state.clock.monotonic_ms()
         obstacle = self._obstacle_to_sending(target)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -28,8 +28,8 @@
     from marigoldarch_node.serving.sockets import Connection
 
 CONNECT_TIMEOUT_MS: Millis = 350.0
-"""A new connection takes a round trip of about 2 ms and 1 ms at the target; this leaves time for
-the retransmission of one lost packet, after 200 ms."""
+"""A new connection takes a round trip of about 2 ms and 1 ms at the target. This ends before the
+kernel repeats a lost SYN, after 1 s: another target is reached sooner."""
 
 DEFAULT_IDLE_TIMEOUT_MS: Millis = 4000.0
 """How long a kept connection is reused if the target announces no idle timeout."""
@@ -58,6 +58,11 @@
 class UnreachableError(MarigoldarchError):
     """No connection could be opened, so nothing was sent."""
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether the connection was refused or reset; one lost packet does not do that."""
+        return isinstance(self.__cause__, ConnectionRefusedError | ConnectionResetError)
+
 
 class ResponseError(MarigoldarchError):
     """The target sent no complete, valid response.
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_connections_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_connections_tests.py
@@ -16,7 +16,12 @@
     TargetRequest,
     UnreachableError,
 )
-from marigoldarch_node.tests.serving.support import free_address, read_until, scripted_target
+from marigoldarch_node.tests.serving.support import (
+    free_address,
+    read_until,
+    scripted_target,
+    unanswering_address,
+)
 
 REQUEST = TargetRequest("GET", "/x", [(b"host", b"a")], b"")
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
@@ -139,8 +144,18 @@
                 await free_address(), must_be_new=False
             )
 
-        with self.assertRaises(UnreachableError):
+        with self.assertRaises(UnreachableError) as caught:
+            trio.run(run)
+        self.assertTrue(caught.exception.is_refused)
+
+    def test_connection_that_times_out_does_not_count_as_refused(self) -> None:
+        async def run() -> None:
+            with unanswering_address() as address:
+                await TargetConnectionPool(ManualClock()).acquire(address, must_be_new=False)
+
+        with self.assertRaises(UnreachableError) as caught:
             trio.run(run)
+        self.assertFalse(caught.exception.is_refused)
 
     def test_response_that_arrives_before_the_request_is_sent_does_not_fail_it(self) -> None:
         # h11 can send no request once it has read a response.
--- a/packages/marigoldarch/marigoldarch/serving/target_health.py
+++ b/packages/marigoldarch/marigoldarch/serving/target_health.py
@@ -104,8 +104,8 @@
     def note_failure(self, target_id: str, now_ms: Millis, *, is_unreachable: bool) -> bool:
         """Record a failed attempt; return whether it suspends the target.
 
-        A target that accepts no connection is suspended at once. One that fails requests is
-        suspended after several failures in a row.
+        A target that refuses connections is suspended at once. One that fails requests, or to which
+        connections time out, is suspended after several failures in a row.
         """
         record = self._records.setdefault(target_id, _TargetRecord())
         record.failures += 1
