--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -48,7 +48,7 @@
     try:
         connection = await context.connections.acquire(target.address, must_be_new=True)
     except UnreachableError as error:
-        if isinstance(error.__cause__, ConnectionRefusedError | ConnectionResetError):
+        if error.is_refused:
             context.state.crashes.record_crash(target.start, parts, sent_ms)
             context.state.record_failure(target.target_id, is_unreachable=True)
         return
