Failing test: a prefix of prompts crashes engine after engine of a pool

A stand-in engine may now crash when it begins to answer a prompt with a certain text, and start again 0.3 s later as another incarnation. Sound prompts that share the first part of the prefix are served, which must stay so.

--- a/packages/marigoldarch-fakes/marigoldarch_fakes/engine.py
+++ b/packages/marigoldarch-fakes/marigoldarch_fakes/engine.py
@@ -21,6 +21,7 @@
 PREFILL_CHUNK_TOKENS = 2048
 BYTES_PER_TOKEN = 4
 LATE_FAULT_DELAY_S = 2.0
+RESTART_S = 0.3
 
 
 class EngineSettings(NamedTuple):
@@ -29,7 +30,8 @@
     The announced load is `load_lag` announcements old. `cache_loss` is the fraction of cache events
     that get lost, and `cache_delay_ms` the interval at which the events are published. Each token's
     text is at least `word_bytes` long. An engine with `checks_fence` refuses orders with an old
-    fence.
+    fence. An engine crashes when it begins to answer a prompt that contains `crash_text`, and starts
+    again as another incarnation; an empty text means never.
     """
 
     target: str
@@ -48,6 +50,7 @@
     load_lag: int = 1
     word_bytes: int = 0
     seed: int = 0
+    crash_text: str = ""
 
 
 @dataclass
@@ -65,15 +68,13 @@
 
     def __init__(self, settings: EngineSettings) -> None:
         self._settings = settings
-        self._streams: dict[str, Stream] = {}
-        self._exported_tokens: dict[str, int] = {}
-        self._prefill_lock = trio.Lock()
-        self._highest_fence = 0
-        self._is_leaving = False
-        self._faults = FaultPlan()
-        self._cache = PrefixCache(settings.cache_tokens, settings.cache_loss, settings.seed)
-        self._delayed_load = DelayedValue(settings.load_lag)
-        self._orders: list[dict[str, Any]] = []
+        self._crash_count = 0
+        self._reset()
+
+    @property
+    def crash_count(self) -> int:
+        """Return how many times the engine has crashed."""
+        return self._crash_count
 
     @property
     def routes(self) -> list[Route]:
@@ -92,6 +93,12 @@
 
     async def run(self) -> None:
         """Serve requests, announce the engine and publish cache events until cancelled."""
+        while True:
+            await self._run_until_crash()
+            await trio.sleep(RESTART_S)
+            self._reset()
+
+    async def _run_until_crash(self) -> None:
         settings = self._settings
         identity = TargetIdentity(
             settings.target,
@@ -106,6 +113,23 @@
             nursery.start_soon(serve_routes, self.routes, settings.address)
             nursery.start_soon(announcer.run)
             nursery.start_soon(self._publish_cache_events, announcer)
+            await self._crashed.wait()
+            self._crash_count += 1
+            nursery.cancel_scope.cancel()
+
+    def _reset(self) -> None:
+        """Set the state of an engine that has just started."""
+        settings = self._settings
+        self._crashed = trio.Event()
+        self._streams: dict[str, Stream] = {}
+        self._exported_tokens: dict[str, int] = {}
+        self._prefill_lock = trio.Lock()
+        self._highest_fence = 0
+        self._is_leaving = False
+        self._faults = FaultPlan()
+        self._cache = PrefixCache(settings.cache_tokens, settings.cache_loss, settings.seed)
+        self._delayed_load = DelayedValue(settings.load_lag)
+        self._orders: list[dict[str, Any]] = []
 
     def announced_fields(self) -> dict[str, Any]:
         """Return the fields of an announcement besides the identity."""
@@ -178,6 +202,9 @@
         fault_offset = (offset + end_offset) // 2
         for token_offset in range(offset, end_offset):
             await trio.sleep(self._settings.decode_step_ms / 1000.0)
+            if self._settings.crash_text and self._settings.crash_text in generation["prompt"]:
+                self._crashed.set()
+                await trio.sleep_forever()
             if token_offset == fault_offset and await self._apply_midstream_fault(
                 request, generation, token_offset
             ):
