Refuse prompts with a prefix under which a pool's targets crash

Cause: a restart told the scheduler nothing about the requests that ran there.

Ruled out: a failed call alone as evidence (engines that go on serving fail calls too), an announcement that expires alone (announcements get lost), and a memory in the replicated log or at the entries (costs more with more nodes).

Now the scheduler of a pool takes a target as crashed if it closed connections of calls and then restarts or expires, accuses the prefixes of all permits on it (all gang members), and refuses those in quarantine as not run with `prompt_crashes_targets` and the time left; waiting requests when they are repeated or would be granted; failed if sent before. After two crashes a suspected request is held back while a call with its prefix is lost and unresolved. The refusal is no wait of the pool for the entry, which would have moved sound requests to farther pools. PermitReleased and PermitRefused have a new last field each; nodes of an older build read `target_unreachable` in place of a reason that ends them.

--- a/packages/marigoldarch-node/marigoldarch_node/attempts.py
+++ b/packages/marigoldarch-node/marigoldarch_node/attempts.py
@@ -32,9 +32,10 @@
 class GangMemberError(MarigoldarchError):
     """A member of a gang failed; `rank` is its position in the gang."""
 
-    def __init__(self, rank: int, cause: str) -> None:
+    def __init__(self, rank: int, cause: str, *, is_connection_lost: bool = False) -> None:
         super().__init__(cause)
         self.rank = rank
+        self.is_connection_lost = is_connection_lost
 
 
 class Attempt(NamedTuple):
@@ -117,6 +118,7 @@
         is_single = len(effect.targets) == 1
         is_unsent = isinstance(error, TargetError) and error.is_unsent and is_single
         rank = error.rank if isinstance(error, GangMemberError) else 0
+        is_call_error = isinstance(error, (TargetError, GangMemberError))
         return TargetFailed(
             self._clock.monotonic_ms(),
             effect.request_id,
@@ -124,6 +126,7 @@
             effect.targets[rank].target,
             is_unsent,
             attempt.call.relayed_tokens,
+            is_call_error and error.is_connection_lost,
         )
 
     def _submit_answer(self, attempt: Attempt, tokens: int, body: str) -> None:
@@ -154,7 +157,11 @@
                 nursery.start_soon(watch_member, rank)
             try:
                 await self._relay_stream(attempt)
-            except (TargetError, StreamError) as error:
+            except TargetError as error:
+                failures.append(
+                    GangMemberError(0, str(error), is_connection_lost=error.is_connection_lost)
+                )
+            except StreamError as error:
                 failures.append(GangMemberError(0, str(error)))
             nursery.cancel_scope.cancel()
         if failures and not attempt.stream_check.is_ended:
@@ -192,7 +199,7 @@
                 async for _ in stream:
                     pass
         except TargetError as error:
-            return GangMemberError(rank, str(error))
+            return GangMemberError(rank, str(error), is_connection_lost=error.is_connection_lost)
         return GangMemberError(rank, "a gang member ended its stream")
 
     def _open_stream(self, attempt: Attempt, rank: int) -> AsyncGenerator[Frame]:
--- a/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
@@ -37,11 +37,13 @@
 
     `is_unsent` is true only if no byte has reached the target, or if the target itself answered
     that it has not run the call: only then can the call be repeated without running twice.
+    `is_connection_lost` tells that the connection broke after it had been used for the call.
     """
 
-    def __init__(self, message: str, *, is_unsent: bool) -> None:
+    def __init__(self, message: str, *, is_unsent: bool, is_connection_lost: bool = False) -> None:
         super().__init__(message)
         self.is_unsent = is_unsent
+        self.is_connection_lost = is_connection_lost
 
 
 class WireFrame(msgspec.Struct):
@@ -165,9 +167,13 @@
                 yield response
         except _CONNECT_ERRORS as error:
             raise TargetError(f"cannot connect to {target.address}", is_unsent=True) from error
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+        except httpcore.TimeoutException as error:
+            raise TargetError(f"{target.address} did not answer", is_unsent=False) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise TargetError(
-                f"the connection to {target.address} broke", is_unsent=False
+                f"the connection to {target.address} broke",
+                is_unsent=False,
+                is_connection_lost=True,
             ) from error
 
 
--- a/packages/marigoldarch-node/marigoldarch_node/tests/attempts_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/attempts_tests.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import trio
@@ -219,6 +220,7 @@
             gone = TargetAddress("e9", "i1", "127.0.0.1:1")
             await self.attempts.run(CallTarget("r1", 1, PERMIT, (gone,), 1e9, 0))
             self.assertTrue(self.ended(TargetFailed).is_unsent)
+            self.assertFalse(self.ended(TargetFailed).is_connection_lost)
 
         self.run_with([three_tokens], test)
 
@@ -270,6 +272,7 @@
             await self.attempts.run(self.effect(target))
             failed = self.ended(TargetFailed)
             self.assertEqual((failed.relayed_tokens, failed.is_unsent), (2, False))
+            self.assertFalse(failed.is_connection_lost)
             self.assertEqual(target.released, [str(PERMIT)])
 
         self.run_with([broken], test)
@@ -321,6 +324,32 @@
 
         self.run_with([hang, hang, die], test)
 
+    def test_connection_closed_within_an_answer_is_reported_as_lost(self) -> None:
+        """Guards against a crash of a target that looks like any failed call."""
+        for rank, gang_size in ((0, 1), (0, 2), (1, 2)):
+            with self.subTest(rank=rank, gang_size=gang_size):
+                self.setUp()
+                self.check_lost(rank, gang_size)
+
+    def check_lost(self, rank: int, gang_size: int) -> None:
+        """Check that the target at a position of a gang is reported if it breaks connections."""
+
+        async def break_off(connection: trio.SocketStream) -> None:
+            await connection.receive_some()
+            await connection.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+
+        async def test(nursery: trio.Nursery, *hung: ScriptedTarget) -> None:
+            serve = partial(trio.serve_tcp, break_off, 0, host="127.0.0.1")
+            (listener,) = await nursery.start(serve)
+            port = listener.socket.getsockname()[1]
+            addresses = [target.address for target in hung]
+            addresses.insert(rank, TargetAddress("crashed", "i1", f"127.0.0.1:{port}"))
+            await self.attempts.run(CallTarget("r1", 1, PERMIT, tuple(addresses), 1e9, 0))
+            failed = self.ended(TargetFailed)
+            self.assertEqual((failed.target, failed.is_connection_lost), ("crashed", True))
+
+        self.run_with([hang] * (gang_size - 1), test)
+
     def test_service_answer_with_another_permit_is_rejected(self) -> None:
         async def cross(request: HttpRequest, request_body: dict[str, Any]) -> None:
             await request.send_json(200, {"call": "7-2", "body": "not yours"})
--- a/packages/marigoldarch/marigoldarch/entry/attempts.py
+++ b/packages/marigoldarch/marigoldarch/entry/attempts.py
@@ -186,15 +186,23 @@
     if attempt is None or attempt.phase is not Phase.PERMIT:
         return []
     del request.attempts[message.attempt]
-    reason = RefusalReason(message.reason)
-    state.pool_selector.record_wait(pool, message.retry_after_ms, now_ms)
+    reason = _refusal_reason(message)
     refusal = NotRun(reason, message.retry_after_ms)
+    if reason is RefusalReason.PROMPT_CRASHES_TARGETS:
+        # The time to come back is that of this prompt, not a wait for the pool.
+        return _end_without_attempt(state, request, refusal, now_ms)
+    state.pool_selector.record_wait(pool, message.retry_after_ms, now_ms)
     if reason not in _POOL_SPECIFIC_REFUSALS:
         return _end_without_attempt(state, request, refusal, now_ms)
     request.excluded_pools.add(pool)
     return _begin_attempt_or_refuse(state, request, refusal, now_ms)
 
 
+def _refusal_reason(message: PermitRefused) -> RefusalReason:
+    is_known = message.specific_reason in list(RefusalReason)
+    return RefusalReason(message.specific_reason if is_known else message.reason)
+
+
 def on_withdrawn(state: EntryState, message: PermitWithdrawn, now_ms: Millis) -> list[Effect]:
     """Cancel an idempotent call whose permit was withdrawn, and begin another attempt.
 
@@ -246,7 +254,13 @@
     request.was_sent = request.was_sent or not event.is_unsent
     fields = {"request": event.request_id, "attempt": event.attempt, "target": event.target}
     effects: list[Effect] = [RecordEvent("attempt_failed", fields)]
-    effects += release_permit(state, request, attempt, failed_target=event.target)
+    effects += release_permit(
+        state,
+        request,
+        attempt,
+        failed_target=event.target,
+        is_connection_lost=event.is_connection_lost,
+    )
     if request.attempts:
         return effects
     failure = AttemptFailure(event.is_unsent, event.at_ms)
--- a/packages/marigoldarch/marigoldarch/entry/state.py
+++ b/packages/marigoldarch/marigoldarch/entry/state.py
@@ -63,6 +63,7 @@
     *,
     failed_target: str = "",
     output_tokens: int = 0,
+    is_connection_lost: bool = False,
 ) -> list[Effect]:
     """Release an attempt's permit, or withdraw its permit request if none was granted."""
     node = state.scheduler_of(attempt.pool)
@@ -77,6 +78,7 @@
         failed_target,
         attempt.first_token_ms,
         output_tokens,
+        is_connection_lost,
     )
     return [Send(node, message)]
 
--- a/packages/marigoldarch/marigoldarch/events.py
+++ b/packages/marigoldarch/marigoldarch/events.py
@@ -107,6 +107,7 @@
     """An attempt failed; `is_unsent` is true only if no byte has reached the target.
 
     `relayed_tokens` is the offset up to which the caller has received the answer.
+    `is_connection_lost` tells that the target closed the connection before the end of the answer.
     """
 
     at_ms: Millis
@@ -115,6 +116,7 @@
     target: str
     is_unsent: bool
     relayed_tokens: int
+    is_connection_lost: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -320,13 +320,17 @@
 
 @dataclass(frozen=True)
 class PermitRefused:
-    """Refuse an attempt; the request may be sent again after `retry_after_ms`."""
+    """Refuse an attempt; the request may be sent again after `retry_after_ms`.
+
+    `specific_reason` is one that nodes of an older build do not know; these use `reason`.
+    """
 
     pool: PoolId
     request_id: str
     attempt: int
     reason: str
     retry_after_ms: Millis
+    specific_reason: str = ""
 
 
 @dataclass(frozen=True)
@@ -345,7 +349,8 @@
 
     `failed_target` names the target that failed, if the entry node knows it. `first_token_ms` is
     the time from the target call to its first frame (0 if there was none), `output_tokens` the
-    length of a whole answer.
+    length of a whole answer. `is_connection_lost` tells that the target closed the connection before
+    the end of the answer.
     """
 
     pool: PoolId
@@ -356,6 +361,7 @@
     failed_target: str = ""
     first_token_ms: Millis = 0.0
     output_tokens: int = 0
+    is_connection_lost: bool = False
 
 
 class HeldPermit(NamedTuple):
--- a/packages/marigoldarch/marigoldarch/outcomes.py
+++ b/packages/marigoldarch/marigoldarch/outcomes.py
@@ -34,6 +34,7 @@
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     TARGET_UNREACHABLE = "target_unreachable"
     LEDGER_UNAVAILABLE = "ledger_unavailable"
+    PROMPT_CRASHES_TARGETS = "prompt_crashes_targets"
 
 
 class FailureReason(StrEnum):
--- a/packages/marigoldarch/marigoldarch/pools/registry.py
+++ b/packages/marigoldarch/marigoldarch/pools/registry.py
@@ -8,6 +8,7 @@
 
 from marigoldarch.effects import Effect, RecordEvent, ReleaseMemory, Send
 from marigoldarch.messages import PermitWithdrawn
+from marigoldarch.pools.crash_watch import CrashWatch
 from marigoldarch.pools.fleet import REPORT_LAG_MS, Fleet, Target
 from marigoldarch.pools.health import PoolHealth
 from marigoldarch.pools.orders import OrderTracker
@@ -60,6 +61,7 @@
     ) -> None:
         self.orders = OrderTracker(pool, fence, fleet, settings, now_ms)
         self.health = PoolHealth(fleet, settings)
+        self.crash_watch = CrashWatch(fleet, settings)
         self._pool = pool
         self._fence = fence
         self._settings = settings
@@ -99,6 +101,7 @@
             effects += self._add_target(announcement, expires_ms)
         else:
             target.expires_ms = expires_ms
+            self.crash_watch.record_renewal(target.name, now_ms)
             self._fleet.update_announcement(target, announcement)
         self._apply_load(self._fleet[announcement.target], now_ms)
         if release_scope is not ReleaseScope.NONE and announcement.holdings is not None:
@@ -194,6 +197,7 @@
         effects = self._expire_targets(now_ms)
         effects += self._expire_permits(now_ms)
         self.health.tick(now_ms)
+        self.crash_watch.tick(now_ms)
         reassigned = self._lane_balancer.rebalance(self._fleet, now_ms)
         if reassigned is not None:
             fields = {"target": reassigned.name, "lane": str(reassigned.lane)}
@@ -234,8 +238,9 @@
         affected_permits = [
             permit for permit in target.permits.values() if permit.withdrawn_ms is None
         ]
-        self._remove_target(target)
         effects: list[Effect] = [RecordEvent("target_restarted", {"target": target.name})]
+        effects += self.crash_watch.record_end(target)
+        self._remove_target(target)
         for permit in affected_permits:
             if permit.item.model:
                 effects += self.withdraw(permit, now_ms)
@@ -302,6 +307,7 @@
                 heapq.heappush(self._target_expiries, (target.expires_ms, name))
                 continue
             effects.append(RecordEvent("target_expired", {"target": name}))
+            effects += self.crash_watch.record_end(target)
             gang_permits = [held for held in target.permits.values() if len(held.targets) > 1]
             self._remove_target(target)
             for permit in gang_permits:
--- a/packages/marigoldarch/marigoldarch/pools/replies.py
+++ b/packages/marigoldarch/marigoldarch/pools/replies.py
@@ -6,6 +6,7 @@
 
 from marigoldarch.effects import Send
 from marigoldarch.messages import PermitGranted, PermitQueued, PermitRefused, WorkItem
+from marigoldarch.outcomes import RefusalReason
 from marigoldarch.pools.estimates import engine_priority
 
 if TYPE_CHECKING:
@@ -15,6 +16,11 @@
     from marigoldarch.pools.fair_queue import WaitingRequest
     from marigoldarch.pools.permits import Permit
 
+_REASONS_FOR_OLDER_NODES = {
+    RefusalReason.PROMPT_CRASHES_TARGETS: RefusalReason.TARGET_UNREACHABLE,
+}
+"""What nodes of an older build are told in place of reasons that they do not know."""
+
 
 def grant_reply(pool: PoolId, permit: Permit, item: WorkItem) -> Send:
     """Return the message that grants a permit, with the time of the latest request for `item`."""
@@ -36,10 +42,15 @@
     return Send(waiting.node, PermitQueued(pool, item.request_id, item.attempt, wait_ms))
 
 
-def refusal_reply(pool: PoolId, waiting: WaitingRequest, refusal: Refusal) -> Send:
+def refusal_reply(pool: PoolId, node: str, item: WorkItem, refusal: Refusal) -> Send:
     """Return the message that refuses a request, with the time after which to retry."""
-    item = waiting.item
+    older_reason = _REASONS_FOR_OLDER_NODES.get(refusal.reason)
     message = PermitRefused(
-        pool, item.request_id, item.attempt, refusal.reason, refusal.retry_after_ms
+        pool,
+        item.request_id,
+        item.attempt,
+        older_reason or refusal.reason,
+        refusal.retry_after_ms,
+        refusal.reason if older_reason else "",
     )
-    return Send(waiting.node, message)
+    return Send(node, message)
--- a/packages/marigoldarch/marigoldarch/pools/scheduler.py
+++ b/packages/marigoldarch/marigoldarch/pools/scheduler.py
@@ -21,10 +21,12 @@
     PermitRequest,
     PermitsHeld,
     PresentPermits,
+    WorkItem,
 )
 from marigoldarch.outcomes import RefusalReason
 from marigoldarch.pools.admission import Admission, Refusal
 from marigoldarch.pools.affinity import PrefixCacheIndex
+from marigoldarch.pools.crash_watch import SuspectRefusal
 from marigoldarch.pools.estimates import (
     DurationEstimator,
     Lane,
@@ -158,6 +160,11 @@
         if held is not None:
             return [] if held.withdrawn_ms is not None else [grant_reply(self.pool, held, item)]
         waiting = self.waiting.get(key)
+        suspect_refusal = self.registry.crash_watch.find_refusal(item, now_ms)
+        if suspect_refusal is not None:
+            if waiting is not None:
+                self._drop_waiting(waiting)
+            return self._refuse_suspect(node, item, suspect_refusal)
         if waiting is not None:
             waiting.item = item
             waiting.last_asked_ms = now_ms
@@ -170,7 +177,7 @@
             item, waiting.lane, engine_count, now_ms, has_all_targets=has_all_targets
         )
         if refusal is not None:
-            return [refusal_reply(self.pool, waiting, refusal)]
+            return [refusal_reply(self.pool, node, item, refusal)]
         self._enqueue(waiting, now_ms)
         effects = self._schedule(now_ms)
         if key in self.waiting:
@@ -359,8 +366,12 @@
     def _issue_permit(
         self, waiting: WaitingRequest, targets: list[Target], cached_tokens: int, now_ms: Millis
     ) -> list[Effect]:
-        self._serial += 1
+        """Grant a permit, unless the prompt's prefix was quarantined while the request waited."""
         item = waiting.item
+        suspect_refusal = self.registry.crash_watch.find_refusal(item, now_ms)
+        if suspect_refusal is not None:
+            return self._refuse_suspect(waiting.node, item, suspect_refusal)
+        self._serial += 1
         size = size_of(item, min(cached_tokens, max(0, item.prompt_tokens - 1)))
         prefill_tokens_per_target = -(-size.prefill_tokens // len(targets)) if item.model else 0
         work_ms = self.durations.prefill_ms(prefill_tokens_per_target)
@@ -448,9 +459,20 @@
             self._drop_waiting(waiting)
             retry_ms = max(MIN_LATE_RETRY_MS, self._expected_wait_ms(waiting, now_ms))
             refusal = Refusal(RefusalReason.DEADLINE, retry_ms)
-            effects.append(refusal_reply(self.pool, waiting, refusal))
+            effects.append(refusal_reply(self.pool, waiting.node, waiting.item, refusal))
         return effects
 
+    def _refuse_suspect(
+        self, node: str, item: WorkItem, suspect_refusal: SuspectRefusal
+    ) -> list[Effect]:
+        """Refuse a request whose prompt may crash its target."""
+        refusal = Refusal(RefusalReason.PROMPT_CRASHES_TARGETS, suspect_refusal.retry_after_ms)
+        fields = {"request": item.request_id, **suspect_refusal._asdict()}
+        return [
+            RecordEvent("suspect_refused", fields),
+            refusal_reply(self.pool, node, item, refusal),
+        ]
+
     def _expected_wait_ms(self, waiting: WaitingRequest, now_ms: Millis) -> Millis:
         engine_count = self._admission.engines_needed(waiting.item, waiting.lane)
         return self._admission.estimate(waiting.item, waiting.lane, engine_count, now_ms).wait_ms
@@ -469,6 +491,11 @@
     ) -> list[Effect]:
         if not message.is_target_failure:
             self.durations.learn(permit, message, now_ms)
-            return self.registry.record_success(permit)
+            effects = self.registry.record_success(permit)
+            if message.output_tokens:
+                effects += self.registry.crash_watch.record_answer(permit.item, now_ms)
+            return effects
+        if message.is_connection_lost:
+            self.registry.crash_watch.record_lost_call(permit, now_ms)
         name = message.failed_target or permit.targets[0].target
         return self.registry.record_failure(permit, name, now_ms)
--- a/packages/marigoldarch/marigoldarch/settings.py
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from marigoldarch.clock import Millis
+from marigoldarch.crash_suspects import SuspectSettings
 from marigoldarch.identifiers import NodeAddress
 
 
@@ -128,6 +129,8 @@
     loading_limit: int = 4
     # How long an unconfirmed order may still arrive; no other is sent to its target.
     order_delivery_timeout_ms: Millis = 5000.0
+    # When a prefix of prompts counts as the cause of crashes, and how many prefixes are remembered.
+    crash_suspects: SuspectSettings = SuspectSettings(max_parts=2048)
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/reducer_tests.py
@@ -22,7 +22,14 @@
     Tick,
 )
 from marigoldarch.identifiers import PermitId, PoolId, TargetAddress
-from marigoldarch.messages import PermitGranted, PermitReleased, PermitsHeld, PresentPermits
+from marigoldarch.messages import (
+    PermitGranted,
+    PermitRefused,
+    PermitReleased,
+    PermitRequest,
+    PermitsHeld,
+    PresentPermits,
+)
 from marigoldarch.outcomes import (
     Answered,
     Failed,
@@ -302,6 +309,76 @@
         (released,) = self.sent_messages(node, answered, PermitReleased)
         self.assertEqual((released.first_token_ms, released.output_tokens), (30.0, 7))
 
+    def test_release_reports_a_lost_connection(self) -> None:
+        node, _ = self.entry_and_scheduler()
+        self.prompt("r1", node=node)
+        for attempt, is_lost in ((1, True), (2, False)):
+            target = self.target_calls("r1")[-1].targets[0].target
+            failed = TargetFailed(self.cluster.now_ms, "r1", attempt, target, False, 0, is_lost)
+            (released,) = self.sent_messages(node, failed, PermitReleased)
+            self.assertEqual(released.is_connection_lost, is_lost)
+            self.run_for(1000)
+
+    def refuse_as_suspect(
+        self, node: str, attempt: int, specific_reason: str = "prompt_crashes_targets"
+    ) -> list:
+        """Refuse an attempt of r1, as its prompt crashes targets; return the request's outcomes."""
+        refused = PermitRefused(
+            PoolId("dc1", "coach"),
+            "r1",
+            attempt,
+            "target_unreachable",
+            90_000.0,
+            specific_reason,
+        )
+        event = MessageArrived(self.cluster.now_ms, "n1", refused)
+        effects = reduce(self.cluster.nodes[node].state, event)
+        return [effect.outcome for effect in effects if isinstance(effect, Reply)]
+
+    def test_prompt_that_crashes_targets_is_not_run_if_it_was_not_sent(self) -> None:
+        node, _ = self.entry_and_scheduler()
+        call = CallInfo("r1", KEY, "quiz", model="coach", prompt_tokens=100)
+        reduce(self.cluster.nodes[node].state, CallArrived(self.cluster.now_ms, call))
+        expected = NotRun(RefusalReason.PROMPT_CRASHES_TARGETS, 90_000.0)
+        self.assertEqual(self.refuse_as_suspect(node, 1), [expected])
+
+    def test_refusal_for_a_reason_that_is_unknown_to_this_build_is_understood(self) -> None:
+        """Guards against an entry node that ends as a newer scheduler refuses a request."""
+        node, _ = self.entry_and_scheduler()
+        call = CallInfo("r1", KEY, "quiz", model="coach", prompt_tokens=100)
+        reduce(self.cluster.nodes[node].state, CallArrived(self.cluster.now_ms, call))
+        expected = NotRun(RefusalReason.TARGET_UNREACHABLE, 90_000.0)
+        self.assertEqual(self.refuse_as_suspect(node, 1, "added_later"), [expected])
+
+    def test_prompt_that_crashes_targets_has_failed_if_it_was_sent_before(self) -> None:
+        node, _ = self.entry_and_scheduler()
+        self.prompt("r1", node=node)
+        target = self.target_calls("r1")[0].targets[0].target
+        failed = TargetFailed(self.cluster.now_ms, "r1", 1, target, False, 0, True)
+        self.assertEqual(len(self.sent_messages(node, failed, PermitRequest)), 1)
+        expected = Failed(FailureReason.TARGET_FAILED, 90_000.0)
+        self.assertEqual(self.refuse_as_suspect(node, 2), [expected])
+
+    def test_refusal_of_a_prompt_that_crashes_targets_does_not_divert_others(self) -> None:
+        """Guards against moving all requests to a farther pool for the time of a quarantine."""
+        node, _ = self.entry_and_scheduler()
+        remote = Announcement("e9", "i1", "engine", "coach", "e9:1", "dc2", memory_tokens=10_000)
+        self.cluster.submit(node, TargetAnnounced(self.cluster.now_ms, remote))
+        self.run_for(2000)
+        entry = self.cluster.nodes[node].state.entry
+        pools = entry.member.view.pools_of("coach")
+        self.assertEqual(len(pools), 2)
+        for pool in pools:
+            entry.pool_selector.record_wait(pool, 500.0, self.cluster.now_ms)
+        entry.pool_selector.record_wait(PoolId("dc1", "coach"), 0.0, self.cluster.now_ms)
+        for request_id in ("r1", "r2"):
+            call = CallInfo(request_id, KEY, "quiz", model="coach", prompt_tokens=100)
+            arrived = CallArrived(self.cluster.now_ms, call)
+            (asked,) = self.sent_messages(node, arrived, PermitRequest)
+            self.assertEqual(asked.pool, PoolId("dc1", "coach"))
+            if request_id == "r1":
+                self.refuse_as_suspect(node, 1)
+
     def test_limits_of_a_customer_hold_over_all_nodes(self) -> None:
         for number in range(9):
             self.prompt(f"r{number}", node=f"n{number % 3 + 1}", key=LIMITED_KEY)
