Tests of restarts, late releases and limits in the watch for crashes

With the reaction to a restart taken out, all tests of the scheduler still passed, as their targets restarted after their announcements had expired (the end-to-end test was not run on that). Three tests more, each seen to fail with its condition taken out: a restart before the expiry, a late release of a lost call, the limit of remembered calls per target.

--- a/packages/marigoldarch/marigoldarch/tests/pools/crash_watch_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/pools/crash_watch_tests.py
@@ -10,6 +10,7 @@
 from marigoldarch.identifiers import PermitId, TargetAddress
 from marigoldarch.messages import HeldPermit, PermitGranted
 from marigoldarch.outcomes import RefusalReason
+from marigoldarch.pools.crash_watch import MAX_LOST_CALLS
 from marigoldarch.tests.pools.support import POOL, SchedulerDriver, make_item
 
 ANNOUNCE_INTERVAL_MS = 1_000.0
@@ -304,6 +305,15 @@
         self.assertEqual(len(driver.events("target_crashed")), 3)
         self.assertEqual(driver.ask("last", FAULTY), [])
 
+    def test_target_that_restarts_before_its_announcement_expires_has_crashed(self) -> None:
+        driver = CrashDriver()
+        for number in range(3):
+            driver.crash(*driver.ask(f"r{number}", FAULTY), restart_ms=300.0)
+            driver.run_for(400.0)
+        self.assertEqual(driver.events("target_expired"), [])
+        self.assertEqual(len(driver.events("target_crashed")), 3)
+        self.assertEqual(driver.ask("last", FAULTY), [])
+
     def test_targets_lost_together_accuse_no_prefix(self) -> None:
         """Guards against refusing a common prefix after a rack has lost its power."""
         driver = CrashDriver()
@@ -390,6 +400,35 @@
         self.assertEqual(len(driver.events("target_crashed")), 3)
         self.assertEqual(driver.ask("last", FAULTY), [])
 
+    def test_late_release_of_a_lost_call_does_not_accuse_the_next_run_of_its_target(self) -> None:
+        driver = CrashDriver()
+        for number in range(5):
+            (target,) = driver.ask(f"r{number}", FAULTY)
+            granted = driver.permits.pop(f"r{number}")
+            for _ in range(2):
+                driver.crash(target, restart_ms=100.0)
+                driver.run_for(100.0)
+                driver.release(
+                    granted,
+                    is_target_failure=True,
+                    failed_target=target,
+                    is_connection_lost=True,
+                )
+            driver.run_for(2 * RESTART_MS)
+        self.assertEqual(driver.events("target_crashed"), [])
+        self.assert_served(driver)
+
+    def test_remembered_calls_of_a_target_are_limited(self) -> None:
+        driver = CrashDriver(target_count=1)
+        names = [f"r{number}" for number in range(MAX_LOST_CALLS + 50)]
+        for name in names:
+            driver.ask(name, (name,))
+            driver.lose_calls("e0")
+        driver.crash("e0")
+        driver.run_for(2 * RESTART_MS)
+        (crashed,) = driver.events("target_crashed")
+        self.assertEqual(crashed.fields["lost_calls"], MAX_LOST_CALLS)
+
     def test_prefix_of_a_permit_that_is_not_released_yet_is_accused(self) -> None:
         driver = CrashDriver(target_count=1)
         for number in range(3):
