Let a few entries repeat the crashes that all know

What an entry receives grew with the number of entries.

Change: about two of the entries that share whole reports repeat crashes and acquittals at a time, in turn.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -27,6 +27,7 @@
     TargetSummary,
     WorkReport,
     WorkStarted,
+    name_hash,
 )
 
 if TYPE_CHECKING:
@@ -249,8 +250,10 @@
             self._full_report_count += 1
             self._had_work = bool(works)
         self._has_changes = trio.Event()
-        crashes = self.crashes_to_tell(MAX_TOLD_CRASHES) if is_full else self._crashes
-        acquittals = self.acquittals_to_tell(MAX_TOLD_ACQUITTALS) if is_full else self._acquittals
+        crashes, acquittals = self._crashes, self._acquittals
+        if is_full and self._repeats_crashes:
+            crashes = [*crashes, *self.crashes_to_tell(MAX_TOLD_CRASHES)]
+            acquittals = [*acquittals, *self.acquittals_to_tell(MAX_TOLD_ACQUITTALS)]
         report = WorkReport(
             self._node,
             self._start_id,
@@ -263,9 +266,9 @@
             self._slow,
             dict(self._requests),
             dict(self._leaving) if is_full else self._unreported_leaving,
-            crashes=[_crash_to_wire(crash, now_ms) for crash in crashes[-MAX_TOLD_CRASHES:]],
+            crashes=[_crash_to_wire(crash, now_ms) for crash in crashes[:MAX_TOLD_CRASHES]],
             acquitted={
-                part: round(now_ms - at_ms) for part, at_ms in acquittals[-MAX_TOLD_ACQUITTALS:]
+                part: round(now_ms - at_ms) for part, at_ms in acquittals[:MAX_TOLD_ACQUITTALS]
             },
         )
         partial = self._partial_report(report)
@@ -279,6 +282,16 @@
             None if partial is None else msgspec.msgpack.encode(partial),
         )
 
+    @property
+    def _repeats_crashes(self) -> bool:
+        """Return whether this full report repeats the crashes that the entry knows.
+
+        Of the entries that send each other whole reports about two do so at a time, in turn. What
+        each of them receives therefore does not grow with their number.
+        """
+        turn_count = max(1, (self.peer_count + 1) // 2)
+        return (self._full_report_count + name_hash(self._node)) % turn_count == 0
+
     def _partial_report(self, report: WorkReport) -> WorkReport | None:
         """Return what entries of other data centres need of a report, None if that is nothing."""
         wide = self._widely_reported
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
@@ -6,7 +6,6 @@
 from unittest.mock import patch
 
 import msgspec
-import trio
 
 from marigoldarch.clock import ManualClock
 from marigoldarch.serving.targets import TargetStart
@@ -44,7 +43,7 @@
 
     def tell(self, sender: EntryState, *receivers: EntryState) -> WorkReport:
         """Let entries receive the next report of another one; return it."""
-        data = trio.run(sender.workload.next_report).whole
+        data = sender.workload.take_reports().whole
         report = msgspec.msgpack.decode(data, type=WorkReport)
         for receiver in receivers:
             receiver.workload.receive(report)
@@ -101,6 +100,24 @@
         report = self.tell(self.first)
         self.assertEqual((report.crashes, report.acquitted), ([], {}))
 
+    def test_repeated_crashes_do_not_grow_with_the_entries(self) -> None:
+        """Guards against reports of each entry that all repeat the same crashes."""
+        entries = [self.entry(number) for number in range(1, 41)]
+        for sender in entries:
+            sender.workload.count_request(5)
+            self.tell(sender, *(entry for entry in entries if entry is not sender))
+        for number in range(3):
+            self.crash(entries[0], number, *FAULTY)
+        self.tell(entries[0], *entries[1:])
+        told = []
+        for _ in range(20):
+            self.clock.advance(FULL_REPORT_INTERVAL_MS)
+            for sender in entries:
+                sender.workload.count_request(5)
+            told.append(sum(bool(self.tell(sender).crashes) for sender in entries))
+        self.assertEqual(sum(told), 40)
+        self.assertTrue(all(number <= 8 for number in told), told)
+
     def test_report_stays_bounded_under_hostile_prompts(self) -> None:
         for number in range(300):
             self.crash(self.first, number, *(f"{number}-{part}" for part in range(32)))
