Try idempotent calls elsewhere while their target is silent

Cause: the kernel's bound had stood in for a decision of ours, and was raised for sound targets.

Change: an answer to an idempotent call is due within four goals, no sooner than 1.5 s; then another target tries as well, within the limits of a retry, as for streams. It does not count against the target's health, as a call may just take long.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -179,9 +179,12 @@
             self._state.workload.end(self._work_number)
 
     def _report_silence(self, silent_ms: Millis) -> None:
-        """Record a silent target as failing, once, and report its silence."""
+        """Record a target that is silent in a stream as failing, once, and report its silence.
+
+        The answer to a call may just take long.
+        """
         self._was_silent = True
-        if not self._is_silence_recorded:
+        if self._call.route.is_stream and not self._is_silence_recorded:
             self._is_silence_recorded = True
             self._state.record_failure(self._target_id, is_unreachable=False)
         self._observer.on_silent(self, silent_ms)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
@@ -1,4 +1,4 @@
-"""Stall detection for streams: reports a target that sends nothing for too long."""
+"""Stall detection: reports a target that sends nothing for too long."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from marigoldarch.serving.engine_formula import prefill_ms
 from marigoldarch.serving.stall_timeout import (
     StallState,
+    call_timeout_ms,
     first_event_timeout_ms,
     pause_timeout_ms,
     stall_deadline_ms,
@@ -54,8 +55,8 @@
 
     @property
     def is_needed(self) -> bool:
-        """Return whether another attempt may continue the stream; else only the deadline ends it."""
-        return self._call.route.is_stream and self._call.route.may_repeat
+        """Return whether another attempt may answer the request; else only the deadline ends it."""
+        return self._call.route.may_repeat
 
     @contextmanager
     def waiting(self, *, has_begun: bool) -> Iterator[None]:
@@ -91,7 +92,9 @@
     def _stall_state(self, since_ms: Millis) -> StallState:
         """Return what decides how long to wait for the target, which is silent since `since_ms`."""
         call, state = self._call, self._state
-        if self._has_begun:
+        if not call.route.is_stream:
+            timeout_ms = call_timeout_ms(call.route.goal_ms)
+        elif self._has_begun:
             timeout_ms = pause_timeout_ms(call.route.pause_goal_ms)
         else:
             timeout_ms = first_event_timeout_ms(self._expected_first_token_ms, call.route.goal_ms)
--- a/packages/marigoldarch/marigoldarch/serving/stall_timeout.py
+++ b/packages/marigoldarch/marigoldarch/serving/stall_timeout.py
@@ -28,6 +28,11 @@
 """The next event of a stream is due within four pause goals, between these bounds. Callers give up
 after eight pause goals, and no earlier than after 2 s."""
 
+CALL_GOALS = 4.0
+MIN_CALL_TIMEOUT_MS: Millis = 1500.0
+"""The answer to a call that is no stream is due within four goals, and no sooner than this: a sound target
+may be silent for a second."""
+
 MAX_EXTENSION_MS: Millis = 3000.0
 """The longest extension of a timeout. Within this time the kernel's keep-alive probes close a
 connection whose other end is gone."""
@@ -63,6 +68,11 @@
     return min(max(PAUSE_FACTOR * pause_goal_ms, MIN_PAUSE_TIMEOUT_MS), MAX_PAUSE_TIMEOUT_MS)
 
 
+def call_timeout_ms(goal_ms: Millis) -> Millis:
+    """Return the timeout of the answer to a call that is no stream."""
+    return max(CALL_GOALS * goal_ms, MIN_CALL_TIMEOUT_MS)
+
+
 def stall_deadline_ms(stall: StallState) -> Millis:
     """Return the instant at which the target counts as stalled if it sends nothing until then.
 
--- a/packages/marigoldarch/marigoldarch/tests/serving/stall_timeout_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/stall_timeout_tests.py
@@ -7,6 +7,7 @@
 from marigoldarch.serving.stall_timeout import (
     MAX_EXTENSION_MS,
     StallState,
+    call_timeout_ms,
     first_event_timeout_ms,
     pause_timeout_ms,
     stall_deadline_ms,
@@ -27,6 +28,10 @@
     def test_activity_for_others_extends_the_timeout_of_a_large_prompt(self) -> None:
         self.assertEqual(stall_deadline_ms(STALL._replace(last_heard_ms=3000.0)), 5100.0)
 
+    def test_call_has_four_goals_and_longer_than_a_sound_target_is_silent(self) -> None:
+        self.assertEqual(call_timeout_ms(300.0), 1500.0)
+        self.assertEqual(call_timeout_ms(1000.0), 4000.0)
+
     def test_extension_is_limited(self) -> None:
         found = stall_deadline_ms(STALL._replace(prefill_until_ms=60_000.0))
         self.assertEqual(found, 1000.0 + MAX_EXTENSION_MS + 2100.0)
