--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
@@ -124,3 +124,15 @@
         report = self.tell(self.first)
         self.assertLessEqual(len(report.crashes), MAX_TOLD_CRASHES)
         self.assertLess(len(msgspec.msgpack.encode(report)), 8192)
+
+    def test_full_report_tells_new_crashes_beside_many_of_an_older_quarantine(self) -> None:
+        """Guards against a second faulty part whose crashes at several entries never add up."""
+        for number in range(MAX_TOLD_CRASHES):
+            self.crash(self.first, number, "first", "old")
+        self.tell(self.first, self.second)
+        for number in range(100, 104):
+            self.clock.advance(FULL_REPORT_INTERVAL_MS)
+            sender, receiver = (self.first, self.second)[:: 1 if number % 2 else -1]
+            self.crash(sender, number, "other", "new")
+            self.assertTrue(self.tell(sender, receiver).is_whole)
+        self.assertIsNotNone(self.first.crashes.find_quarantine(("other", "new")))
