Let the check for a crash replace no delivered answer

If the check for a crash of one target outlasted the attempt on another, which had delivered the answer, the request was sent again, and the connection to the caller was closed after its answer.

Cause: the last attempt to end decides, and the check had made the end of a failed attempt later than that of the one that delivered. Change: once an answer is delivered nothing replaces this outcome.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
@@ -134,12 +134,20 @@
                 log.info("attempt superseded", request=self._call.request_id, target=target_id)
             case Delivered():
                 self._set_last_end(AttemptEnd(attempt, outcome))
+            case _ if self._is_delivered:
+                # The check for a crash outlasted another attempt, which has answered the caller.
+                history.record(target_id, outcome)
+                attempt.close()
             case _:
                 history.record(target_id, outcome)
                 self._set_last_end(AttemptEnd(attempt, outcome))
                 if self._running:
                     self._log_end(self._call, attempt.plan, outcome, AwaitOther())
 
+    @property
+    def _is_delivered(self) -> bool:
+        return self._last_end is not None and isinstance(self._last_end.outcome, Delivered)
+
     def _set_last_end(self, end: AttemptEnd | None) -> None:
         if self._last_end is not None:
             self._last_end.attempt.close()
