--- a/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
@@ -63,6 +63,7 @@
 
     `key` is the customer's API key. `caller_timeout_ms` is how long the caller waits for the
     response, None if it does not say. `last_event` is the event id after which a stream resumes.
+    `shared_parts` are the names of the prompt's parts that other prompts may have too.
     """
 
     request_id: str
@@ -72,6 +73,7 @@
     caller_timeout_ms: Millis | None
     prompt: PromptSize | None
     last_event: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 class ForwardingInfo(NamedTuple):
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -134,8 +134,7 @@
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Return the parts of the prompt that other prompts may have too."""
-        prompt = self.request_info.prompt
-        return prompt.shared_parts if prompt else ()
+        return self.request_info.shared_parts
 
 
 class Proxy:
--- a/packages/marigoldarch/marigoldarch/serving/routing.py
+++ b/packages/marigoldarch/marigoldarch/serving/routing.py
@@ -86,11 +86,7 @@
 
 
 class PromptSize(NamedTuple):
-    """The size of a prompt and of its expected answer, in tokens.
-
-    `shared_parts` are the names of the parts that other prompts may have too: all but the last one.
-    """
+    """The size of a prompt and of its expected answer, in tokens."""
 
     tokens: int
     answer_tokens: int
-    shared_parts: tuple[str, ...] = ()
