--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -253,8 +253,11 @@
     def _obstacle_to_sending(self, target: Target) -> FailureReason | None:
         """Return why nothing may be sent to the target any more.
 
-        It may have said so, in a response to another request, since it was chosen.
+        Since it was chosen it may have said so, in a response to another request, or the prompt may
+        have been found to crash targets.
         """
+        if self._state.crashes.find_quarantine(self._call.shared_parts) is not None:
+            return FailureReason.SUSPECTED_PART
         if self._state.target_view.is_leaving(target):
             return FailureReason.TARGET_LEAVES
         if not self._state.waits.admit(target.start, self._work_number, self._sent_ms):
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -42,6 +42,7 @@
     NO_MEMORY = "no memory"
     TARGET_WAITS = "target waits"
     TARGET_LEAVES = "target leaves"
+    SUSPECTED_PART = "suspected part"
 
 
 @dataclass(frozen=True)
