See crashes under answers without framing, and when the caller leaves

And a caller that left during the check took the evidence along.

Change: before such an answer is ended for the caller the target is checked, unless it leaves; its outcome stays, only the evidence counts.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -27,6 +27,7 @@
 )
 from marigoldarch.serving.pool_view import RunningAttempt
 from marigoldarch.serving.response_origin import ResponseOrigin
+from marigoldarch_node.serving.crash_check import MIN_SOUND_WRITING_MS, record_crashes
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import CallerDisconnectedError
 from marigoldarch_node.serving.response_memory import ResponseMemoryFullError
@@ -102,6 +103,7 @@
     """Runs one attempt of a call."""
 
     def __init__(self, context: EntryContext, plan: AttemptPlan, observer: AttemptObserver) -> None:
+        self._context = context
         self._state = context.state
         self._dialect = context.dialect
         self._connections = context.connections
@@ -135,17 +137,14 @@
         """Return whether anything may have been sent to the target."""
         return self._sent_ms > 0.0
 
-    @property
-    def sent_ms(self) -> Millis:
-        """Return the instant at which the request was sent to its target, 0 if it was not."""
-        return self._sent_ms
-
-    @property
-    def written_ms(self) -> Millis:
-        """Return for how long the target has been writing its answer."""
-        if self._first_event_ms is None:
-            return 0.0
-        return self._state.clock.monotonic_ms() - self._first_event_ms
+    async def record_crashes(self) -> None:
+        """Record which of the targets have crashed, if the prompt may be the cause."""
+        is_sound = False
+        if self._first_event_ms is not None:
+            written_ms = self._state.clock.monotonic_ms() - self._first_event_ms
+            is_sound = written_ms >= MIN_SOUND_WRITING_MS
+        if self._call.shared_parts and not is_sound:
+            await record_crashes(self._context, self._plan, self._sent_ms)
 
     def begin(self) -> None:
         """Count the attempt as running work, so that placements in the same moment see it."""
@@ -372,6 +371,7 @@
     ) -> tuple[ResponseHead | None, Delivered | AttemptOutcome]:
         """Relay a response that is not a stream, once its body is complete and valid."""
         body = await self._read_body(connection)
+        await self._check_unframed_end(head)
         if response_info.request_id not in ("", self._call.request_id):
             return None, OutcomeUnknown(FailureReason.GARBLED)
         if response_info.proves_not_run:
@@ -391,6 +391,15 @@
             self._state.crashes.record_answer(self._call.shared_parts)
         return head, Delivered()
 
+    async def _check_unframed_end(self, head: ResponseHead) -> None:
+        """Record a crash if a response without framing ended by one.
+
+        Such a response ends with its connection in any case. A target that leaves may end as well.
+        """
+        is_leaving = self._state.target_view.is_leaving(self._plan.placement.targets[0])
+        if not head.is_framed and not is_leaving:
+            await self.record_crashes()
+
     async def _read_body(self, connection: TargetConnection) -> bytes:
         """Return the body; raise `ResponseError` if it is faulty or takes too much memory."""
         body = bytearray()
@@ -430,6 +439,7 @@
         # Without framing, a stream that has not begun looks the same as one that was broken off.
         if splitter.has_partial_event or not (self._event_count or head.is_framed):
             return None, self._incomplete_outcome(FailureReason.CUT)
+        await self._check_unframed_end(head)
         await self._claim_response()
         if not self._call.exchange.is_head_sent:
             await self._call.exchange.send_head(head.status, self._dialect.caller_headers(head))
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -17,29 +17,34 @@
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
     from marigoldarch.serving.targets import Target
-    from marigoldarch_node.serving.attempt import Attempt, EntryContext
+    from marigoldarch_node.serving.attempt import AttemptPlan, EntryContext
 
 MIN_SOUND_WRITING_MS: Millis = 1000.0
 """A prompt that crashes targets does so when they begin to answer it: a request whose answer has been
 written for so long has not caused the crash."""
 
 
-async def record_crashes(context: EntryContext, attempt: Attempt, outcome: object) -> None:
-    """Record which targets of an attempt have crashed, if its outcome may come from a crash.
-
-    Targets that hold a part of the prompt may crash as well as the one that answers.
-    """
+def may_come_from_crash(outcome: object) -> bool:
+    """Return whether an attempt may have ended as its target, or one that helped it, has crashed."""
     match outcome:
         case OutcomeUnknown(reason=reason) | StreamBroken(reason=reason):
-            is_evidence = reason in (FailureReason.RESET, FailureReason.CUT)
+            return reason in (FailureReason.RESET, FailureReason.CUT)
         case _:
-            is_evidence = False
-    parts = attempt.plan.call.shared_parts
-    if not is_evidence or not parts or attempt.written_ms >= MIN_SOUND_WRITING_MS:
-        return
-    async with trio.open_nursery() as nursery:
-        for target in attempt.plan.placement.targets:
-            nursery.start_soon(_record_if_crashed, context, target, parts, attempt.sent_ms)
+            return False
+
+
+async def record_crashes(context: EntryContext, plan: AttemptPlan, sent_ms: Millis) -> None:
+    """Record which targets of an attempt have crashed; the connection to the first has just ended.
+
+    Targets that hold a part of the prompt may crash as well as the one that answers.
+    """
+    # A caller that leaves meanwhile must not take the evidence along. Connecting has a time limit.
+    with trio.CancelScope(shield=True):
+        async with trio.open_nursery() as nursery:
+            for target in plan.placement.targets:
+                nursery.start_soon(
+                    _record_if_crashed, context, target, plan.call.shared_parts, sent_ms
+                )
 
 
 async def _record_if_crashed(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
@@ -12,7 +12,7 @@
 
 from marigoldarch.serving.attempts import AwaitOther, HedgeObstacle
 from marigoldarch_node.serving.attempt import Attempt, Delivered, Superseded
-from marigoldarch_node.serving.crash_check import record_crashes
+from marigoldarch_node.serving.crash_check import may_come_from_crash
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import CallerDisconnectedError
 
@@ -112,7 +112,8 @@
     async def _run_attempt(self, attempt: Attempt) -> None:
         try:
             outcome = await attempt.run()
-            await record_crashes(self._context, attempt, outcome)
+            if may_come_from_crash(outcome):
+                await attempt.record_crashes()
         except CallerDisconnectedError:
             # Raised again outside the nursery, which would wrap it in an exception group.
             self._has_caller_disconnected = True
