--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
@@ -20,6 +20,9 @@
     from marigoldarch_node.serving.metrics import ServingMetrics
     from marigoldarch_node.serving.shared_workload import SharedWorkload
 
+MAX_LOGGED_PARTS = 16
+"""How many parts of a prompt the log line of a crash names."""
+
 log = EventLog("crashes")
 
 
@@ -51,7 +54,12 @@
         """Record that a target has crashed under a request with these parts, sent at `sent_ms`."""
         crash_id = (cached_name_hash(start.target_id), start.born_ms)
         crash = TargetCrash(crash_id, self._clock.monotonic_ms(), tuple(parts), sent_ms)
-        log.warning("target crashed", target=start.target_id, born_ms=start.born_ms, parts=parts)
+        log.warning(
+            "target crashed",
+            target=start.target_id,
+            born_ms=start.born_ms,
+            parts=parts[:MAX_LOGGED_PARTS],
+        )
         self._metrics.crashes.inc({})
         self._workload.report_crash(crash)
         self._record(crash, told_by="")
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -362,8 +362,6 @@
         obstacle = call.history.find_hedge_obstacle(running, self._spendable_budget(call))
         if obstacle is not None:
             return obstacle
-        if self._state.crashes.find_quarantine(call.shared_parts) is not None:
-            return HedgeObstacle.SUSPECTED_PART
         if not self._has_other_target(call):
             return HedgeObstacle.NO_OTHER_TARGET
         placement = self._choose_placement(call)
@@ -411,10 +409,11 @@
 
     def _spendable_budget(self, call: Call) -> Budget:
         """Return the remaining time, and whether a retry is allowed, without looking for targets."""
-        has_retry = self._state.workload.allows_retry(
-            cached_name_hash(call.service.name)
-        ) and self._state.crashes.may_retry(call.shared_parts)
-        return Budget(call.deadline_ms - self._now_ms(), has_retry)
+        return Budget(
+            call.deadline_ms - self._now_ms(),
+            has_retry=self._state.workload.allows_retry(cached_name_hash(call.service.name)),
+            is_suspected=not self._state.crashes.may_retry(call.shared_parts),
+        )
 
     async def _refuse(
         self, exchange: Exchange, request_info: RequestInfo, refusal: RefusalError
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -138,12 +138,14 @@
     """What is left for another attempt.
 
     `has_retry` says whether the shared retry budget allows a retry, `has_other_target` whether a
-    target is left that has not failed this request.
+    target is left that has not failed this request. With `is_suspected` targets have crashed under a part
+    of the prompt, so that the request is sent only once.
     """
 
     time_left_ms: Millis
     has_retry: bool
     has_other_target: bool = True
+    is_suspected: bool = False
 
 
 @dataclass
@@ -190,6 +192,8 @@
             return HedgeObstacle.NOT_REPEATABLE
         if self.sent + running >= self.route.attempt_limit:
             return HedgeObstacle.ATTEMPT_LIMIT
+        if budget.is_suspected:
+            return HedgeObstacle.SUSPECTED_PART
         if not budget.has_retry:
             return HedgeObstacle.RETRY_BUDGET
         if budget.time_left_ms <= MIN_ATTEMPT_TIME_MS:
@@ -236,8 +240,9 @@
         return budget.time_left_ms > MIN_ATTEMPT_TIME_MS
 
     def _may_send_again(self, budget: Budget) -> bool:
-        has_attempt = self.sent < self.route.attempt_limit
-        return has_attempt and budget.has_retry and budget.time_left_ms > MIN_ATTEMPT_TIME_MS
+        if self.sent >= self.route.attempt_limit or budget.is_suspected:
+            return False
+        return budget.has_retry and budget.time_left_ms > MIN_ATTEMPT_TIME_MS
 
     def _refuse_or_fail(self, retry_after_ms: Millis | None, budget: Budget) -> NextStep:
         if self.may_have_run:
--- a/packages/marigoldarch/marigoldarch/tests/serving/attempts_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/attempts_tests.py
@@ -132,6 +132,7 @@
         found = [
             self.obstacle(call_once(attempt_limit=2), RETRIES_LEFT),
             self.obstacle(route(attempt_limit=1), RETRIES_LEFT),
+            self.obstacle(route(), RETRIES_LEFT._replace(is_suspected=True)),
             self.obstacle(route(), NO_RETRY_LEFT),
             self.obstacle(route(), NO_TIME_LEFT),
             self.obstacle(route(), ONLY_TARGET),
@@ -141,12 +142,18 @@
             [
                 HedgeObstacle.NOT_REPEATABLE,
                 HedgeObstacle.ATTEMPT_LIMIT,
+                HedgeObstacle.SUSPECTED_PART,
                 HedgeObstacle.RETRY_BUDGET,
                 HedgeObstacle.NO_TIME,
                 HedgeObstacle.NO_OTHER_TARGET,
             ],
         )
 
+    def test_request_with_a_suspected_part_is_sent_only_once(self) -> None:
+        suspected = RETRIES_LEFT._replace(is_suspected=True)
+        self.assertEqual(next_steps(route(), suspected, BROKEN), [CutStream()])
+        self.assertEqual(next_steps(route(), suspected, RESET), [Fail(False)])
+
     def test_running_and_ended_attempts_count_towards_the_limit(self) -> None:
         self.assertIsNone(self.obstacle(route(attempt_limit=3), RETRIES_LEFT, running=2))
         self.assertIsNotNone(self.obstacle(route(attempt_limit=2), RETRIES_LEFT, running=2))
