Let time pass between an answer and the next crash in a scheduler's test

An answered request and a crash under a request that was sent after it are never at the same instant; the test lets 100 ms pass, and asks for the same as before.

--- a/packages/marigoldarch/marigoldarch/tests/pools/crash_watch_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/pools/crash_watch_tests.py
@@ -467,6 +467,7 @@
         second = CrashDriver(fence=9, start_ms=first.now_ms)
         self.assertTrue(second.ask("r2", FAULTY))
         second.answer("r2")
+        second.run_for(100.0)
         second.quarantine(FAULTY)
         self.assertEqual(second.ask("r3", FAULTY), [])
 
