Read the limits that targets name; log and count them

An entry now decodes the limit, remembers it for one start of the target, logs when it begins, changes and ends, and counts that in target_signals_total. Nothing is held back yet.

A limit ends with a response without it to a request that was sent after the last naming one. Values out of the bounds of the settings are moved to them; unreadable ones, and two headers, are named in the log and change nothing.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -362,7 +362,7 @@
             response_info.is_misdirected,
         )
         target = self._plan.placement.targets[0]
-        self._state.record_signals(target, response_info, origin)
+        self._state.record_signals(target, response_info, origin, self._sent_ms)
         if not response_info.wait_ms:
             self._state.waits.note_end(target.start, self._work_number)
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
@@ -99,6 +99,8 @@
     `is_misdirected`, another target than the intended one has responded. With `is_leaving` the
     target accepts no requests for much longer. `wait_ms` is how long it wants no request from this
     node, None if it does not ask for a wait. `unreadable_headers` are names with invalid values.
+    `limit_per_s` is how many requests a second the target accepts from all nodes together, None if it
+    names no limit; with `is_limit_unreadable` it names one that cannot be decoded.
     """
 
     request_id: str
@@ -111,6 +113,8 @@
     is_leaving: bool = False
     wait_ms: Millis | None = None
     unreadable_headers: tuple[str, ...] = ()
+    limit_per_s: float | None = None
+    is_limit_unreadable: bool = False
 
 
 class UnreadableAnnouncement(NamedTuple):
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -163,6 +163,7 @@
             "tickets": self._reservations.lease_count,
             "leaving_targets": len(state.target_view.leaving),
             "waiting_targets": state.waits.count,
+            "limited_targets": len(state.target_limits.rates),
             "suspected_parts": state.crashes.suspect_count,
             "held_response_bytes": state.response_memory.held_bytes,
         }
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -13,6 +13,7 @@
 from marigoldarch.serving.response_origin import ResponseOrigin, is_from_target
 from marigoldarch.serving.retry_budget import RetryBudgetSettings
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
+from marigoldarch.serving.target_limits import TargetLimits, TargetLimitSettings
 from marigoldarch.serving.target_waits import TargetWaits, WaitSettings
 from marigoldarch.serving.targets import MergedTargetView, TargetStart
 from marigoldarch_node.clock import SystemClock
@@ -54,6 +55,9 @@
         # Only the spreads differ between entries; they take nothing from `rng`.
         spread = random.Random(f"waits/{start_id}").random()
         self.waits = TargetWaits(WaitSettings(bounds.max_target_wait_ms, spread))
+        self.target_limits = TargetLimits(
+            TargetLimitSettings(bounds.min_target_rate_per_s, bounds.max_target_rate_per_s)
+        )
         self.response_memory = ResponseMemory(
             bounds.max_response_bytes, bounds.max_held_response_bytes
         )
@@ -148,20 +152,27 @@
         self.workload.report_slow_target(cached_name_hash(target_id), slowdown)
 
     def record_signals(
-        self, target: Target, response: ResponseInfo, origin: ResponseOrigin
+        self,
+        target: Target,
+        response: ResponseInfo,
+        origin: ResponseOrigin,
+        sent_ms: Millis,
     ) -> None:
-        """Record whether a target says in a response that it is leaving or asks for a wait.
+        """Record whether a target says in a response that it is leaving, limited or wants a wait.
 
-        Responses that may be from elsewhere have no effect.
+        The request of the response was sent at `sent_ms`. Responses that may be from elsewhere have
+        no effect.
         """
         for name in response.unreadable_headers:
             log.warning("header ignored", target=target.target_id, header=name)
-        if not (response.is_leaving or response.wait_ms):
-            return
+        limit_per_s = response.limit_per_s
         if not is_from_target(origin):
-            log.warning("signal ignored", target=target.target_id, answer_to=origin.echoed_id)
+            if response.is_leaving or response.wait_ms or limit_per_s:
+                log.warning("signal ignored", target=target.target_id, answer_to=origin.echoed_id)
             return
         now_ms = self.clock.monotonic_ms()
+        if not response.is_limit_unreadable:
+            self._record_limit(target, limit_per_s, sent_ms)
         if response.is_leaving and self.target_view.mark_leaving(target.start, now_ms):
             self.metrics.target_signals.inc({"signal": "leaving"})
             log.info("target leaves", target=target.target_id, born_ms=target.born_ms)
@@ -176,10 +187,30 @@
                 wait_ms=round(wait_ms),
             )
 
+    def _record_limit(self, target: Target, limit_per_s: float | None, sent_ms: Millis) -> None:
+        """Record the limit that a response of a target names, or that it names none."""
+        known_per_s = self.target_limits.find(target.start)
+        if known_per_s is None and limit_per_s is None:
+            return
+        news = self.target_limits.record_response(
+            target.start, limit_per_s, sent_ms, self.clock.monotonic_ms()
+        )
+        if news is None:
+            return
+        self.metrics.target_signals.inc({"signal": "limit" if limit_per_s else "limit ended"})
+        log.info(
+            "target names a limit" if limit_per_s else "target names no limit any more",
+            target=target.target_id,
+            born_ms=target.born_ms,
+            limit_per_s=news.rate_per_s,
+            before_per_s=known_per_s,
+        )
+
     def prune_targets(self) -> None:
         """Drop what is known of targets that are no longer usable."""
         now_ms = self.clock.monotonic_ms()
         self.waits.forget_old(now_ms)
+        self.target_limits.forget_departed(self.target_view.usable, now_ms)
         self.crashes.forget_old()
         self.target_view.forget_departed(now_ms)
         self.workload.keep_leaving_targets(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
@@ -161,12 +161,13 @@
             except UnreachableError:
                 return 0
             head: ResponseHead | None = None
+            sent_ms = self._clock.monotonic_ms()
             try:
                 await connection.send(request)
                 response = await connection.read_head()
                 await connection.read_body(MAX_RESPONSE_BYTES)
                 head = response
-                self._record_signals(target, connection, response)
+                self._record_signals(target, connection, response, sent_ms)
             except ResponseError as error:
                 if error.limit:
                     log.warning("response over a limit", target=target.target_id, limit=error.limit)
@@ -177,9 +178,9 @@
         return 0
 
     def _record_signals(
-        self, target: Target, connection: TargetConnection, head: ResponseHead
+        self, target: Target, connection: TargetConnection, head: ResponseHead, sent_ms: Millis
     ) -> None:
         """Record what the response to an order says of its target; orders have no request id."""
         response_info = self._dialect.read_response(head)
         origin = ResponseOrigin("", "", not connection.is_reused, response_info.is_misdirected)
-        self._state.record_signals(target, response_info, origin)
+        self._state.record_signals(target, response_info, origin, sent_ms)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
@@ -24,7 +24,8 @@
         self.attempts = self._counter("attempts_total", "Attempts by service and outcome.")
         self.refusals = self._counter("refusals_total", "Requests not run, by reason.")
         self.target_signals = self._counter(
-            "target_signals_total", "Responses in which targets leave or ask for a wait, by signal."
+            "target_signals_total",
+            "Responses in which targets leave, ask for a wait or name a limit, by signal.",
         )
         self.crashes = self._counter("target_crashes_total", "Crashes of targets under a request.")
         self.quarantines = self._counter(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
@@ -32,6 +32,12 @@
     max_target_wait_ms: float = 60_000.0
     """The longest wait that a target may ask for, so that a faulty value does not disable it."""
 
+    min_target_rate_per_s: float = 0.05
+    """The lowest limit that a target may name in requests a second; a lower one counts as this."""
+
+    max_target_rate_per_s: float = 100_000.0
+    """The highest limit; a higher one counts as this."""
+
     crash_limit: int = 3
     """Crashes of targets after which requests with the same part in their prompts are not sent."""
 
@@ -105,6 +111,11 @@
             raise ConfigurationError(f"{name}: use IP:PORT, not {address!r}")
     if not settings.bounds.max_target_wait_ms > 0:
         raise ConfigurationError("bounds.max_target_wait_ms: use more than 0")
+    if not 0 < settings.bounds.min_target_rate_per_s <= settings.bounds.max_target_rate_per_s:
+        raise ConfigurationError(
+            f"bounds.min_target_rate_per_s: {settings.bounds.min_target_rate_per_s} is not between 0 "
+            "and bounds.max_target_rate_per_s; lower it or raise the other"
+        )
     if settings.bounds.crash_limit < 2:
         raise ConfigurationError(
             f"bounds.crash_limit: use 2 or more, not {settings.bounds.crash_limit}"
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/entry_state_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/entry_state_tests.py
@@ -54,14 +54,14 @@
         return {item.target.target_id for item in candidates if not item.wait_ms}
 
     def test_leaving_target_is_not_chosen_by_this_entry_or_its_peers(self) -> None:
-        self.first.record_signals(target("t"), LEAVING, OWN)
+        self.first.record_signals(target("t"), LEAVING, OWN, 0.0)
         self.assertEqual(self.usable(self.first), {"u"})
         self.exchange_reports()
         self.assertEqual(self.usable(self.second), {"u"})
 
     def test_full_report_makes_up_for_a_lost_one(self) -> None:
         trio.run(self.first.workload.next_report)
-        self.first.record_signals(target("t"), LEAVING, OWN)
+        self.first.record_signals(target("t"), LEAVING, OWN, 0.0)
         trio.run(self.first.workload.next_report)
         self.clock.advance(1600.0)
         self.first.workload.count_request(5)
@@ -69,37 +69,39 @@
         self.assertEqual(self.usable(self.second), {"u"})
 
     def test_response_of_another_request_loses_no_target(self) -> None:
-        self.first.record_signals(target("t"), LEAVING, FORGED)
-        self.first.record_signals(target("t"), PLAIN._replace(wait_ms=500.0), FORGED)
+        self.first.record_signals(target("t"), LEAVING, FORGED, 0.0)
+        self.first.record_signals(target("t"), PLAIN._replace(wait_ms=500.0), FORGED, 0.0)
         self.assertEqual(self.usable(self.first), {"t", "u"})
 
     def test_response_of_another_target_at_the_address_loses_no_target(self) -> None:
         misdirected = OWN._replace(is_misdirected=True)
-        self.first.record_signals(target("t"), LEAVING._replace(is_misdirected=True), misdirected)
+        self.first.record_signals(
+            target("t"), LEAVING._replace(is_misdirected=True), misdirected, 0.0
+        )
         self.assertEqual(self.usable(self.first), {"t", "u"})
 
     def test_peer_that_knows_a_newer_start_keeps_the_target(self) -> None:
         restarted: Target = target("t", born_ms=2000)
         self.second.target_view.update_target("c1", restarted)
-        self.first.record_signals(target("t"), LEAVING, OWN)
+        self.first.record_signals(target("t"), LEAVING, OWN, 0.0)
         self.exchange_reports()
         self.assertEqual(self.usable(self.second), {"t", "u"})
 
     def test_mark_outlives_the_cleanup_and_ends_with_a_new_start(self) -> None:
-        self.first.record_signals(target("t"), LEAVING, OWN)
+        self.first.record_signals(target("t"), LEAVING, OWN, 0.0)
         self.first.prune_targets()
         self.assertEqual(self.usable(self.first), {"u"})
         self.first.target_view.update_target("c1", target("t", born_ms=2000))
         self.assertEqual(self.usable(self.first), {"t", "u"})
 
     def test_target_that_asks_for_a_wait_is_chosen_again_after_it(self) -> None:
-        self.first.record_signals(target("t"), PLAIN._replace(wait_ms=500.0), OWN)
+        self.first.record_signals(target("t"), PLAIN._replace(wait_ms=500.0), OWN, 0.0)
         self.assertEqual(self.usable(self.first), {"u"})
         self.clock.advance(600.0)
         self.assertEqual(self.usable(self.first), {"t", "u"})
 
     def test_wait_outlives_the_return_of_the_target_to_the_view(self) -> None:
-        self.first.record_signals(target("t"), PLAIN._replace(wait_ms=5000.0), OWN)
+        self.first.record_signals(target("t"), PLAIN._replace(wait_ms=5000.0), OWN, 0.0)
         self.first.target_view.remove_target("c1", "t")
         self.first.candidates.find("engines", set(), 0.0)
         self.first.prune_targets()
@@ -107,6 +109,6 @@
         self.assertEqual(self.usable(self.first), {"u"})
 
     def test_wait_is_bounded_by_the_settings(self) -> None:
-        self.first.record_signals(target("t"), PLAIN._replace(wait_ms=1e12), OWN)
+        self.first.record_signals(target("t"), PLAIN._replace(wait_ms=1e12), OWN, 0.0)
         self.clock.advance(self.first.settings.bounds.max_target_wait_ms)
         self.assertEqual(self.usable(self.first), {"t", "u"})
