Keep the limits that targets name, for all entries together

Cause: no entry read the header, and nothing could have kept a limit for all of them. Class of fault: a limit of the whole fleet that each node would have to keep alone.

Change: an entry of the target's data centre, chosen by rendezvous hashing, owns the limit and lends requests of it, with LimitOwner and LimitShares, which lend the limits of the product's own interface. An attempt asks for one right before it is sent; first attempts, retries and second attempts beside a silent target pass the same gate, and limited targets help no prompt. A request that gets none goes to another target, or waits for its turn in the order of arrival, or is refused at once with the time of its turn. An owner that is silent is replaced by the next one, which starts with nothing to lend. Entries tell each other of limits and of their ends, with the instant of the evidence.

LimitOwner: accounts of subjects that another node owns, and those of a process that may have lent before its restart, start empty; rounds of nodes are forgotten after the time for which they count. Before, the record of rounds grew with each node that ever asked.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import aclosing
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, Protocol
@@ -220,6 +221,9 @@
         call, target = self._call, self._plan.placement.targets[0]
         if self._scope.cancel_called:
             await trio.lowlevel.checkpoint()
+        permitted_until_ms = await self._state.permissions.acquire(target)
+        if permitted_until_ms is None:
+            return NotSent(FailureReason.TARGET_LIMITED)
         try:
             connection = await self._connections.acquire(
                 target.address, must_be_new=not call.route.may_repeat
@@ -228,7 +232,7 @@
             self._state.record_failure(self._target_id, is_unreachable=error.is_refused)
             return NotSent(FailureReason.UNREACHABLE)
         self._sent_ms = self._state.clock.monotonic_ms()
-        obstacle = self._obstacle_to_sending(target)
+        obstacle = self._obstacle_to_sending(target, permitted_until_ms)
         if obstacle is not None:
             connection.connection.close()
             return NotSent(obstacle)
@@ -249,16 +253,21 @@
             raise CallerDisconnectedError
         return self._record_outcome(outcome)
 
-    def _obstacle_to_sending(self, target: Target) -> FailureReason | None:
+    def _obstacle_to_sending(
+        self, target: Target, permitted_until_ms: Millis
+    ) -> FailureReason | None:
         """Return why nothing may be sent to the target any more.
 
-        Since it was chosen it may have said so, in a response to another request, or the prompt may
-        have been found to crash targets.
+        Since it was chosen it may have said so or named a limit, in a response to another request,
+        or the prompt may have been found to crash targets.
         """
         if self._state.crashes.find_quarantine(self._call.shared_parts) is not None:
             return FailureReason.SUSPECTED_PART
         if self._state.target_view.is_leaving(target):
             return FailureReason.TARGET_LEAVES
+        is_permitted = self._sent_ms < permitted_until_ms < math.inf
+        if not is_permitted and not self._state.permissions.try_acquire(target):
+            return FailureReason.TARGET_LIMITED
         if not self._state.waits.admit(target.start, self._work_number, self._sent_ms):
             return FailureReason.TARGET_WAITS
         return None
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -13,6 +13,7 @@
 
 from marigoldarch.serving.candidates import cached_name_hash
 from marigoldarch.serving.declaration import ServingDeclaration
+from marigoldarch.serving.limit_messages import LimitAnswer, LimitAsk
 from marigoldarch.serving.presence import (
     HELLO_INTERVAL_MS,
     Hello,
@@ -73,7 +74,7 @@
 SUMMARY_INTERVAL_S = 0.3
 """How often the work that stays in a data centre is summarized for the others."""
 
-EntryMessage = WorkReport | PoolSummary | RelayedReport | HostsKnown
+EntryMessage = WorkReport | PoolSummary | RelayedReport | HostsKnown | LimitAsk | LimitAnswer
 """The datagrams that an entry receives."""
 
 log = EventLog("entry")
@@ -109,6 +110,7 @@
         """Serve until cancelled."""
         settings, state = self._settings, self._state
         self._datagrams = await DatagramSocket.open(settings.peer_address, EntryMessage)
+        state.permissions.send = self._send_limit_message
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             health = ServerState(self._serve_health, state.limits, state.clock)
@@ -135,6 +137,7 @@
         state.stop_began_ms = began_ms
         end_ms = began_ms + self._settings.bounds.stop_grace_ms - STOP_MARGIN_MS
         state.stop_end_ms = end_ms
+        self._update_limit_owners()
         self._caller_server.announce_closing()
         await self._send_hello(is_change=True)
         await trio.sleep(ACCEPT_WHILE_STOPPING_MS / 1000.0)
@@ -164,6 +167,7 @@
             "leaving_targets": len(state.target_view.leaving),
             "waiting_targets": state.waits.count,
             "limited_targets": len(state.target_limits.rates),
+            "lent_limits": state.permissions.account_count,
             "suspected_parts": state.crashes.suspect_count,
             "held_response_bytes": state.response_memory.held_bytes,
         }
@@ -223,6 +227,16 @@
                 await self._relay_report(report)
             case HostsKnown(hosts=hosts):
                 self._control_hosts.update(hosts)
+            case LimitAsk() | LimitAnswer():
+                self._state.permissions.receive(message)
+
+    def _update_limit_owners(self) -> None:
+        """Let the entries that are known now own the limits of targets, but none that stops."""
+        is_own = self._state.stop_began_ms is None
+        self._state.permissions.set_entries(self._known_entries(), is_own=is_own)
+
+    def _send_limit_message(self, node: str, message: LimitAsk | LimitAnswer) -> None:
+        self._nursery.start_soon(self._datagrams.send, message, node)
 
     async def _send_work_reports(self) -> None:
         """Send the reports of this entry's running work to the other entries, until cancelled."""
@@ -305,6 +319,7 @@
             # The last list of entries is kept: reports go on while no control host is reachable.
             if len(self._entries_by_host) > 1:
                 self._entries_by_host.pop(host, None)
+                self._update_limit_owners()
 
     def _on_control_message(self, host: str, message: object) -> None:
         self._state.record_control_message()
@@ -314,10 +329,12 @@
             case NodesTold(hosts=hosts, entries=entries):
                 self._control_hosts.update(hosts)
                 self._entries_by_host[host] = set(entries)
+                self._update_limit_owners()
             case EntriesChanged(added=added, removed=removed):
                 known = self._entries_by_host.setdefault(host, set())
                 kept = {entry for entry in known if entry.node not in removed}
                 self._entries_by_host[host] = kept.union(added)
+                self._update_limit_owners()
             case TargetTold(target=target):
                 self._state.target_view.update_target(host, target)
             case TargetsTold():
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -10,17 +10,20 @@
 
 from marigoldarch.crash_suspects import SuspectSettings
 from marigoldarch.serving.candidates import CandidateSource, cached_name_hash
+from marigoldarch.serving.report_recipients import EntryNode
 from marigoldarch.serving.response_origin import ResponseOrigin, is_from_target
 from marigoldarch.serving.retry_budget import RetryBudgetSettings
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
-from marigoldarch.serving.target_limits import TargetLimits, TargetLimitSettings
+from marigoldarch.serving.target_limits import LimitNews, TargetLimits, TargetLimitSettings
 from marigoldarch.serving.target_waits import TargetWaits, WaitSettings
 from marigoldarch.serving.targets import MergedTargetView, TargetStart
+from marigoldarch.serving.waiting_turns import WaitingTurns
 from marigoldarch_node.clock import SystemClock
 from marigoldarch_node.serving.crash_memory import CrashMemory
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import ServerLimits
 from marigoldarch_node.serving.limit_history import LimitHistory
+from marigoldarch_node.serving.limit_permissions import LimitPermissions
 from marigoldarch_node.serving.metrics import ServingMetrics
 from marigoldarch_node.serving.response_memory import ResponseMemory
 from marigoldarch_node.serving.shared_workload import SharedWorkload
@@ -58,6 +61,13 @@
         self.target_limits = TargetLimits(
             TargetLimitSettings(bounds.min_target_rate_per_s, bounds.max_target_rate_per_s)
         )
+        self.permissions = LimitPermissions(
+            EntryNode(settings.peer_address, settings.data_centre),
+            start_id,
+            self.target_limits,
+            self.clock,
+        )
+        self.waiting_turns = WaitingTurns()
         self.response_memory = ResponseMemory(
             bounds.max_response_bytes, bounds.max_held_response_bytes
         )
@@ -67,6 +77,8 @@
         self.workload.on_suspended = self._on_peer_suspension
         self.workload.on_slow = self._on_peer_slowdown
         self.workload.on_leaving = self._on_peer_leaving
+        self.workload.on_limit = self._on_peer_limit
+        self.workload.limits_to_tell = self.target_limits.news_to_tell
         suspect_settings = SuspectSettings(
             crash_limit=bounds.crash_limit,
             quarantine_ms=bounds.crash_quarantine_ms,
@@ -74,8 +86,15 @@
         )
         self.crashes = CrashMemory(suspect_settings, self.workload, self.metrics, self.clock)
         self._slow_reported_ms: dict[str, Millis] = {}
+        self._hashed_generation = -1
+        self._target_ids: dict[int, str] = {}
         self.candidates = CandidateSource(
-            settings.data_centre, self.target_view, self.workload.view, self.health, self.waits
+            settings.data_centre,
+            self.target_view,
+            self.workload.view,
+            self.health,
+            self.waits,
+            self.permissions.lending,
         )
         self.limits = LimitHistory(ServerLimits())
         self.stop_began_ms: Millis | None = None
@@ -197,6 +216,7 @@
         )
         if news is None:
             return
+        self.workload.report_limit(news)
         self.metrics.target_signals.inc({"signal": "limit" if limit_per_s else "limit ended"})
         log.info(
             "target names a limit" if limit_per_s else "target names no limit any more",
@@ -211,6 +231,7 @@
         now_ms = self.clock.monotonic_ms()
         self.waits.forget_old(now_ms)
         self.target_limits.forget_departed(self.target_view.usable, now_ms)
+        self.permissions.forget_old()
         self.crashes.forget_old()
         self.target_view.forget_departed(now_ms)
         self.workload.keep_leaving_targets(
@@ -240,12 +261,31 @@
         if self.target_view.mark_leaving(start, self.clock.monotonic_ms()):
             log.info("target leaves", target=target_id, born_ms=born_ms, told_by="peer")
 
+    def _on_peer_limit(
+        self, target_hash: int, born_ms: int, rate_per_s: float | None, at_ms: Millis
+    ) -> None:
+        """Adopt the limit that a target has named, or ended, in a response to another entry."""
+        target_id = self._find_target_id(target_hash)
+        if not target_id:
+            return
+        news = self.target_limits.record_news(
+            LimitNews(TargetStart(target_id, born_ms), rate_per_s, at_ms)
+        )
+        if news is not None:
+            log.info(
+                "target names a limit" if rate_per_s else "target names no limit any more",
+                target=target_id,
+                born_ms=born_ms,
+                limit_per_s=rate_per_s,
+                told_by="peer",
+            )
+
     def _find_target_id(self, target_hash: int) -> str:
         """Return the usable target whose id has this hash, empty if there is none."""
-        matches = (
-            name for name in self.target_view.usable if cached_name_hash(name) == target_hash
-        )
-        return next(matches, "")
+        if self._hashed_generation != self.target_view.generation:
+            self._hashed_generation = self.target_view.generation
+            self._target_ids = {cached_name_hash(name): name for name in self.target_view.usable}
+        return self._target_ids.get(target_hash, "")
 
 
 def _server_limits(limits: CallerLimits) -> ServerLimits:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -31,8 +31,8 @@
     Saturated,
     choose_least_loaded,
     refusal_retry_after_ms,
-    shortest_wait_ms,
 )
+from marigoldarch.serving.waiting_turns import leave_limited_to_earlier, next_turn_ms
 from marigoldarch_node.serving.attempt import AttemptPlan, Delivered, EntryContext
 from marigoldarch_node.serving.dialect import ForwardingInfo, RequestInfo
 from marigoldarch_node.serving.event_log import EventLog
@@ -63,6 +63,9 @@
 """A request waits for capacity only if the expected wait is at most this share of its remaining
 time; otherwise it is refused at once."""
 
+MAX_TURN_SHARE = 0.5
+"""The same for a wait whose end is known, as it follows from limits that targets name."""
+
 DEFAULT_RETRY_AFTER_MS: Millis = 250.0
 """`Retry-After` of a refusal without a better estimate: about five engine passes."""
 
@@ -70,6 +73,9 @@
 """How often a waiting request retries its placement, besides whenever other work ends, and whether
 it may still wait."""
 
+MIN_POLL_MS: Millis = 2.0
+"""A request that waits for a shorter time retries its placement after this time."""
+
 MAX_LOGGED_PARTS = 4
 """How many shared parts of a prompt a log line names."""
 
@@ -126,6 +132,11 @@
         """Record the time between two forwarded groups of stream events."""
         self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
 
+    @property
+    def turn(self) -> tuple[Millis, int]:
+        """Return the position of this call in the order of arrival."""
+        return (self.exchange.request.received_ms, id(self))
+
     @property
     def request_id(self) -> str:
         """Return the request id that the caller sent."""
@@ -249,20 +260,27 @@
     async def _wait_for_placement(self, call: Call) -> Placement:
         """Return where the next attempt runs, after waiting for capacity if that is in time."""
         began_ms = self._now_ms()
-        while True:
-            self._check_quarantine(call)
-            placement = self._choose_placement(call)
-            if isinstance(placement, Placement):
-                return placement
-            if self._is_wait_over():
-                self._raise_unplaced(call, "node is stopping", 0.0)
-            left_ms = call.deadline_ms - self._now_ms()
-            waited_ms = self._now_ms() - began_ms
-            is_too_late = placement.retry_after_ms > left_ms * MAX_WAIT_SHARE
-            if is_too_late or waited_ms > left_ms or left_ms < MIN_ATTEMPT_TIME_MS:
-                self._raise_no_capacity(call, placement)
-            with trio.move_on_after(CAPACITY_POLL_MS / 1000.0):
-                await self._state.workload.wait_for_work_end()
+        turns = self._state.waiting_turns
+        try:
+            while True:
+                self._check_quarantine(call)
+                placement = self._choose_placement(call)
+                if isinstance(placement, Placement):
+                    return placement
+                if self._is_wait_over():
+                    self._raise_unplaced(call, "node is stopping", 0.0)
+                left_ms = call.deadline_ms - self._now_ms()
+                waited_ms = self._now_ms() - began_ms
+                share = MAX_TURN_SHARE if placement.is_turn else MAX_WAIT_SHARE
+                is_too_late = placement.retry_after_ms > left_ms * share
+                if is_too_late or waited_ms > left_ms or left_ms < MIN_ATTEMPT_TIME_MS:
+                    self._raise_no_capacity(call, placement)
+                turns.join(call.service.name, call.turn)
+                pause_ms = min(CAPACITY_POLL_MS, max(MIN_POLL_MS, placement.retry_after_ms))
+                with trio.move_on_after(pause_ms / 1000.0):
+                    await self._state.workload.wait_for_work_end()
+        finally:
+            turns.leave(call.service.name, call.turn)
 
     def _check_quarantine(self, call: Call) -> None:
         """End a request with a part that crashes targets; log the crashes on which that is based.
@@ -297,6 +315,8 @@
             targets=len(candidates),
             suspended=sum(item.is_suspended for item in candidates),
             waiting=sum(item.wait_ms > 0 for item in candidates),
+            limited=sum(item.limit_per_s > 0 for item in candidates),
+            ahead=self._state.waiting_turns.count_ahead(call.service.name, call.turn),
             active=sum(item.load.active for item in candidates),
             tried=sorted(call.history.failed_targets),
             retry_after_ms=round(placement.retry_after_ms),
@@ -318,10 +338,11 @@
         now_ms = self._now_ms()
         source, service, failed = self._state.candidates, call.service, call.history.failed_targets
         prompt, engine = call.request_info.prompt, service.engine
+        ahead = self._state.waiting_turns.count_ahead(service.name, call.turn)
         if engine is not None and prompt is not None:
             placer = EnginePlacer(engine, PlacementWeights())
             request = self._placement_request(call, prompt, now_ms)
-            near = source.find_near(service.name, failed, now_ms)
+            near = leave_limited_to_earlier(source.find_near(service.name, failed, now_ms), ahead)
             found = placer.place_near(request, near, now_ms)
             if found is not None:
                 return found
@@ -331,11 +352,14 @@
             candidates = source.find(service.name, set(), now_ms)
         if not candidates:
             return Saturated(self._retry_after_ms(call, None))
+        candidates = leave_limited_to_earlier(candidates, ahead)
+        if all(item.limit_per_s and item.wait_ms for item in candidates):
+            return Saturated(next_turn_ms(candidates, ahead), is_turn=True)
         if engine is not None and prompt is not None:
             return placer.place(request, candidates, now_ms)
         chosen = choose_least_loaded(candidates)
         if chosen is None:
-            return Saturated(shortest_wait_ms(candidates))
+            return Saturated(next_turn_ms(candidates, ahead))
         return Placement((chosen.target,), 0.0, 0.0)
 
     def _placement_request(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -23,6 +23,7 @@
 from marigoldarch.serving.retry_budget import RetryBudget, RetryBudgetSettings
 from marigoldarch.serving.work_reports import (
     CrashReport,
+    LimitReport,
     PoolSummary,
     TargetSummary,
     WorkReport,
@@ -34,6 +35,7 @@
     from collections.abc import Callable, Collection
 
     from marigoldarch.clock import Clock, Millis
+    from marigoldarch.serving.target_limits import LimitNews
 
 REPORT_COALESCE_S = 0.008
 """Changes within this time are sent in one datagram: a sixth of an engine pass."""
@@ -46,7 +48,8 @@
 
 MAX_TOLD_CRASHES = 16
 MAX_TOLD_ACQUITTALS = 64
-"""How many crashes and acquittals a report lists."""
+MAX_TOLD_LIMITS = 64
+"""How many crashes, acquittals and limits a report lists."""
 
 PEER_TIMEOUT_MS: Millis = 4000.0
 """The work of a peer is dropped when two of its full reports are missing."""
@@ -82,7 +85,9 @@
     `on_slow` with the ratio of measured to predicted duration, `on_leaving` with the instant of the
     target's start. `on_crash` is called with each reported crash of a target, `on_acquittal` with a
     part of prompts and the instant of its answer; `crashes_to_tell` and `acquittals_to_tell` return
-    what whole reports tell. Targets and services are given as hashes of their names.
+    what whole reports tell. `on_limit` is called with each limit that a target has named or ended: its
+    hash, the instant of its start, the rate or None, and the instant of the news; `limits_to_tell`
+    returns those that whole reports tell. Targets and services are given as hashes of their names.
     """
 
     def __init__(self, node: str, start_id: int, clock: Clock, budget: RetryBudgetSettings) -> None:
@@ -103,6 +108,7 @@
         self._unreported_leaving: dict[int, int] = {}
         self._crashes: list[TargetCrash] = []
         self._acquittals: list[tuple[str, Millis]] = []
+        self._limits: list[LimitNews] = []
         self._requests: Counter[int] = Counter()
         self._peers: dict[str, _Peer] = {}
         self._widely_reported: set[int] = set()
@@ -121,6 +127,8 @@
         self.on_acquittal: Callable[[str, Millis], None] = lambda _, __: None
         self.crashes_to_tell: Callable[[int], list[TargetCrash]] = lambda _: []
         self.acquittals_to_tell: Callable[[int], list[tuple[str, Millis]]] = lambda _: []
+        self.on_limit: Callable[[int, int, float | None, Millis], None] = lambda *_: None
+        self.limits_to_tell: Callable[[int], list[LimitNews]] = lambda _: []
 
     @property
     def view(self) -> PoolView:
@@ -217,6 +225,11 @@
         self._acquittals.append((part, at_ms))
         self._has_changes.set()
 
+    def report_limit(self, news: LimitNews) -> None:
+        """Tell the peers of a limit that a target names, or of its end."""
+        self._limits.append(news)
+        self._has_changes.set()
+
     def keep_leaving_targets(self, targets: set[int]) -> None:
         """Drop all other targets from those that full reports list as leaving."""
         for target in self._leaving.keys() - targets:
@@ -250,8 +263,9 @@
             self._full_report_count += 1
             self._had_work = bool(works)
         self._has_changes = trio.Event()
-        crashes, acquittals = self._crashes, self._acquittals
-        if is_full and self._repeats_crashes:
+        crashes, acquittals, limits = self._crashes, self._acquittals, self._limits
+        if is_full and self._repeats_news:
+            limits = [*limits, *self.limits_to_tell(MAX_TOLD_LIMITS)]
             crashes = [*crashes, *self.crashes_to_tell(MAX_TOLD_CRASHES)]
             acquittals = [*acquittals, *self.acquittals_to_tell(MAX_TOLD_ACQUITTALS)]
         report = WorkReport(
@@ -270,12 +284,13 @@
             acquitted={
                 part: round(now_ms - at_ms) for part, at_ms in acquittals[:MAX_TOLD_ACQUITTALS]
             },
+            limits=[_limit_to_wire(news, now_ms) for news in limits[:MAX_TOLD_LIMITS]],
         )
         partial = self._partial_report(report)
         self._widely_reported.difference_update(self._ended)
         self._started, self._prefilled, self._ended, self._suspended = [], [], [], []
         self._slow, self._unreported_leaving = {}, {}
-        self._crashes, self._acquittals = [], []
+        self._crashes, self._acquittals, self._limits = [], [], []
         self._requests.clear()
         return OutgoingReports(
             msgspec.msgpack.encode(report),
@@ -283,8 +298,8 @@
         )
 
     @property
-    def _repeats_crashes(self) -> bool:
-        """Return whether this full report repeats the crashes that the entry knows.
+    def _repeats_news(self) -> bool:
+        """Return whether this full report repeats the crashes and limits that the entry knows.
 
         Of the entries that send each other whole reports about two do so at a time, in turn. What
         each of them receives therefore does not grow with their number.
@@ -313,7 +328,7 @@
         )
         news = (partial.started, partial.read, partial.ended)
         news += (partial.suspended, partial.slow, partial.leaving)
-        news += (partial.crashes, partial.acquitted)
+        news += (partial.crashes, partial.acquitted, partial.limits)
         return partial if any(news) or (report.is_whole and is_needed) else None
 
     def next_summary(
@@ -409,6 +424,8 @@
         for target, born_ms in report.leaving.items():
             self.on_leaving(target, born_ms)
         self._apply_crashes(report, now_ms)
+        for item in report.limits:
+            self.on_limit(item.target, item.born_ms, item.rate_per_s, now_ms - item.age_ms)
         if report.ended:
             self._notify_waiters()
 
@@ -433,6 +450,11 @@
     return CrashReport(target, born_ms, round(now_ms - crash.at_ms), parts, sent_age_ms)
 
 
+def _limit_to_wire(news: LimitNews, now_ms: Millis) -> LimitReport:
+    target, born_ms = news.start
+    return LimitReport(name_hash(target), born_ms, news.rate_per_s, round(now_ms - news.at_ms))
+
+
 def _to_wire(work: RunningAttempt) -> WorkStarted:
     return WorkStarted(
         work.number,
--- a/packages/marigoldarch/marigoldarch/entry/limit_enforcement.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_enforcement.py
@@ -5,10 +5,11 @@
 from typing import TYPE_CHECKING
 
 from marigoldarch.effects import Effect, Send
+from marigoldarch.entry.limit_loans import LimitNeed
 from marigoldarch.entry.limit_shares import Claim
 from marigoldarch.entry.limits import find_limit
 from marigoldarch.entry.state import finish
-from marigoldarch.messages import LimitAnswer, LimitAsk, LimitNeed
+from marigoldarch.messages import LimitAnswer, LimitAsk
 from marigoldarch.outcomes import NotRun, RefusalReason
 
 if TYPE_CHECKING:
@@ -99,7 +100,8 @@
             effects += finish(state, state.requests[claim.request_id], refusal)
     effects += ask_owners(state, now_ms)
     state.shares.drop_idle(now_ms)
-    state.limit_owner.drop_idle(state.member.view, now_ms)
+    view = state.member.view
+    state.limit_owner.drop_idle(lambda subject: find_limit(view, subject), now_ms)
     return effects
 
 
--- a/packages/marigoldarch/marigoldarch/entry/limit_owner.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_owner.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from marigoldarch.clock import Millis
-from marigoldarch.control.view import ClusterView
-from marigoldarch.entry.limits import Limit, find_limit
+from marigoldarch.entry.limit_loans import LimitNeed, LimitShare
+from marigoldarch.entry.limits import Limit
 from marigoldarch.entry.owner_placement import choose_owner
-from marigoldarch.messages import LimitNeed, LimitShare
 from marigoldarch.settings import EntrySettings
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 TOKEN_BURST_S = 10.0
 """Burst of a token rate, in seconds of that rate."""
 
@@ -66,7 +68,8 @@
 
     A new owner does not know what the previous one lent. For a recovery time after a change of
     nodes, accounts that have moved here therefore start with empty buckets, and an entry node is
-    lent only the slots that it already uses.
+    lent only the slots that it already uses. Accounts of subjects that another node owns start with
+    empty buckets, too: that node may still lend to others.
     """
 
     def __init__(self, node: str, settings: EntrySettings) -> None:
@@ -77,12 +80,25 @@
         self._past_memberships: list[PastMembership] = []
         self._idle_check_due_ms: Millis = 0.0
         self._last_rounds: dict[str, LastRound] = {}
+        self._recovered_ms: Millis = float("-inf")
 
     @property
     def subject_count(self) -> int:
         """Return the number of subjects that have an account."""
         return len(self._accounts)
 
+    @property
+    def subjects(self) -> set[str]:
+        """Return the subjects that have an account."""
+        return set(self._accounts)
+
+    def assume_lent(self, now_ms: Millis) -> None:
+        """Assume that an earlier process of this node has lent shares until now.
+
+        New accounts start with empty buckets for the recovery time.
+        """
+        self._recovered_ms = now_ms + self._settings.limit_recovery_ms
+
     def set_nodes(self, nodes: tuple[str, ...], now_ms: Millis) -> None:
         """Replace the nodes that own subjects; drop the accounts of those that moved away."""
         if nodes == self._nodes:
@@ -124,13 +140,22 @@
         wait_ms = max(request_wait, token_wait, slot_wait)
         return LimitShare(need.subject, requests, tokens, slots, wait_ms)
 
-    def drop_idle(self, view: ClusterView, now_ms: Millis) -> None:
-        """Drop accounts that equal a new one; the check runs once every `IDLE_CHECK_MS`."""
+    def drop_idle(self, find_limit: Callable[[str], Limit], now_ms: Millis) -> None:
+        """Drop accounts that equal a new one; the check runs once every `IDLE_CHECK_MS`.
+
+        `find_limit` returns the limit of a subject.
+        """
         if now_ms < self._idle_check_due_ms:
             return
         self._idle_check_due_ms = now_ms + IDLE_CHECK_MS
+        # After this time a round of any number is accepted in any case.
+        self._last_rounds = {
+            node: last
+            for node, last in self._last_rounds.items()
+            if now_ms < last.received_ms + self._settings.slot_lease_ms
+        }
         for subject, account in list(self._accounts.items()):
-            limit = find_limit(view, subject)
+            limit = find_limit(subject)
             account = self._refill(subject, limit, now_ms)
             has_all_requests = account.requests >= _request_burst(limit)
             has_all_tokens = account.tokens >= limit.tokens_per_s * TOKEN_BURST_S
@@ -141,7 +166,8 @@
         account = self._accounts.get(subject)
         if account is None:
             recovery_ends_ms = self._recovery_ends_ms(subject)
-            fill = 0.0 if now_ms < recovery_ends_ms else 1.0
+            is_owner = not self._nodes or choose_owner(subject, self._nodes) == self._node
+            fill = 1.0 if is_owner and now_ms >= recovery_ends_ms else 0.0
             tokens = limit.tokens_per_s * TOKEN_BURST_S * fill
             account = SubjectAccount(_request_burst(limit) * fill, tokens, now_ms, recovery_ends_ms)
             self._accounts[subject] = account
@@ -180,7 +206,8 @@
             for item in self._past_memberships
             if item.nodes and choose_owner(subject, item.nodes) != self._node
         ]
-        return max(ends, default=float("-inf")) + self._settings.limit_recovery_ms
+        ended_ms = max(ends, default=float("-inf"))
+        return max(ended_ms + self._settings.limit_recovery_ms, self._recovered_ms)
 
 
 def _request_burst(limit: Limit) -> float:
--- a/packages/marigoldarch/marigoldarch/entry/limit_shares.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_shares.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from marigoldarch.clock import Millis
+from marigoldarch.entry.limit_loans import LimitNeed, LimitShare
 from marigoldarch.entry.limits import Limit
-from marigoldarch.messages import LimitNeed, LimitShare
 from marigoldarch.settings import EntrySettings
 
 if TYPE_CHECKING:
--- a/packages/marigoldarch/marigoldarch/entry/limits.py
+++ b/packages/marigoldarch/marigoldarch/entry/limits.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-from marigoldarch.control.view import ClusterView
+if TYPE_CHECKING:
+    from marigoldarch.control.view import ClusterView
 
 
 class Limit(NamedTuple):
--- a/packages/marigoldarch/marigoldarch/entry/owner_placement.py
+++ b/packages/marigoldarch/marigoldarch/entry/owner_placement.py
@@ -68,5 +68,10 @@
     return max(nodes, key=lambda node: _rendezvous_hash(node, subject), default=None)
 
 
+def rank_owners(subject: str, nodes: Iterable[str]) -> list[str]:
+    """Return the nodes by their rendezvous hashes for the subject, the owner first."""
+    return sorted(nodes, key=lambda node: _rendezvous_hash(node, subject), reverse=True)
+
+
 def _rendezvous_hash(node: str, subject: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{node}/{subject}".encode())
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -14,6 +14,7 @@
 from marigoldarch.control.commands import Entry
 from marigoldarch.control.configuration import Configuration
 from marigoldarch.control.repair_state import RepairState
+from marigoldarch.entry.limit_loans import LimitNeed, LimitShare
 from marigoldarch.identifiers import NodeAddress, PermitId, PoolId, TargetAddress
 
 
@@ -387,35 +388,6 @@
     renewed: list[PermitId] = field(default_factory=list)
 
 
-class LimitNeed(NamedTuple):
-    """What an entry node needs of one subject's limits.
-
-    `requests` and `tokens` are needed in addition to earlier shares; `first_tokens` of the tokens
-    are for the oldest waiting request. `slots` is the total of requests in progress that the entry
-    node wants to be allowed, of which `used_slots` are in progress already.
-    """
-
-    subject: str
-    requests: float
-    tokens: float
-    first_tokens: float
-    slots: int
-    used_slots: int
-
-
-class LimitShare(NamedTuple):
-    """What the owner of a subject lends; `slots` is a total, the others are additions.
-
-    `retry_after_ms` is the suggested wait for what was not lent, 0 for none.
-    """
-
-    subject: str
-    requests: float
-    tokens: float
-    slots: int
-    retry_after_ms: Millis
-
-
 @dataclass(frozen=True)
 class PresentPermits:
     """Ask an entry node to list its permits in full, as it has renewed unknown ones."""
--- a/packages/marigoldarch/marigoldarch/serving/attempts.py
+++ b/packages/marigoldarch/marigoldarch/serving/attempts.py
@@ -42,6 +42,7 @@
     NO_MEMORY = "no memory"
     TARGET_WAITS = "target waits"
     TARGET_LEAVES = "target leaves"
+    TARGET_LIMITED = "target limited"
     SUSPECTED_PART = "suspected part"
 
 
@@ -169,7 +170,12 @@
         return self.sent > 0
 
     def record(self, target_id: str, outcome: AttemptOutcome) -> None:
-        """Record the outcome of an attempt."""
+        """Record the outcome of an attempt.
+
+        A target at its limit has not failed the request; it may get it later.
+        """
+        if outcome == NotSent(FailureReason.TARGET_LIMITED):
+            return
         self.failed_targets.add(target_id)
         match outcome:
             case NotSent():
--- a/packages/marigoldarch/marigoldarch/serving/candidates.py
+++ b/packages/marigoldarch/marigoldarch/serving/candidates.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
+    from marigoldarch.serving.limit_lending import LimitLending
     from marigoldarch.serving.pool_view import PoolView
     from marigoldarch.serving.target_health import TargetHealth
     from marigoldarch.serving.target_waits import TargetWaits
@@ -32,12 +33,14 @@
         view: PoolView,
         health: TargetHealth,
         waits: TargetWaits,
+        lending: LimitLending | None = None,
     ) -> None:
         self._data_centre = data_centre
         self._targets = targets
         self._view = view
         self._health = health
         self._waits = waits
+        self._lending = lending
         self._generation = -1
         self._targets_by_service: dict[str, list[tuple[Target, float]]] = {}
         self._near_by_service: dict[str, list[tuple[Target, float]]] = {}
@@ -77,7 +80,11 @@
         ]
 
     def _candidate(self, target: Target, fill_order: float, now_ms: Millis) -> Candidate:
-        target_id = target.target_id
+        target_id, start = target.target_id, target.start
+        wait_ms = self._waits.left_ms(start, now_ms)
+        limit_per_s = self._lending.limits.find(start) if self._lending is not None else None
+        if limit_per_s:
+            wait_ms = max(wait_ms, self._lending.wait_ms(start, now_ms))
         return Candidate(
             target,
             self._view.load_of(cached_name_hash(target_id)),
@@ -85,7 +92,8 @@
             target.data_centre == self._data_centre,
             self._health.is_suspended(target_id, now_ms),
             fill_order,
-            self._waits.left_ms(target.start, now_ms),
+            wait_ms,
+            limit_per_s or 0.0,
         )
 
     def _refresh(self) -> None:
--- a/packages/marigoldarch/marigoldarch/serving/placement.py
+++ b/packages/marigoldarch/marigoldarch/serving/placement.py
@@ -129,7 +129,9 @@
 
     `slowdown` is how many times longer than by the engine formula it works. `is_local` says that it
     is in the entry's data centre. `fill_order` is its position, from 0 to 1, in the order in which
-    all entries fill the targets. The target has asked for no request for another `wait_ms`.
+    all entries fill the targets. The target accepts no request of this entry for another `wait_ms`.
+    `limit_per_s` is how many requests a second it accepts from all entries together, 0 if it names no
+    limit.
     """
 
     target: Target
@@ -139,6 +141,7 @@
     is_suspended: bool
     fill_order: float
     wait_ms: Millis = 0.0
+    limit_per_s: float = 0.0
 
 
 class Placement(NamedTuple):
@@ -156,9 +159,13 @@
 
 
 class Saturated(NamedTuple):
-    """No target can run the request in time; one may after `retry_after_ms`."""
+    """No target can run the request in time; one may after `retry_after_ms`.
+
+    With `is_turn` this is when the request's turn comes by the limits of all targets.
+    """
 
     retry_after_ms: Millis
+    is_turn: bool = False
 
 
 class _ScoredCandidate(NamedTuple):
@@ -415,6 +422,8 @@
         return load.active < slots and self._has_memory(candidate, own_tokens)
 
     def _can_help(self, request: PlacementRequest, candidate: Candidate, parts: int) -> bool:
+        if candidate.limit_per_s:
+            return False
         has_slot = len(candidate.load.helping) < self._engine.slots
         return has_slot and self._has_memory(candidate, self._tokens_per_helper(request, parts))
 
@@ -463,7 +472,7 @@
 
 
 def open_candidates(candidates: list[Candidate]) -> list[Candidate]:
-    """Return the candidates that have not asked for a wait."""
+    """Return the candidates that accept requests now."""
     return [item for item in candidates if not item.wait_ms]
 
 
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -43,6 +43,18 @@
     sent_age_ms: int | None = None
 
 
+class LimitReport(msgspec.Struct, array_like=True, frozen=True):
+    """A target, as the hash of its id and the instant of its start, and the limit that it names.
+
+    `rate_per_s` is in requests a second, None if it names none any more; that was `age_ms` ago.
+    """
+
+    target: int
+    born_ms: int
+    rate_per_s: float | None
+    age_ms: int
+
+
 class WorkReport(msgspec.Struct, array_like=True, frozen=True, tag="work"):
     """The changes of one entry's work since its last report, or all its work if `is_whole`.
 
@@ -55,7 +67,8 @@
     another data centre `is_partial`: it leaves out attempts that stay in the own one, and what
     counts for the retry budget. `crashes` are new crashes of targets, or the newest of all that the
     entry knows if the report is whole. `acquitted` are parts of prompts that were suspected of
-    crashing targets and have been answered, each with the time since then in milliseconds.
+    crashing targets and have been answered, each with the time since then in milliseconds. `limits`
+    are changes of the limits that targets name, or those that the entry knows if the report is whole.
     """
 
     node: str
@@ -72,6 +85,7 @@
     is_partial: bool = False
     crashes: list[CrashReport] = msgspec.field(default_factory=list)
     acquitted: dict[str, int] = msgspec.field(default_factory=dict)
+    limits: list[LimitReport] = msgspec.field(default_factory=list)
 
 
 class TargetSummary(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/marigoldarch/marigoldarch/tests/entry/limit_owner_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limit_owner_tests.py
@@ -5,7 +5,7 @@
 import unittest
 
 from marigoldarch.entry.limit_owner import LimitOwner
-from marigoldarch.entry.limits import Limit
+from marigoldarch.entry.limits import Limit, find_limit
 from marigoldarch.entry.owner_placement import choose_owner
 from marigoldarch.settings import EntrySettings
 from marigoldarch.tests.entry.support import SUBJECT, need
@@ -102,5 +102,5 @@
 
         self.owner.lend("n1", need(requests=1.0), Limit(5.0, 0.0, 0), 0.0)
         self.assertEqual(self.owner.subject_count, 1)
-        self.owner.drop_idle(View(), 1000.0)
+        self.owner.drop_idle(lambda subject: find_limit(View(), subject), 1000.0)
         self.assertEqual(self.owner.subject_count, 0)
