--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -77,6 +77,7 @@
         self.workload.on_suspended = self._on_peer_suspension
         self.workload.on_slow = self._on_peer_slowdown
         self.workload.on_leaving = self._on_peer_leaving
+        self.workload.on_start = self.permissions.lending.note_start
         self.workload.on_limit = self._on_peer_limit
         self.workload.limits_to_tell = self.target_limits.news_to_tell
         suspect_settings = SuspectSettings(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/limit_permissions.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/limit_permissions.py
@@ -30,7 +30,7 @@
 MAX_OWNERS = 2
 """An attempt asks so many owners one after the other, each so often: a datagram may be lost."""
 
-PERMISSION_MS: Millis = 500.0
+PERMISSION_MS: Millis = 400.0
 """A permission is used within this time or lost: connecting to the target takes less."""
 
 log = EventLog("limits")
--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -87,7 +87,8 @@
     part of prompts and the instant of its answer; `crashes_to_tell` and `acquittals_to_tell` return
     what whole reports tell. `on_limit` is called with each limit that a target has named or ended: its
     hash, the instant of its start, the rate or None, and the instant of the news; `limits_to_tell`
-    returns those that whole reports tell. Targets and services are given as hashes of their names.
+    returns those that whole reports tell. `on_start` is called with a peer that has started again.
+    Targets and services are given as hashes of their names.
     """
 
     def __init__(self, node: str, start_id: int, clock: Clock, budget: RetryBudgetSettings) -> None:
@@ -127,6 +128,7 @@
         self.on_acquittal: Callable[[str, Millis], None] = lambda _, __: None
         self.crashes_to_tell: Callable[[int], list[TargetCrash]] = lambda _: []
         self.acquittals_to_tell: Callable[[int], list[tuple[str, Millis]]] = lambda _: []
+        self.on_start: Callable[[str], None] = lambda _: None
         self.on_limit: Callable[[int, int, float | None, Millis], None] = lambda *_: None
         self.limits_to_tell: Callable[[int], list[LimitNews]] = lambda _: []
 
@@ -384,6 +386,7 @@
             return
         if peer is not None and not is_same_start:
             self._view.keep_only(report.node, set(), now_ms)
+            self.on_start(report.node)
         self._peers[report.node] = _Peer(report.start_id, report.serial, now_ms, report.is_partial)
         self._apply(report, now_ms)
 
--- a/packages/marigoldarch/marigoldarch/entry/limit_owner.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_owner.py
@@ -17,9 +17,6 @@
 TOKEN_BURST_S = 10.0
 """Burst of a token rate, in seconds of that rate."""
 
-REQUEST_BURST_S = 1.0
-"""Burst of a request rate, in seconds of that rate; it is at least one request."""
-
 SLOT_RETRY_MS: Millis = 500.0
 """Wait suggested to an entry node that lacks slots; when one is freed is not known."""
 
@@ -157,7 +154,7 @@
         for subject, account in list(self._accounts.items()):
             limit = find_limit(subject)
             account = self._refill(subject, limit, now_ms)
-            has_all_requests = account.requests >= _request_burst(limit)
+            has_all_requests = account.requests >= self._request_burst(limit)
             has_all_tokens = account.tokens >= limit.tokens_per_s * TOKEN_BURST_S
             if has_all_requests and has_all_tokens and not account.lent:
                 del self._accounts[subject]
@@ -169,12 +166,14 @@
             is_owner = not self._nodes or choose_owner(subject, self._nodes) == self._node
             fill = 1.0 if is_owner and now_ms >= recovery_ends_ms else 0.0
             tokens = limit.tokens_per_s * TOKEN_BURST_S * fill
-            account = SubjectAccount(_request_burst(limit) * fill, tokens, now_ms, recovery_ends_ms)
+            account = SubjectAccount(
+                self._request_burst(limit) * fill, tokens, now_ms, recovery_ends_ms
+            )
             self._accounts[subject] = account
         elapsed_s = max(0.0, now_ms - account.updated_ms) / 1000.0
         account.updated_ms = now_ms
         refilled = account.requests + elapsed_s * limit.rate_per_s
-        account.requests = min(_request_burst(limit), refilled)
+        account.requests = min(self._request_burst(limit), refilled)
         refilled = account.tokens + elapsed_s * limit.tokens_per_s
         account.tokens = min(limit.tokens_per_s * TOKEN_BURST_S, refilled)
         lent = account.lent
@@ -199,6 +198,11 @@
             account.lent[node] = LentSlots(slots, now_ms + self._settings.slot_lease_ms)
         return slots, wait_ms
 
+    def _request_burst(self, limit: Limit) -> float:
+        """Return the size of the bucket of requests, at least one request."""
+        burst = limit.rate_per_s * self._settings.limit_burst_s
+        return max(1.0, burst) if limit.rate_per_s else 0.0
+
     def _recovery_ends_ms(self, subject: str) -> Millis:
         """Return until when this node may not know all slots that a previous owner lent."""
         ends = [
@@ -210,10 +214,6 @@
         return max(ended_ms + self._settings.limit_recovery_ms, self._recovered_ms)
 
 
-def _request_burst(limit: Limit) -> float:
-    return max(1.0, limit.rate_per_s * REQUEST_BURST_S) if limit.rate_per_s else 0.0
-
-
 def _lend_tokens(available: float, need: LimitNeed, limit: Limit) -> tuple[float, Millis]:
     """Return the tokens to lend and the wait for the missing ones in milliseconds.
 
--- a/packages/marigoldarch/marigoldarch/serving/limit_lending.py
+++ b/packages/marigoldarch/marigoldarch/serving/limit_lending.py
@@ -38,13 +38,15 @@
 
 LENDING_SETTINGS = EntrySettings(
     # A lent request is used at once or lost.
-    limit_lease_ms=500.0,
+    limit_lease_ms=250.0,
+    limit_burst_s=0.5,
     # The entries of one region answer within some 10 ms.
     permit_retry_ms=80.0,
 )
 
-OWNER_SILENCE_MS: Millis = 3000.0
-"""How long an owner that has not answered is not asked again."""
+OWNER_SILENCE_MS: Millis = 1000.0
+"""How long an owner that has not answered is not asked again. Meanwhile others may still ask it, so
+that two owners lend."""
 
 MIN_WAIT_MS: Millis = 5.0
 """An entry that got nothing asks about the target again after this time at the earliest."""
@@ -56,6 +58,10 @@
 """A datagram holds about four times as many."""
 
 
+MAX_CACHED_RANKINGS = 1000
+"""Rankings cached before the cache is cleared, which bounds its memory."""
+
+
 class Outgoing(NamedTuple):
     """A message for another entry."""
 
@@ -82,6 +88,7 @@
         # This entry may have owned limits before a restart.
         self._owner.assume_lent(now_ms)
         self._nodes_by_data_centre: dict[str, tuple[str, ...]] = {own.data_centre: (own.node,)}
+        self._ranked: dict[str, list[str]] = {}
         self._targets: dict[str, Target] = {}
         self._claim_count = 0
         self._told_until_ms: dict[str, Millis] = {}
@@ -112,9 +119,13 @@
                 nodes[entry.data_centre].add(entry.node)
         if is_own or not nodes:
             nodes[self._own.data_centre].add(self._own.node)
-        self._nodes_by_data_centre = {
+        nodes_by_data_centre = {
             data_centre: tuple(sorted(names)) for data_centre, names in nodes.items()
         }
+        if nodes_by_data_centre == self._nodes_by_data_centre:
+            return
+        self._nodes_by_data_centre = nodes_by_data_centre
+        self._ranked.clear()
         self._owner.set_nodes(self._nodes_by_data_centre.get(self._own.data_centre, ()), now_ms)
 
     def wait_ms(self, start: TargetStart, now_ms: Millis) -> Millis:
@@ -196,6 +207,10 @@
         if owner is not None and owner != self._own.node:
             self._silent_until_ms[owner] = now_ms + OWNER_SILENCE_MS
 
+    def note_start(self, node: str) -> None:
+        """Record that an entry has started again: it is not silent any more."""
+        self._silent_until_ms.pop(node, None)
+
     def give_up(self, target: Target, now_ms: Millis) -> None:
         """Record that no owner of a target's limit can be reached for the moment."""
         self._told_until_ms[_subject(target.start)] = now_ms + UNANSWERED_WAIT_MS
@@ -256,10 +271,16 @@
 
         The limits of a data centre without entries are owned in another one.
         """
-        by_data_centre = self._nodes_by_data_centre
-        if data_centre not in by_data_centre:
-            data_centre = rank_owners(subject, by_data_centre)[0]
-        return rank_owners(subject, by_data_centre[data_centre])
+        ranked = self._ranked.get(subject)
+        if ranked is None:
+            by_data_centre = self._nodes_by_data_centre
+            if data_centre not in by_data_centre:
+                data_centre = rank_owners(subject, by_data_centre)[0]
+            ranked = rank_owners(subject, by_data_centre[data_centre])
+            if len(self._ranked) >= MAX_CACHED_RANKINGS:
+                self._ranked.clear()
+            self._ranked[subject] = ranked
+        return ranked
 
     def _first_speaking(self, ranked: list[str], now_ms: Millis) -> str:
         """Return the first entry that is not silent; the first one if all are."""
--- a/packages/marigoldarch/marigoldarch/settings.py
+++ b/packages/marigoldarch/marigoldarch/settings.py
@@ -68,6 +68,8 @@
     limit_lease_ms: Millis = 1000.0
     slot_lease_ms: Millis = 3000.0
     slot_renewal_ms: Millis = 1000.0
+    # Burst of a request rate, in seconds of that rate; it is at least one request.
+    limit_burst_s: float = 1.0
     # How long a new owner of a subject lends only slots that are in use.
     limit_recovery_ms: Millis = 1500.0
     # Time after which a request that waits for limit shares is refused.
--- a/packages/marigoldarch/marigoldarch/tests/entry/limit_enforcement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/entry/limit_enforcement_tests.py
@@ -6,7 +6,6 @@
 import unittest
 
 from marigoldarch.effects import CallTarget
-from marigoldarch.entry.limit_owner import REQUEST_BURST_S
 from marigoldarch.entry.owner_placement import choose_owner
 from marigoldarch.events import CallArrived, CallInfo, DeclareRequested, TargetAnnounced
 from marigoldarch.settings import ControlSettings, EntrySettings
@@ -26,6 +25,7 @@
     },
 }
 STEP_MS = 50.0
+BURST_S = EntrySettings().limit_burst_s
 
 
 class OwnerLossTests(unittest.TestCase):
@@ -80,7 +80,7 @@
         self.flood(3000.0, senders)
         self.cluster.kill(self.owner("customer/guild/harbor"))
         self.flood(7000.0, senders)
-        self.assertLessEqual(len(self.started), RATE_PER_S * (10.0 + REQUEST_BURST_S))
+        self.assertLessEqual(len(self.started), RATE_PER_S * (10.0 + BURST_S))
         self.assertGreater(len(self.started), RATE_PER_S * 10.0 * 0.5)
 
     def test_rate_exceeds_its_limit_by_at_most_one_lease_while_its_owner_is_partitioned(
@@ -94,7 +94,7 @@
                 self.cluster.cut(owner, other)
         self.flood(7000.0, senders)
         lease_s = ControlSettings().session_lease_ms / 1000.0
-        bound = RATE_PER_S * (10.0 + REQUEST_BURST_S + lease_s)
+        bound = RATE_PER_S * (10.0 + BURST_S + lease_s)
         self.assertLessEqual(len(self.started), bound)
 
     def test_concurrency_holds_while_its_owner_is_killed(self) -> None:
--- a/packages/marigoldarch/marigoldarch/tests/fuzz/limits_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/fuzz/limits_tests.py
@@ -16,7 +16,7 @@
     run_state_machine_as_test,
 )
 
-from marigoldarch.entry.limit_owner import REQUEST_BURST_S, LimitOwner
+from marigoldarch.entry.limit_owner import LimitOwner
 from marigoldarch.entry.limit_shares import Claim, LimitShares
 from marigoldarch.entry.limits import Limit
 from marigoldarch.messages import LimitNeed, LimitShare
@@ -173,7 +173,7 @@
     @invariant()
     def rate_holds(self) -> None:
         """In no span of time were more requests started than the rate and one burst allow."""
-        burst = max(1.0, self.limit.rate_per_s * REQUEST_BURST_S)
+        burst = max(1.0, self.limit.rate_per_s * SETTINGS.limit_burst_s)
         lease_s = SETTINGS.limit_lease_ms / 1000.0
         for first, begin_ms in enumerate(self.started_ms):
             count = len(self.started_ms) - first
