--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -68,7 +68,9 @@
 class AttemptPlan:
     """The targets and headers of an attempt, and the memory to reserve at its helpers first.
 
-    With `is_repeat` the request was sent to another target before.
+    With `is_repeat` the request was sent to another target before. The request may be sent until
+    `permitted_until_ms` by the limit that the target names; None if the owner of the limit has not
+    been asked.
     """
 
     call: Call
@@ -76,6 +78,7 @@
     forwarding: ForwardingInfo
     reservations: list[MemoryReservation]
     is_repeat: bool
+    permitted_until_ms: Millis | None = None
 
 
 @dataclass(frozen=True)
@@ -221,7 +224,9 @@
         call, target = self._call, self._plan.placement.targets[0]
         if self._scope.cancel_called:
             await trio.lowlevel.checkpoint()
-        permitted_until_ms = await self._state.permissions.acquire(target)
+        permitted_until_ms = self._plan.permitted_until_ms
+        if permitted_until_ms is None:
+            permitted_until_ms = await self._state.permissions.acquire(target)
         if permitted_until_ms is None:
             return NotSent(FailureReason.TARGET_LIMITED)
         try:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -231,8 +231,9 @@
     async def _run_attempts(self, call: Call) -> str:
         """Make attempts until the request has ended; return its outcome for logs and metrics."""
         while True:
-            placement = await self._wait_for_placement(call)
+            placement, permitted_until_ms = await self._wait_for_placement(call)
             plan = self._plan_attempt(call, placement, is_repeat=call.history.is_repeat)
+            plan.permitted_until_ms = permitted_until_ms
             attempts = HedgedAttempts(self._context, call, self._plan_hedge, self._log_attempt)
             attempt, outcome = await attempts.run(plan)
             if isinstance(outcome, Delivered):
@@ -257,8 +258,11 @@
                             raise StreamCutError(_detail_of(outcome))
                         raise RefusalError(504 if is_timeout else 502, "outcome unknown")
 
-    async def _wait_for_placement(self, call: Call) -> Placement:
-        """Return where the next attempt runs, after waiting for capacity if that is in time."""
+    async def _wait_for_placement(self, call: Call) -> tuple[Placement, Millis]:
+        """Return where the next attempt runs, after waiting for capacity if that is in time.
+
+        The second value is until when it may be sent there, by the limit that the target names.
+        """
         began_ms = self._now_ms()
         turns = self._state.waiting_turns
         try:
@@ -266,7 +270,11 @@
                 self._check_quarantine(call)
                 placement = self._choose_placement(call)
                 if isinstance(placement, Placement):
-                    return placement
+                    permitted_until_ms = await self._acquire_permission(call, placement)
+                    if permitted_until_ms is not None:
+                        return placement, permitted_until_ms
+                    # The target now counts as waiting, so that another placement is found.
+                    continue
                 if self._is_wait_over():
                     self._raise_unplaced(call, "node is stopping", 0.0)
                 left_ms = call.deadline_ms - self._now_ms()
@@ -282,6 +290,21 @@
         finally:
             turns.leave(call.service.name, call.turn)
 
+    async def _acquire_permission(self, call: Call, placement: Placement) -> Millis | None:
+        """Return until when a request may be sent to its target, None if the limit is reached."""
+        target = placement.targets[0]
+        permitted_until_ms = await self._state.permissions.acquire(target)
+        if permitted_until_ms is None:
+            now_ms = self._now_ms()
+            log.info(
+                "target at its limit",
+                request=call.request_id,
+                target=target.target_id,
+                limit_per_s=self._state.target_limits.find(target.start),
+                wait_ms=round(self._state.permissions.lending.wait_ms(target.start, now_ms)),
+            )
+        return permitted_until_ms
+
     def _check_quarantine(self, call: Call) -> None:
         """End a request with a part that crashes targets; log the crashes on which that is based.
 
