Log what a failed request has in common with its repeats

A line about an attempt that may have ended with a crash now holds a digest of method, path and body, keyed with the caller's API key.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -4,6 +4,7 @@
 
 from contextlib import closing
 from dataclasses import dataclass
+from functools import cached_property
 from typing import TYPE_CHECKING, NoReturn
 
 import trio
@@ -32,8 +33,10 @@
     choose_least_loaded,
     refusal_retry_after_ms,
 )
+from marigoldarch.serving.request_identity import request_identity
 from marigoldarch.serving.waiting_turns import leave_limited_to_earlier, next_turn_ms
 from marigoldarch_node.serving.attempt import AttemptPlan, Delivered, EntryContext
+from marigoldarch_node.serving.crash_check import may_come_from_crash
 from marigoldarch_node.serving.dialect import ForwardingInfo, RequestInfo
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.hedging import HedgedAttempts
@@ -142,6 +145,12 @@
         """Return the request id that the caller sent."""
         return self.request_info.request_id
 
+    @cached_property
+    def identity(self) -> str:
+        """Return what this request and its repeats have in common; costs a digest of the body."""
+        request = self.exchange.request
+        return request_identity(self.request_info.key, request.method, request.target, request.body)
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Return the parts of the prompt that other prompts may have too."""
@@ -496,6 +505,8 @@
         self, call: Call, plan: AttemptPlan, outcome: AttemptOutcome, step: NextStep
     ) -> None:
         outcome_name = type(outcome).__name__
+        # Repeats of a request have other ids; a crash is a reason to look for them.
+        identity = {"identity": call.identity} if may_come_from_crash(outcome) else {}
         log.info(
             "attempt failed",
             request=call.request_id,
@@ -506,6 +517,7 @@
             sent=call.history.sent,
             left_ms=round(call.deadline_ms - self._now_ms()),
             parts=call.shared_parts[:MAX_LOGGED_PARTS],
+            **identity,
         )
         self._state.metrics.attempts.inc({"service": call.service.name, "outcome": outcome_name})
 
