Remember the requests themselves under which targets crash

Cause: the memory of crashes held only parts of prompts that other prompts share, so that a call, or a prompt whose parts are all its own, left no trace. Class of fault: what failed requests have in common is remembered by one kind of likeness only.

Change: a request counts as one more part, its identity, in the memory that stands: accused with each crash, acquitted by an answer, told to the other entries first of all parts, quarantined after three crashes, forgotten like the others. All broken attempts are checked for a crash now, not those of prompts alone.

Ruled out: crashes that aren't recognized (each refused a new connection within 2 ms).

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -142,12 +142,12 @@
         return self._sent_ms > 0.0
 
     async def record_crashes(self) -> None:
-        """Record which of the targets have crashed, if the prompt may be the cause."""
+        """Record which of the targets have crashed, if the request may be the cause."""
         is_sound = False
         if self._first_event_ms is not None:
             written_ms = self._state.clock.monotonic_ms() - self._first_event_ms
             is_sound = written_ms >= MIN_SOUND_WRITING_MS
-        if self._call.shared_parts and not is_sound:
+        if not is_sound:
             await record_crashes(self._context, self._plan, self._sent_ms)
 
     def begin(self) -> None:
@@ -264,9 +264,9 @@
         """Return why nothing may be sent to the target any more.
 
         Since it was chosen it may have said so or named a limit, in a response to another request,
-        or the prompt may have been found to crash targets.
+        or the request may have been found to crash targets.
         """
-        if self._state.crashes.find_quarantine(self._call.shared_parts) is not None:
+        if self._state.crashes.find_quarantine(self._call) is not None:
             return FailureReason.SUSPECTED_PART
         if self._state.target_view.is_leaving(target):
             return FailureReason.TARGET_LEAVES
@@ -402,7 +402,7 @@
         self._record_first_response()
         await self._call.exchange.answer(head.status, self._dialect.caller_headers(head), body)
         if head.status < 300 and head.is_framed:
-            self._state.crashes.record_answer(self._call.shared_parts)
+            self._state.crashes.record_answer(self._call)
         return head, Delivered()
 
     async def _check_unframed_end(self, head: ResponseHead) -> None:
@@ -459,7 +459,7 @@
             await self._call.exchange.send_head(head.status, self._dialect.caller_headers(head))
         # Without framing, the end of an answer looks the same as a crash between two events.
         if head.is_framed:
-            self._state.crashes.record_answer(self._call.shared_parts)
+            self._state.crashes.record_answer(self._call)
         await self._call.exchange.end()
         return head, Delivered()
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -18,6 +18,7 @@
     from marigoldarch.clock import Millis
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.attempt import AttemptPlan, EntryContext
+    from marigoldarch_node.serving.proxy import Call
 
 MIN_SOUND_WRITING_MS: Millis = 1000.0
 """A prompt that crashes targets does so when they begin to answer it: a request whose answer has been
@@ -42,19 +43,17 @@
     with trio.CancelScope(shield=True):
         async with trio.open_nursery() as nursery:
             for target in plan.placement.targets:
-                nursery.start_soon(
-                    _record_if_crashed, context, target, plan.call.shared_parts, sent_ms
-                )
+                nursery.start_soon(_record_if_crashed, context, target, plan.call, sent_ms)
 
 
 async def _record_if_crashed(
-    context: EntryContext, target: Target, parts: tuple[str, ...], sent_ms: Millis
+    context: EntryContext, target: Target, call: Call, sent_ms: Millis
 ) -> None:
     try:
         connection = await context.connections.acquire(target.address, must_be_new=True)
     except UnreachableError as error:
         if error.is_refused:
-            context.state.crashes.record_crash(target.start, parts, sent_ms)
+            context.state.crashes.record_crash(target.start, call, sent_ms)
             context.state.record_failure(target.target_id, is_unreachable=True)
         return
     connection.connection.close()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
@@ -10,14 +10,14 @@
 
 from marigoldarch.crash_suspects import CrashSuspects, Quarantine, SuspectSettings, TargetCrash
 from marigoldarch.serving.candidates import cached_name_hash
+from marigoldarch.serving.request_identity import IDENTITY_PREFIX
 from marigoldarch_node.serving.event_log import EventLog
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from marigoldarch.clock import Clock, Millis
     from marigoldarch.serving.targets import TargetStart
     from marigoldarch_node.serving.metrics import ServingMetrics
+    from marigoldarch_node.serving.proxy import Call
     from marigoldarch_node.serving.shared_workload import SharedWorkload
 
 MAX_LOGGED_PARTS = 16
@@ -27,7 +27,11 @@
 
 
 class CrashMemory:
-    """The parts of prompts that an entry suspects of crashing targets."""
+    """The parts of prompts and the requests that an entry suspects of crashing targets.
+
+    A request counts as one more part, which only its repeats share: its identity. The parts of a call
+    are those by which it is judged.
+    """
 
     def __init__(
         self,
@@ -40,8 +44,9 @@
         self._workload = workload
         self._metrics = metrics
         self._clock = clock
+        self._has_suspected_requests = False
         workload.on_crash = self._on_peer_crash
-        workload.on_acquittal = self._suspects.acquit
+        workload.on_acquittal = self._on_peer_acquittal
         workload.crashes_to_tell = self._suspects.crashes_to_tell
         workload.acquittals_to_tell = self._suspects.acquittals_to_tell
 
@@ -50,10 +55,12 @@
         """Return how many parts are suspected, in quarantine or not."""
         return self._suspects.count
 
-    def record_crash(self, start: TargetStart, parts: Sequence[str], sent_ms: Millis) -> None:
-        """Record that a target has crashed under a request with these parts, sent at `sent_ms`."""
+    def record_crash(self, start: TargetStart, call: Call, sent_ms: Millis) -> None:
+        """Record that a target has crashed under a request, sent at `sent_ms`."""
+        # The identity comes first: reports and log lines leave out the last of many parts.
+        parts = (call.identity, *call.shared_parts)
         crash_id = (cached_name_hash(start.target_id), start.born_ms)
-        crash = TargetCrash(crash_id, self._clock.monotonic_ms(), tuple(parts), sent_ms)
+        crash = TargetCrash(crash_id, self._clock.monotonic_ms(), parts, sent_ms)
         log.warning(
             "target crashed",
             target=start.target_id,
@@ -64,24 +71,44 @@
         self._workload.report_crash(crash)
         self._record(crash, told_by="")
 
-    def record_answer(self, parts: Sequence[str]) -> None:
-        """Record the complete answer to a request with these shared parts."""
+    def record_answer(self, call: Call) -> None:
+        """Record the complete answer to a request."""
         now_ms = self._clock.monotonic_ms()
-        for part in self._suspects.record_answer(parts, now_ms):
+        acquitted = self._suspects.record_answer(self._parts_of(call), now_ms)
+        for part in acquitted:
             log.info("part acquitted", parts=[part])
             self._workload.report_acquittal(part, now_ms)
+        if acquitted:
+            self._look_for_suspected_requests()
 
-    def find_quarantine(self, parts: Sequence[str]) -> Quarantine | None:
-        """Return why a request with these shared parts must not be sent, None if it may be."""
-        return self._suspects.find_quarantine(parts, self._clock.monotonic_ms())
+    def find_quarantine(self, call: Call) -> Quarantine | None:
+        """Return why a request must not be sent, None if it may be."""
+        return self._suspects.find_quarantine(self._parts_of(call), self._clock.monotonic_ms())
 
-    def may_retry(self, parts: Sequence[str]) -> bool:
+    def may_retry(self, call: Call) -> bool:
         """Return whether a request whose target has crashed may be sent to another one."""
-        return self._suspects.may_retry(parts, self._clock.monotonic_ms())
+        return self._suspects.may_retry(self._parts_of(call), self._clock.monotonic_ms())
 
     def forget_old(self) -> None:
         """Drop the parts that have long been neither accused nor quarantined."""
         self._suspects.forget_old(self._clock.monotonic_ms())
+        self._look_for_suspected_requests()
+
+    def _parts_of(self, call: Call) -> tuple[str, ...]:
+        """Return the parts by which a request is judged.
+
+        Its identity costs a digest of its body, which is not taken while no request is suspected.
+        """
+        if not self._has_suspected_requests:
+            return call.shared_parts
+        return (call.identity, *call.shared_parts)
+
+    def _look_for_suspected_requests(self) -> None:
+        self._has_suspected_requests = self._suspects.has_any(IDENTITY_PREFIX)
+
+    def _on_peer_acquittal(self, part: str, at_ms: Millis) -> None:
+        self._suspects.acquit(part, at_ms)
+        self._look_for_suspected_requests()
 
     def _on_peer_crash(self, crash: TargetCrash) -> None:
         self._record(crash, told_by="peer")
@@ -90,3 +117,4 @@
         for part in self._suspects.record_crash(crash):
             log.warning("part quarantined", parts=[part], told_by=told_by)
             self._metrics.quarantines.inc({})
+        self._look_for_suspected_requests()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -315,12 +315,12 @@
         return permitted_until_ms
 
     def _check_quarantine(self, call: Call) -> None:
-        """End a request with a part that crashes targets; log the crashes on which that is based.
+        """End a request that crashes targets; log the crashes on which that is based.
 
-        Load pattern: each target that begins to answer such a request crashes. A caller that asks
+        Load pattern: each target that begins to run such a request crashes. A caller that asks
         again before the quarantine ends is refused again.
         """
-        quarantine = self._state.crashes.find_quarantine(call.shared_parts)
+        quarantine = self._state.crashes.find_quarantine(call)
         if quarantine is None:
             return
         log.info(
@@ -468,7 +468,7 @@
         return Budget(
             call.deadline_ms - self._now_ms(),
             has_retry=self._state.workload.allows_retry(cached_name_hash(call.service.name)),
-            is_suspected=not self._state.crashes.may_retry(call.shared_parts),
+            is_suspected=not self._state.crashes.may_retry(call),
         )
 
     async def _refuse(
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
+from typing import NamedTuple
 from unittest.mock import patch
 
 import msgspec
@@ -15,6 +17,22 @@
 from marigoldarch_node.serving.settings import ServingSettings
 from marigoldarch_node.serving.shared_workload import FULL_REPORT_INTERVAL_MS, MAX_TOLD_CRASHES
 
+REQUEST = "request:0f"
+
+
+class Call(NamedTuple):
+    """A request with parts of a prompt; no other one has the same identity, by default."""
+
+    shared_parts: tuple[str, ...]
+    identity: str
+
+
+def call(*parts: str, identity: str = "") -> Call:
+    """Return a request that shares only these parts with others, or an identity, too."""
+    return Call(parts, identity or f"request:{next(SERIAL)}")
+
+
+SERIAL = itertools.count()
 FAULTY = ("first", "faulty")
 
 
@@ -34,12 +52,13 @@
         with patch.object(entry_state, "SystemClock", lambda: self.clock):
             return EntryState(settings, number)
 
-    def crash(self, state: EntryState, number: int, *parts: str) -> None:
+    def crash(self, state: EntryState, number: int, *parts: str, identity: str = "") -> None:
         """Let a target crash under a request of an entry that was sent 50 ms ago."""
         self.clock.advance(50.0)
         sent_ms = self.clock.monotonic_ms()
         self.clock.advance(50.0)
-        state.crashes.record_crash(TargetStart(f"t{number}", 7), parts, sent_ms)
+        request = call(*parts, identity=identity)
+        state.crashes.record_crash(TargetStart(f"t{number}", 7), request, sent_ms)
 
     def tell(self, sender: EntryState, *receivers: EntryState) -> WorkReport:
         """Let entries receive the next report of another one; return it."""
@@ -55,8 +74,8 @@
         self.crash(self.second, 2, *FAULTY)
         self.crash(self.first, 3, *FAULTY)
         self.tell(self.first, self.second)
-        self.assertEqual(self.second.crashes.find_quarantine(FAULTY).crashes, 3)
-        self.assertIsNone(self.first.crashes.find_quarantine(FAULTY))
+        self.assertEqual(self.second.crashes.find_quarantine(call(*FAULTY)).crashes, 3)
+        self.assertIsNone(self.first.crashes.find_quarantine(call(*FAULTY)))
 
     def test_restarted_entry_learns_of_a_quarantine_from_entries_that_saw_no_crash(self) -> None:
         """Guards against a quarantine that ends with the entries that saw the crashes."""
@@ -68,18 +87,18 @@
         self.second.workload.count_request(5)
         restarted = self.entry(1)
         self.tell(self.second, restarted)
-        self.assertIsNotNone(restarted.crashes.find_quarantine(FAULTY))
+        self.assertIsNotNone(restarted.crashes.find_quarantine(call(*FAULTY)))
 
     def test_answer_at_one_entry_acquits_a_part_at_all(self) -> None:
         self.tell(self.first)
         for number in range(3):
             self.crash(self.first, number, "sound")
         self.tell(self.first, self.second)
-        self.assertIsNotNone(self.second.crashes.find_quarantine(("sound",)))
+        self.assertIsNotNone(self.second.crashes.find_quarantine(call("sound")))
         self.clock.advance(1.0)
-        self.first.crashes.record_answer(("sound",))
+        self.first.crashes.record_answer(call("sound"))
         self.tell(self.first, self.second)
-        self.assertIsNone(self.second.crashes.find_quarantine(("sound",)))
+        self.assertIsNone(self.second.crashes.find_quarantine(call("sound")))
 
     def test_full_report_makes_up_for_a_lost_acquittal(self) -> None:
         self.tell(self.first)
@@ -87,16 +106,16 @@
             self.crash(self.first, number, "sound")
         self.tell(self.first, self.second)
         self.clock.advance(1.0)
-        self.first.crashes.record_answer(("sound",))
+        self.first.crashes.record_answer(call("sound"))
         self.tell(self.first)
         self.clock.advance(FULL_REPORT_INTERVAL_MS)
         self.first.workload.count_request(5)
         self.tell(self.first, self.second)
-        self.assertIsNone(self.second.crashes.find_quarantine(("sound",)))
+        self.assertIsNone(self.second.crashes.find_quarantine(call("sound")))
 
     def test_entries_without_crashes_tell_nothing_of_them(self) -> None:
         self.first.workload.count_request(5)
-        self.first.crashes.record_answer(FAULTY)
+        self.first.crashes.record_answer(call(*FAULTY))
         report = self.tell(self.first)
         self.assertEqual((report.crashes, report.acquitted), ([], {}))
 
@@ -135,4 +154,40 @@
             sender, receiver = (self.first, self.second)[:: 1 if number % 2 else -1]
             self.crash(sender, number, "other", "new")
             self.assertTrue(self.tell(sender, receiver).is_whole)
-        self.assertIsNotNone(self.first.crashes.find_quarantine(("other", "new")))
+        self.assertIsNotNone(self.first.crashes.find_quarantine(call("other", "new")))
+
+    def test_crashes_under_repeats_of_a_request_add_up_to_a_quarantine(self) -> None:
+        """Guards against a request without a prompt that crashes target after target."""
+        repeat = call(identity=REQUEST)
+        for number in range(3):
+            sender, receiver = (self.first, self.second)[:: 1 if number % 2 else -1]
+            self.assertIsNone(sender.crashes.find_quarantine(repeat))
+            self.crash(sender, number, identity=REQUEST)
+            self.tell(sender, receiver)
+        self.assertIsNotNone(self.first.crashes.find_quarantine(repeat))
+        self.assertIsNotNone(self.second.crashes.find_quarantine(repeat))
+        self.assertIsNone(self.second.crashes.find_quarantine(call()))
+
+    def test_identity_of_a_request_is_told_beside_many_parts(self) -> None:
+        """Guards against long prompts in whose reports their identity is left out."""
+        for number in range(3):
+            parts = [f"{number}-{part}" for part in range(32)]
+            self.crash(self.first, number, *parts, identity=REQUEST)
+            self.tell(self.first, self.second)
+        self.assertIsNotNone(self.second.crashes.find_quarantine(call(identity=REQUEST)))
+
+    def test_identities_are_not_taken_while_no_request_is_suspected(self) -> None:
+        class Unread:
+            shared_parts = ("first",)
+
+            @property
+            def identity(self) -> str:
+                raise AssertionError("a digest of the body was taken")
+
+        self.first.crashes.find_quarantine(Unread())
+        self.first.crashes.record_answer(Unread())
+        self.crash(self.first, 1, identity=REQUEST)
+        with self.assertRaises(AssertionError):
+            self.first.crashes.find_quarantine(Unread())
+        self.first.crashes.record_answer(call(identity=REQUEST))
+        self.first.crashes.find_quarantine(Unread())
--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -118,6 +118,10 @@
         """Return how many parts are suspected, in quarantine or not."""
         return len(self._suspects)
 
+    def has_any(self, prefix: str) -> bool:
+        """Return whether a part whose name begins so is suspected."""
+        return any(part.startswith(prefix) for part in self._suspects)
+
     def record_crash(self, crash: TargetCrash) -> tuple[str, ...]:
         """Record a crash that this node has seen or was told of; return the parts it quarantines.
 
