--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -46,10 +46,10 @@
     from marigoldarch.serving.attempts import AttemptOutcome
     from marigoldarch.serving.placement import Placement
     from marigoldarch.serving.targets import Target
+    from marigoldarch_node.serving.call import Call
     from marigoldarch_node.serving.dialect import Dialect, ForwardingInfo, ResponseInfo
     from marigoldarch_node.serving.entry_state import EntryState
     from marigoldarch_node.serving.memory_reservations import MemoryReservation, ReservationManager
-    from marigoldarch_node.serving.proxy import Call
     from marigoldarch_node.serving.target_connections import TargetConnectionPool
 
 log = EventLog("attempts")
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -18,7 +18,7 @@
     from marigoldarch.clock import Millis
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.attempt import AttemptPlan, EntryContext
-    from marigoldarch_node.serving.proxy import Call
+    from marigoldarch_node.serving.call import Call
 
 MIN_SOUND_WRITING_MS: Millis = 1000.0
 """A prompt that crashes targets does so when they begin to answer it: a request whose answer has been
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from marigoldarch.clock import Clock, Millis
     from marigoldarch.serving.targets import TargetStart
+    from marigoldarch_node.serving.call import Call
     from marigoldarch_node.serving.metrics import ServingMetrics
-    from marigoldarch_node.serving.proxy import Call
     from marigoldarch_node.serving.shared_workload import SharedWorkload
 
 MAX_LOGGED_PARTS = 16
--- a/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
@@ -22,8 +22,8 @@
 
     from marigoldarch.clock import Millis
     from marigoldarch.serving.placement import Placement
+    from marigoldarch_node.serving.call import Call
     from marigoldarch_node.serving.entry_state import EntryState
-    from marigoldarch_node.serving.proxy import Call
 
 CHECK_INTERVAL_MS: Millis = 300.0
 """How often to check for signs of life: a third of the shortest time allowed for a pause."""
