Remember requests under which targets crash in the product's own interface, too

A scheduler joined crashes by the prefixes of prompts only, so that a request without one, or a service call, went out as often as it was repeated. It now counts the request's identity as one more prefix, first of all in the record of a crash.

--- a/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/callers.py
@@ -9,6 +9,7 @@
 
 from marigoldarch.entry.prefix import estimate_tokens, prefix_hashes
 from marigoldarch.events import CallArrived, CallerGone, CallInfo
+from marigoldarch.serving.request_identity import request_identity
 from marigoldarch_node.calls import Payload
 from marigoldarch_node.edge.answers import (
     AnswerWriter,
@@ -88,6 +89,9 @@
             output_tokens=max_tokens,
             deadline_ms=parse_deadline(request),
             prefix=prefix_hashes(prompt_bytes, f"{model}:{adapter}@{version}"),
+            identity=request_identity(
+                request.bearer_key, "POST", f"{model}:{adapter}@{version}", prompt_bytes
+            ),
         )
         payload = Payload(model, adapter, version, prompt, max_tokens)
         formatter = CompletionFormatter(info.request_id, str(body["model"]), is_chat=is_chat)
@@ -109,6 +113,7 @@
             idempotency_key=read_name_header(request, IDEMPOTENCY_KEY_HEADER),
             body_sha256=hashlib.sha256(f"{method}\0{body}".encode()).hexdigest(),
             wall_ms=self._runtime.clock.wall_ms(),
+            identity=request_identity(request.bearer_key, "POST", request.path, body.encode()),
         )
         payload = Payload(service=service, method=method, body=body)
         await self._serve_call(
--- a/packages/marigoldarch/marigoldarch/entry/request.py
+++ b/packages/marigoldarch/marigoldarch/entry/request.py
@@ -110,4 +110,5 @@
             call.prefix,
             tuple(sorted(self.avoided_targets)),
             now_ms,
+            call.identity,
         )
--- a/packages/marigoldarch/marigoldarch/events.py
+++ b/packages/marigoldarch/marigoldarch/events.py
@@ -46,7 +46,8 @@
     """A caller's request without its payload.
 
     `service` and `method` are set for a plain service call, `model` for a prompt. `deadline_ms` is
-    the caller's own time limit in milliseconds, None for the default of its kind or method.
+    the caller's own time limit in milliseconds, None for the default of its kind or method. `identity`
+    is what the request and its repeats have in common.
     """
 
     request_id: str
@@ -64,6 +65,7 @@
     idempotency_key: str = ""
     body_sha256: str = ""
     wall_ms: int = 0
+    identity: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/messages.py
+++ b/packages/marigoldarch/marigoldarch/messages.py
@@ -262,7 +262,8 @@
     """The description of a request for its scheduler.
 
     `time_left_ms` is the time to its deadline. `asked_ms` is the time on the entry node's clock at
-    which this message was sent; the grant echoes it. `avoid` names targets not to be used.
+    which this message was sent; the grant echoes it. `avoid` names targets not to be used. `identity` is
+    what the request and its repeats have in common.
     """
 
     request_id: str
@@ -281,6 +282,7 @@
     prefix: tuple[str, ...] = ()
     avoid: tuple[str, ...] = ()
     asked_ms: Millis = 0.0
+    identity: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/marigoldarch/marigoldarch/pools/crash_watch.py
+++ b/packages/marigoldarch/marigoldarch/pools/crash_watch.py
@@ -1,7 +1,8 @@
-"""Crashes of a pool's targets, and the requests that are refused as their prompts may cause them.
+"""Crashes of a pool's targets, and the requests that are refused as they may cause them.
 
-Load pattern: each target that begins to answer a prompt with a certain prefix crashes, so that every
-retry and every new request with this prefix takes another target away from all others.
+Load pattern: each target that begins to answer a prompt with a certain prefix, or to run a certain
+request, crashes, so that every retry, every new request with this prefix and every repeat of this
+request takes another target away from all others. A request counts as one more prefix, its identity.
 
 A target has crashed if it closed the connections of calls, and after that its announcement expires
 or is replaced by that of another incarnation. Both are needed: a call may fail at a target that goes
@@ -18,6 +19,7 @@
 
 from marigoldarch.crash_suspects import CrashSuspects, TargetCrash
 from marigoldarch.effects import Effect, RecordEvent
+from marigoldarch.serving.request_identity import IDENTITY_PREFIX
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
@@ -73,7 +75,7 @@
 
         All members of a gang count, as the others may have crashed too.
         """
-        call = LostCall(now_ms, permit.item.prefix)
+        call = LostCall(now_ms, _prefixes_of(permit.item))
         for address in permit.targets:
             target = self._fleet.find(address.target)
             if target is not None and target.address.incarnation == address.incarnation:
@@ -97,9 +99,13 @@
             return []
         at_ms = calls[0].at_ms
         held = (
-            permit.item.prefix for permit in target.permits.values() if permit.granted_ms < at_ms
+            _prefixes_of(permit.item)
+            for permit in target.permits.values()
+            if permit.granted_ms < at_ms
         )
-        prefixes = tuple(dict.fromkeys(chain(*(call.prefix for call in calls), *held)))
+        found = dict.fromkeys(chain(*(call.prefix for call in calls), *held))
+        # Identities come first, so that long prompts never displace them.
+        prefixes = tuple(sorted(found, key=lambda item: not item.startswith(IDENTITY_PREFIX)))
         crash_id = _hash(target.name), _hash(target.announcement.incarnation)
         crash = TargetCrash(crash_id, at_ms, prefixes[:MAX_PREFIXES_PER_CRASH])
         quarantined = self._suspects.record_crash(crash)
@@ -112,10 +118,11 @@
 
     def record_answer(self, item: WorkItem, now_ms: Millis) -> list[Effect]:
         """Acquit the prefixes of a request that was answered completely."""
-        acquitted = self._suspects.record_answer(item.prefix, now_ms)
+        prefixes = _prefixes_of(item)
+        acquitted = self._suspects.record_answer(prefixes, now_ms)
         if self._lost_calls:
             # A crash before this answer may be recognized only after it.
-            for prefix in item.prefix:
+            for prefix in prefixes:
                 self._suspects.acquit(prefix, now_ms)
         if not acquitted:
             return []
@@ -124,12 +131,13 @@
 
     def find_refusal(self, item: WorkItem, now_ms: Millis) -> SuspectRefusal | None:
         """Return why a request must not be sent, None if it may be."""
-        quarantine = self._suspects.find_quarantine(item.prefix, now_ms)
+        prefixes = _prefixes_of(item)
+        quarantine = self._suspects.find_quarantine(prefixes, now_ms)
         if quarantine is not None:
             return SuspectRefusal(quarantine.part, quarantine.crashes, quarantine.left_ms)
-        if not self._lost_calls or self._suspects.may_retry(item.prefix, now_ms):
+        if not self._lost_calls or self._suspects.may_retry(prefixes, now_ms):
             return None
-        if self._shares_prefix_with_lost_call(item):
+        if self._shares_with_lost_call(prefixes):
             return SuspectRefusal("", 0, UNRESOLVED_RETRY_MS)
         return None
 
@@ -139,8 +147,8 @@
             self._forget_due_ms = now_ms + FORGET_INTERVAL_MS
             self._suspects.forget_old(now_ms)
 
-    def _shares_prefix_with_lost_call(self, item: WorkItem) -> bool:
-        wanted = set(item.prefix)
+    def _shares_with_lost_call(self, prefixes: tuple[str, ...]) -> bool:
+        wanted = set(prefixes)
         return any(
             not wanted.isdisjoint(call.prefix)
             for calls in self._lost_calls.values()
@@ -148,5 +156,10 @@
         )
 
 
+def _prefixes_of(item: WorkItem) -> tuple[str, ...]:
+    """Return the prefixes by which a request is judged; the identity is never left out."""
+    return (item.identity, *item.prefix) if item.identity else item.prefix
+
+
 def _hash(text: str) -> int:
     return xxhash.xxh3_64_intdigest(text.encode())
--- a/packages/marigoldarch/marigoldarch/tests/pools/crash_watch_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/pools/crash_watch_tests.py
@@ -148,6 +148,22 @@
         self.assertEqual(len(driver.events("target_crashed")), sent)
         self.assertGreater(len(driver.events("prefix_quarantined")), 0)
 
+    def test_repeats_of_one_request_without_a_prefix_that_crashes_targets_are_refused(self) -> None:
+        """Guards against target after target lost to one request, sent again and again."""
+        driver = CrashDriver()
+        sent = 0
+        for number in range(30):
+            sent += driver.crash_with(f"r{number}", (), identity="request:1")
+            driver.run_for(800.0)
+            # A poll that runs beside it is answered now and then.
+            driver.ask(f"s{number}", (), identity="request:2")
+            if number % 10 == 0 and f"s{number}" in driver.permits:
+                driver.answer(f"s{number}")
+        self.assertLessEqual(sent, 8)
+        self.assertEqual(driver.ask("repeat", (), identity="request:1"), [])
+        self.assertTrue(driver.ask("poll", (), identity="request:2"))
+        self.assertTrue(driver.ask("other", (), identity="request:3"))
+
     def test_retry_after_is_the_time_left_of_the_quarantine(self) -> None:
         driver = CrashDriver()
         driver.quarantine(FAULTY)
