Keep limits that targets announce in the product's own interface

Targets may now announce requests_per_s; the scheduler of the pool, which grants all permits, keeps an account for each limited target, and takes a target without room out of its indexes until the account has filled again. Accounts start empty, as an earlier scheduler may have granted the burst.

The four tests failed with the field alone (40 permits in 4 s at 1 a second beside a free target, 80 at one of three with 2) and pass.

--- a/packages/marigoldarch/marigoldarch/pools/fleet.py
+++ b/packages/marigoldarch/marigoldarch/pools/fleet.py
@@ -60,6 +60,7 @@
     is_set_aside: bool = False
     is_probe_due: bool = False
     is_loading: bool = False
+    is_at_limit: bool = False
     reserved_ms: Millis | None = None
     reserved_tokens: int = 0
 
@@ -95,7 +96,7 @@
 
         A target that was set aside for failures takes one request at a time once a probe is due.
         """
-        if self.announcement.is_leaving or self.is_loading:
+        if self.announcement.is_leaving or self.is_loading or self.is_at_limit:
             return False
         return not self.is_set_aside or (self.is_probe_due and not self.permits)
 
--- a/packages/marigoldarch/marigoldarch/pools/registry.py
+++ b/packages/marigoldarch/marigoldarch/pools/registry.py
@@ -14,6 +14,7 @@
 from marigoldarch.pools.orders import OrderTracker
 from marigoldarch.pools.reconcile import Reconciler
 from marigoldarch.pools.recovery import ReleaseScope
+from marigoldarch.pools.target_limits import PoolLimits
 from marigoldarch.targets import has_identity_conflict
 
 if TYPE_CHECKING:
@@ -61,6 +62,7 @@
     ) -> None:
         self.orders = OrderTracker(pool, fence, fleet, settings, now_ms)
         self.health = PoolHealth(fleet, settings)
+        self.limits = PoolLimits(fleet)
         self.crash_watch = CrashWatch(fleet, settings)
         self._pool = pool
         self._fence = fence
@@ -103,6 +105,7 @@
             target.expires_ms = expires_ms
             self.crash_watch.record_renewal(target.name, now_ms)
             self._fleet.update_announcement(target, announcement)
+        self.limits.apply_announcement(self._fleet[announcement.target], now_ms)
         self._apply_load(self._fleet[announcement.target], now_ms)
         if release_scope is not ReleaseScope.NONE and announcement.holdings is not None:
             effects += self._release_orphans(announcement, release_scope, now_ms)
@@ -128,6 +131,7 @@
             if prefill_tokens:
                 target.recent_prefill_grants.append((now_ms, prefill_tokens))
             self._fleet.claim_memory(target, permit)
+            self.limits.record_grant(target, now_ms)
 
     def end_permit(self, permit: Permit, now_ms: Millis) -> None:
         """End a permit; return its memory and the prefill time that it has not used."""
@@ -197,6 +201,7 @@
         effects = self._expire_targets(now_ms)
         effects += self._expire_permits(now_ms)
         self.health.tick(now_ms)
+        self.limits.tick(now_ms)
         self.crash_watch.tick(now_ms)
         reassigned = self._lane_balancer.rebalance(self._fleet, now_ms)
         if reassigned is not None:
@@ -250,6 +255,7 @@
         self._fleet.remove(target.name)
         self._lane_balancer.forget(target.name)
         self.health.forget(target.name)
+        self.limits.forget(target.name)
         self._prefix_cache.forget_target(target.name)
         self._reconciler.forget(target.name)
 
--- a/packages/marigoldarch/marigoldarch/targets.py
+++ b/packages/marigoldarch/marigoldarch/targets.py
@@ -16,6 +16,8 @@
 PERMIT_PATTERN = re.compile(r"[0-9]{1,18}-[0-9]{1,18}\Z")
 MAX_TTL_MS = 60_000.0
 MAX_TOKENS = 10**12
+MIN_REQUESTS_PER_S = 0.05
+MAX_REQUESTS_PER_S = 100_000.0
 MAX_HOLDINGS = 100_000
 MAX_LABELS = 4096
 MAX_LABEL_CHARS = 128
@@ -39,6 +41,7 @@
     `holdings` lists the permits whose streams or exported KV cache the target holds; None means
     that this announcement does not report them. `memory_tokens` is an engine's KV cache capacity.
     `checks_fence` tells that the target rejects orders with an outdated fencing token.
+    `requests_per_s` limits the requests that the target accepts from all nodes together, 0 for no limit.
     """
 
     target: str
@@ -56,6 +59,7 @@
     is_leaving: bool = False
     load: TargetLoad = TargetLoad()
     holdings: tuple[str, ...] | None = None
+    requests_per_s: float = 0.0
 
     @property
     def pool(self) -> PoolId:
@@ -101,6 +105,12 @@
     numbers = (announced.memory_tokens, load.running, load.waiting, load.used_tokens)
     if not all(0 <= number <= MAX_TOKENS for number in numbers):
         return f"token and stream counts must be from 0 to {MAX_TOKENS}"
+    rate_per_s = announced.requests_per_s
+    if rate_per_s and not MIN_REQUESTS_PER_S <= rate_per_s <= MAX_REQUESTS_PER_S:
+        return (
+            f"requests_per_s must be 0 for no limit, or from {MIN_REQUESTS_PER_S:g} to"
+            f" {MAX_REQUESTS_PER_S:g}"
+        )
     labels = (*announced.adapters, *announced.versions, announced.role)
     if len(labels) > MAX_LABELS or not all(len(label) <= MAX_LABEL_CHARS for label in labels):
         return (
