See crashes of targets whose listener outlives their connections

A process that ends closes its connections one after the other, and its listener may still accept one in between. The check now waits 25 ms whether the connection that was accepted ends, and then tries again; a target that ends each connection and listens on counts as alive after three. A retry after a broken answer of a living target starts so much later.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -2,7 +2,8 @@
 
 Load pattern: some targets reset the connections of a share of their requests, or break answers off,
 and run on. Taken for crashes, these would accuse the parts of many sound prompts. A target whose
-connection has just ended has crashed if its host refuses a new one.
+connection has just ended has crashed if its host refuses a new one, at once or after it has ended one
+that it still accepted.
 """
 
 from __future__ import annotations
@@ -19,12 +20,21 @@
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.attempt import AttemptPlan, EntryContext
     from marigoldarch_node.serving.call import Call
+    from marigoldarch_node.serving.sockets import Connection
 
 MIN_SOUND_WRITING_MS: Millis = 1000.0
 """A prompt that crashes targets does so when they begin to answer it: a request whose answer has been
 written for so long has not caused the crash."""
 
 
+LISTENER_LAG_MS: Millis = 25.0
+"""How much longer than its connections the listener of a target that crashes may last: its connections
+end one after the other, and one that it still accepts ends with the process."""
+
+MAX_CHECKS = 3
+"""A target that ends each new connection and listens on has not crashed."""
+
+
 def may_come_from_crash(outcome: object) -> bool:
     """Return whether an attempt may have ended as its target, or one that helped it, has crashed."""
     match outcome:
@@ -49,11 +59,25 @@
 async def _record_if_crashed(
     context: EntryContext, target: Target, call: Call, sent_ms: Millis
 ) -> None:
+    for _ in range(MAX_CHECKS):
+        try:
+            connection = await context.connections.acquire(target.address, must_be_new=True)
+        except UnreachableError as error:
+            if error.is_refused:
+                context.state.crashes.record_crash(target.start, call, sent_ms)
+                context.state.record_failure(target.target_id, is_unreachable=True)
+            return
+        if not await _ends_soon(connection.connection):
+            return
+
+
+async def _ends_soon(connection: Connection) -> bool:
+    """Close a new connection after a moment; return whether its target has ended it before."""
     try:
-        connection = await context.connections.acquire(target.address, must_be_new=True)
-    except UnreachableError as error:
-        if error.is_refused:
-            context.state.crashes.record_crash(target.start, call, sent_ms)
-            context.state.record_failure(target.target_id, is_unreachable=True)
-        return
-    connection.connection.close()
+        with trio.move_on_after(LISTENER_LAG_MS / 1000.0):
+            return not await connection.stream.receive_some(1)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return True
+    finally:
+        connection.close()
+    return False
