--- a/packages/marigoldarch/marigoldarch/tests/serving/attempts_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/attempts_tests.py
@@ -63,6 +63,16 @@
         found = next_steps(call_once(), RETRIES_LEFT, UNREACHABLE, UNREACHABLE, SHED)
         self.assertEqual(found, [TryAgain(), TryAgain(), Refuse(120.0)])
 
+    def test_target_at_its_limit_has_not_failed_the_request(self) -> None:
+        """Guards against refusals of requests whose turn at the only target comes in time."""
+        history = AttemptHistory(call_once())
+        limited = NotSent(FailureReason.TARGET_LIMITED)
+        for _ in range(2 * MAX_UNSENT_ATTEMPTS):
+            history.record("t", limited)
+            self.assertEqual(history.next_step(limited, RETRIES_LEFT), TryAgain())
+        self.assertEqual(history.failed_targets, set())
+        self.assertFalse(history.is_repeat)
+
     def test_many_unreachable_targets_end_in_a_refusal(self) -> None:
         found = next_steps(call_once(), RETRIES_LEFT, *[UNREACHABLE] * MAX_UNSENT_ATTEMPTS)
         self.assertEqual(found[-1], Refuse(None))
--- a/packages/marigoldarch/marigoldarch/tests/serving/candidates_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/candidates_tests.py
@@ -5,8 +5,12 @@
 import unittest
 
 from marigoldarch.serving.candidates import MIN_NEAR_TARGETS, CandidateSource
+from marigoldarch.serving.limit_lending import LimitLending
+from marigoldarch.serving.placement import choose_least_loaded
 from marigoldarch.serving.pool_view import PoolView
+from marigoldarch.serving.report_recipients import EntryNode
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
+from marigoldarch.serving.target_limits import LimitNews, TargetLimits, TargetLimitSettings
 from marigoldarch.serving.target_waits import TargetWaits, WaitSettings
 from marigoldarch.serving.targets import MergedTargetView
 from marigoldarch.tests.serving.support import target
@@ -42,3 +46,24 @@
         for is_local in (True, False):
             orders = [item.fill_order for item in found if item.is_local is is_local]
             self.assertEqual((min(orders), max(orders)), (0.0, 1.0))
+
+    def test_target_that_is_at_its_limit_is_not_chosen_until_its_wait_is_over(self) -> None:
+        view = MergedTargetView()
+        view.connect("c1")
+        view.mark_complete("c1")
+        limited = target("n0")
+        view.update_target("c1", limited)
+        limits = TargetLimits(TargetLimitSettings())
+        limits.record_news(LimitNews(limited.start, 2.0, 0.0))
+        lending = LimitLending(EntryNode("10.0.0.1:7340", "dc1"), 1, limits, 0.0)
+        health, waits = TargetHealth(HealthSettings()), TargetWaits(WaitSettings())
+        source = CandidateSource("dc1", view, PoolView(), health, waits, lending)
+        (candidate,) = source.find("engines", set(), 0.0)
+        self.assertEqual((candidate.limit_per_s, candidate.wait_ms), (2.0, 0.0))
+        lending.claim(limited, 0.0)
+        lending.ask(0.0)
+        (candidate,) = source.find("engines", set(), 0.0)
+        self.assertEqual(candidate.wait_ms, 500.0)
+        self.assertIsNone(choose_least_loaded([candidate]))
+        (candidate,) = source.find("engines", set(), 500.0)
+        self.assertIs(choose_least_loaded([candidate]), candidate)
--- a/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/placement_tests.py
@@ -253,3 +253,17 @@
         four_calls = candidate("near", load(*[0.0] * 4), target=target("near", slots=6))
         self.assertEqual(choose_least_loaded([far, two_calls]).target.target_id, "near")
         self.assertEqual(choose_least_loaded([far, four_calls]).target.target_id, "far")
+
+
+class LimitedTargetTests(unittest.TestCase):
+    """Targets that name how many requests a second they accept."""
+
+    def test_limited_target_reads_no_part_of_a_prompt_for_another(self) -> None:
+        """Guards against requests that reach a limited target without its permission."""
+        placer = EnginePlacer(ENGINE, PlacementWeights())
+        free = [candidate(f"free{number}") for number in range(3)]
+        limited = [candidate(f"limited{number}", limit_per_s=1.0) for number in range(12)]
+        placed = placer.place(REVIEW, [*limited, *free], 0.0)
+        self.assertGreater(len(placed.targets), 1)
+        helpers = {target.target_id for target in placed.targets[1:]}
+        self.assertLessEqual(helpers, {item.target.target_id for item in free})
