--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -15,6 +15,7 @@
 FAULTY = "faulty"
 OTHER_FAULTY = "other-faulty"
 SHARED = "shared"
+REPEATED = "request:1"
 
 
 def crash(number: int, at_ms: float, *parts: str, sent_ms: float | None = None) -> TargetCrash:
@@ -152,6 +153,28 @@
         self.assertLessEqual(sent, SETTINGS.retry_crash_limit)
 
 
+class RepeatedRequestTests(CrashSuspectsCase):
+    """Load pattern: the first crashes all come under one request and its repeats."""
+
+    def test_new_part_of_a_repeated_request_is_refused_in_other_requests(self) -> None:
+        """Guards against a faulty part that is excused by the first request with it."""
+        self.record_crashes(1, 3, REPEATED, FAULTY)
+        self.assertTrue(self.is_refused(3500.0, "request:2", FAULTY))
+
+    def test_part_that_was_answered_before_is_excused_by_a_repeated_request(self) -> None:
+        """Guards against refusals of all requests that share a part with a faulty one."""
+        self.suspects.record_answer(("request:3", SHARED), 500.0)
+        self.record_crashes(1, 5, REPEATED, SHARED)
+        self.assertTrue(self.is_refused(5500.0, REPEATED, SHARED))
+        self.assertFalse(self.is_refused(5500.0, "request:2", SHARED))
+
+    def test_request_that_ran_beside_a_repeated_one_is_excused_by_it(self) -> None:
+        self.record_crashes(1, 3, REPEATED, "request:2")
+        self.record_crashes(4, 5, REPEATED)
+        self.assertTrue(self.is_refused(5500.0, REPEATED))
+        self.assertFalse(self.is_refused(5500.0, "request:2"))
+
+
 class HostilePromptsTests(CrashSuspectsCase):
     """Load pattern: each request holds thousands of parts that no other request holds."""
 
