Let a single request explain no crashes of a part that only it has had

Since requests are remembered, a prompt whose own attempts crash three targets explained all crashes of its faulty part, and other prompts with the part went out again (two more crashes at least). A request's repeats now explain the crashes of another request, and of a part that was answered before; of a part that only this request is known to have had, either may be at fault, and both are held back, as before. Answers remember identities only of suspected requests, which would otherwise displace the parts.

Weighed against no explanation by requests at all: a customer's popular part would be quarantined with one faulty request within a second, before any answer acquits it.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -11,6 +11,9 @@
 if other parts, which the request lacks, explain all of its crashes but one moment: sound requests that
 ran beside faulty ones are accused with them, and the report of a crash may lack the faulty part.
 
+A request is one more part, which only its repeats have. Its repeats explain the crashes of a part that was
+answered before, or of other requests, but not those of a part that only it is known to have had.
+
 A quarantine ends after a time that doubles. One more crash then suffices for the next one.
 """
 
@@ -21,6 +24,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
+from marigoldarch.serving.request_identity import IDENTITY_PREFIX
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -143,8 +148,10 @@
         """Acquit the parts of a request that was answered completely; return those suspected."""
         acquitted = []
         for part in parts:
-            # Reports of crashes before the answer may still come.
-            self._remember(self._answered_ms, part, now_ms)
+            # Reports of crashes before the answer may still come. The identities of all sound requests
+            # would displace the parts.
+            if part in self._suspects or not part.startswith(IDENTITY_PREFIX):
+                self._remember(self._answered_ms, part, now_ms)
             if part in self._suspects:
                 self.acquit(part, now_ms)
                 acquitted.append(part)
@@ -326,22 +333,37 @@
             return None
         others = self._find_accused(self._suspects.keys() - wanted, crash_limit)
         unexplained = {crash_id for suspect in suspects for crash_id in suspect.crashes}
+        repeated: set[CrashId] = set()
         for other in others:
-            unexplained.difference_update(other.crashes)
-            if not unexplained:
-                return None
+            if other.part.startswith(IDENTITY_PREFIX):
+                repeated.update(other.crashes)
+            else:
+                unexplained.difference_update(other.crashes)
+        if not unexplained:
+            return None
         # A part that has reached its limit of crashes has lost those before them.
         full = [item for item in others if len(item.crashes) >= self._settings.max_crashes_per_part]
         since_ms = max((min(item.crashes.values()) for item in full), default=float("-inf"))
         for suspect in sorted(suspects, key=lambda item: -len(item.crashes)):
+            is_excusable = self._may_be_excused_by_request(suspect)
+            left = unexplained - repeated if is_excusable else unexplained
             moments = self._count_moments(
                 suspect,
                 (
                     crash_id
                     for crash_id, at_ms in suspect.crashes.items()
-                    if at_ms >= since_ms and crash_id in unexplained
+                    if at_ms >= since_ms and crash_id in left
                 ),
             )
             if moments >= self._settings.retry_crash_limit:
                 return suspect
         return None
+
+    def _may_be_excused_by_request(self, suspect: _Suspect) -> bool:
+        """Return whether the repeats of a single request may explain a suspect's crashes.
+
+        They don't if the request is the only one that is known to have had the part: either may be
+        at fault then. A part that was answered before, and another request, are not.
+        """
+        is_request = suspect.part.startswith(IDENTITY_PREFIX)
+        return is_request or self._find_answer_ms(suspect.part) > float("-inf")
--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -168,6 +168,14 @@
         self.assertTrue(self.is_refused(5500.0, REPEATED, SHARED))
         self.assertFalse(self.is_refused(5500.0, "request:2", SHARED))
 
+    def test_answers_of_many_requests_displace_no_part(self) -> None:
+        """Guards against a shared part that counts as new as only requests are remembered."""
+        self.suspects.record_answer(("request:3", SHARED), 500.0)
+        for number in range(SETTINGS.max_parts):
+            self.suspects.record_answer((f"request:a{number}",), 600.0)
+        self.record_crashes(1, 5, REPEATED, SHARED)
+        self.assertFalse(self.is_refused(5500.0, "request:2", SHARED))
+
     def test_request_that_ran_beside_a_repeated_one_is_excused_by_it(self) -> None:
         self.record_crashes(1, 3, REPEATED, "request:2")
         self.record_crashes(4, 5, REPEATED)
