Failing test: an ask about several targets goes to the owner of the first

Found in the reading of the diff: an entry asks a relay of another data centre about all targets that it needs there, and the relay forwards the ask whole, so that one target's limit may be lent by two owners.

--- a/packages/marigoldarch/marigoldarch/tests/serving/limit_lending_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/limit_lending_tests.py
@@ -161,13 +161,19 @@
         self, names: list[str], targets: list[Target], rate_per_s: float, duration_ms: Millis
     ) -> None:
         """Let requests arrive at random moments at some entries, each for any of some targets."""
+        self.press_later(names, targets, rate_per_s, duration_ms)
+        self.run(duration_ms + 2 * MAX_PATIENCE_MS)
+
+    def press_later(
+        self, names: list[str], targets: list[Target], rate_per_s: float, duration_ms: Millis
+    ) -> None:
+        """Plan such requests from now on."""
         time_ms = self.now_ms
         while (time_ms := time_ms + self.rng.expovariate(rate_per_s) * 1000.0) < (
             self.now_ms + duration_ms
         ):
             name = self.rng.choice(names)
             self.at(time_ms, lambda name=name: self.request(name, targets))
-        self.run(duration_ms + 2 * MAX_PATIENCE_MS)
 
     def request(self, name: str, targets: list[Target]) -> None:
         """Let a request arrive at an entry, which sends it or gives up after `patience_ms`."""
@@ -364,6 +370,26 @@
         self.assert_kept(model, item, 5.0)
         self.assertGreaterEqual(model.served, 0.9 * 5.0 * 20.0)
 
+    def test_asks_about_several_targets_reach_the_owner_of_each(self) -> None:
+        """Guards against an owner that lends of all limits about which it is asked at once."""
+        model = Model(9)
+        near = sorted(node for node in model.listed if node.data_centre == "dc2")
+        far = next(item for item in model.entries.values() if item.node.data_centre == "dc1")
+        far.lending.set_entries(near[:1], model.now_ms, is_own=True)
+        owners = {}
+        for number in range(8):
+            item = target(f"t{number}", data_centre="dc2")
+            model.limit(item, 5.0)
+            owners[item.target_id] = model.owner_of(item)
+            far.lending.claim(item, model.now_ms)
+        outgoing, _ = far.lending.ask(model.now_ms)
+        lent_by = {}
+        for node, ask in outgoing:
+            reply = model.entries[node].lending.receive_ask(ask, model.now_ms)
+            lender = reply.node if isinstance(reply.message, LimitAsk) else node
+            lent_by.update((need.target_id, lender) for need in ask.needs)
+        self.assertEqual(lent_by, owners)
+
     def test_limit_of_a_data_centre_without_entries_has_one_owner(self) -> None:
         model, item = Model(9), target("t", data_centre="dc9")
         model.limit(item, 5.0)
