Ask about one target at a time, so that the owner of its limit lends

An ask about several targets of another data centre was forwarded whole to the owner of the first, which then lent of the limits of all, beside their owners. Each ask, its pending round and its answer are now of one target. The listed test failed before and passes; the model's other tests hold.

--- a/packages/marigoldarch/marigoldarch/serving/limit_lending.py
+++ b/packages/marigoldarch/marigoldarch/serving/limit_lending.py
@@ -24,7 +24,7 @@
 from marigoldarch.entry.limit_shares import Claim, LimitShares
 from marigoldarch.entry.limits import NO_LIMIT, Limit
 from marigoldarch.entry.owner_placement import rank_owners
-from marigoldarch.serving.limit_messages import LimitAnswer, LimitAsk, TargetNeed, TargetShare
+from marigoldarch.serving.limit_messages import LimitAnswer, LimitAsk
 from marigoldarch.serving.targets import TargetStart
 from marigoldarch.settings import EntrySettings
 
@@ -54,10 +54,6 @@
 UNANSWERED_WAIT_MS: Millis = 300.0
 """The same if no owner has answered."""
 
-MAX_NEEDS_PER_ASK = 200
-"""A datagram holds about four times as many."""
-
-
 MAX_CACHED_RANKINGS = 1000
 """Rankings cached before the cache is cleared, which bounds its memory."""
 
@@ -151,24 +147,24 @@
     def ask(self, now_ms: Millis) -> tuple[list[Outgoing], list[Decision]]:
         """Return the asks for what the waiting claims lack, and the claims decided without one."""
         decisions = self._decide({}, now_ms)
-        needs_by_owner: dict[tuple[str, bool], list[LimitNeed]] = defaultdict(list)
-        for subject, need in self._shares.needs(now_ms).items():
-            if need.requests > 0:
-                owner = self._find_owner(subject, now_ms)
-                self._asked_owner[subject] = owner[0]
-                needs_by_owner[owner].append(need)
         outgoing: list[Outgoing] = []
-        for (owner, is_final), needs in needs_by_owner.items():
-            needs = needs[:MAX_NEEDS_PER_ASK]
-            round_number = self._shares.ask(owner, needs, now_ms)
+        for subject, need in self._shares.needs(now_ms).items():
+            # An ask is about one subject, so that the round that awaits an answer is one of it.
+            round_number = self._shares.ask(subject, [need], now_ms) if need.requests > 0 else None
             if round_number is None:
                 continue
+            owner, is_final = self._find_owner(subject, now_ms)
+            self._asked_owner[subject] = owner
+            target = self._targets[subject]
             ask = LimitAsk(
                 self._own.node,
                 self._process,
                 round_number,
-                owner,
-                [self._to_wire(need) for need in needs],
+                target.target_id,
+                target.born_ms,
+                target.data_centre,
+                int(need.requests),
+                self._limits.find(target.start) or 0.0,
                 is_final,
             )
             if owner == self._own.node:
@@ -180,9 +176,8 @@
 
     def receive_ask(self, ask: LimitAsk, now_ms: Millis) -> Outgoing | None:
         """Return the answer to an ask, or the ask itself to forward it to the owner."""
-        if not ask.is_final and ask.needs:
-            first = ask.needs[0]
-            ranked = self._rank(_subject_of(first), first.data_centre)
+        if not ask.is_final:
+            ranked = self._rank(_subject_of(ask), ask.data_centre)
             owner = self._first_speaking(ranked, now_ms)
             if owner != self._own.node:
                 return Outgoing(owner, msgspec.structs.replace(ask, is_final=True))
@@ -190,14 +185,12 @@
         return None if answer is None else Outgoing(ask.node, answer)
 
     def receive_answer(self, answer: LimitAnswer, now_ms: Millis) -> list[Decision]:
-        """Store the shares of an answer; return which claims these decide."""
-        shares = [
-            LimitShare(_subject_of(item), float(item.requests), 0.0, 0, item.retry_after_ms)
-            for item in answer.shares
-        ]
-        self._silent_until_ms.pop(answer.asked, None)
-        waits = self._shares.take_answer(answer.asked, answer.round, shares, now_ms)
-        for subject, wait_ms in waits.items():
+        """Store the share of an answer; return which claims this decides."""
+        subject = _subject_of(answer)
+        share = LimitShare(subject, float(answer.requests), 0.0, 0, answer.retry_after_ms)
+        self._silent_until_ms.pop(self._asked_owner.get(subject, ""), None)
+        waits = self._shares.take_answer(subject, answer.round, [share], now_ms)
+        for wait_ms in waits.values():
             self._told_until_ms[subject] = now_ms + max(wait_ms, MIN_WAIT_MS)
         return self._decide(waits, now_ms)
 
@@ -288,28 +281,18 @@
         return next(speaking, ranked[0])
 
     def _lend(self, ask: LimitAsk, now_ms: Millis) -> LimitAnswer | None:
-        """Lend what an ask wants as far as the limits allow; None if a newer ask was answered."""
-        asking = f"{ask.node}/{ask.process}"
+        """Lend what an ask wants as far as the limit allows; None if a newer ask was answered."""
+        subject = _subject_of(ask)
+        asking = f"{ask.node}/{ask.process}/{subject}"
         if not self._owner.is_next_round(asking, ask.round, now_ms):
             return None
-        shares = []
-        for need in ask.needs:
-            subject = _subject_of(need)
-            known_per_s = self._limits.find(TargetStart(need.target_id, need.born_ms))
-            rate_per_s = min(need.rate_per_s, known_per_s or need.rate_per_s)
-            self._account_rates[subject] = rate_per_s
-            wanted = LimitNeed(subject, float(need.requests), 0.0, 0.0, 0, 0)
-            lent = self._owner.lend(asking, wanted, Limit(rate_per_s, 0.0, 0), now_ms)
-            shares.append(
-                TargetShare(need.target_id, need.born_ms, int(lent.requests), lent.retry_after_ms)
-            )
-        return LimitAnswer(ask.round, ask.asked, shares)
-
-    def _to_wire(self, need: LimitNeed) -> TargetNeed:
-        target = self._targets[need.subject]
-        rate_per_s = self._limits.find(target.start) or 0.0
-        return TargetNeed(
-            target.target_id, target.born_ms, target.data_centre, int(need.requests), rate_per_s
+        known_per_s = self._limits.find(TargetStart(ask.target_id, ask.born_ms))
+        rate_per_s = min(ask.rate_per_s, known_per_s or ask.rate_per_s)
+        self._account_rates[subject] = rate_per_s
+        wanted = LimitNeed(subject, float(ask.requests), 0.0, 0.0, 0, 0)
+        lent = self._owner.lend(asking, wanted, Limit(rate_per_s, 0.0, 0), now_ms)
+        return LimitAnswer(
+            ask.round, ask.target_id, ask.born_ms, int(lent.requests), lent.retry_after_ms
         )
 
     def _account_limit(self, subject: str) -> Limit:
@@ -321,5 +304,5 @@
     return f"{start.born_ms}/{start.target_id}"
 
 
-def _subject_of(item: TargetNeed | TargetShare) -> str:
+def _subject_of(item: LimitAsk | LimitAnswer) -> str:
     return f"{item.born_ms}/{item.target_id}"
--- a/packages/marigoldarch/marigoldarch/serving/limit_messages.py
+++ b/packages/marigoldarch/marigoldarch/serving/limit_messages.py
@@ -1,51 +1,40 @@
-"""The datagrams in which entries lend each other requests of the limits that targets name."""
+"""The datagrams in which entries lend each other requests of the limits that targets name.
+
+Each is about one target: the limits of others may have other owners.
+"""
 
 from __future__ import annotations
 
 import msgspec
 
 
-class TargetNeed(msgspec.Struct, array_like=True, frozen=True):
-    """How many requests an entry wants to send to a target that names a limit per second."""
+class LimitAsk(msgspec.Struct, array_like=True, frozen=True, tag="limit ask"):
+    """Ask for requests of the limit of a target; the answer goes to `node`.
 
+    The limit is `rate_per_s`, as far as the asking entry knows. `process` identifies its process, and
+    `round` is echoed. With `is_final` the receiver lends, whoever it takes for the owner; otherwise it
+    may forward the ask to the owner.
+    """
+
+    node: str
+    process: int
+    round: int
     target_id: str
     born_ms: int
     data_centre: str
     requests: int
     rate_per_s: float
+    is_final: bool
 
 
-class TargetShare(msgspec.Struct, array_like=True, frozen=True):
-    """How many requests are lent of a target's limit.
+class LimitAnswer(msgspec.Struct, array_like=True, frozen=True, tag="limit answer"):
+    """How many requests are lent, valid for a lease time from the moment of the ask.
 
     `retry_after_ms` is the wait for the next one, 0 if all that were wanted are lent.
     """
 
+    round: int
     target_id: str
     born_ms: int
     requests: int
     retry_after_ms: float
-
-
-class LimitAsk(msgspec.Struct, array_like=True, frozen=True, tag="limit ask"):
-    """Ask for requests of the limits of some targets; the answer goes to `node`.
-
-    `process` identifies the asking entry's process. `round` and `asked`, the entry that was asked
-    first, are echoed. With `is_final` the receiver lends, whoever it takes for the owner; otherwise it
-    may forward the ask to the owner.
-    """
-
-    node: str
-    process: int
-    round: int
-    asked: str
-    needs: list[TargetNeed]
-    is_final: bool
-
-
-class LimitAnswer(msgspec.Struct, array_like=True, frozen=True, tag="limit answer"):
-    """The shares that answer an ask, valid for a lease time from the moment of the ask."""
-
-    round: int
-    asked: str
-    shares: list[TargetShare]
--- a/packages/marigoldarch/marigoldarch/tests/serving/limit_lending_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/limit_lending_tests.py
@@ -387,7 +387,7 @@
         for node, ask in outgoing:
             reply = model.entries[node].lending.receive_ask(ask, model.now_ms)
             lender = reply.node if isinstance(reply.message, LimitAsk) else node
-            lent_by.update((need.target_id, lender) for need in ask.needs)
+            lent_by[ask.target_id] = lender
         self.assertEqual(lent_by, owners)
 
     def test_limit_of_a_data_centre_without_entries_has_one_owner(self) -> None:
