--- a/packages/marigoldarch/marigoldarch/entry/limit_shares.py
+++ b/packages/marigoldarch/marigoldarch/entry/limit_shares.py
@@ -191,7 +191,16 @@
         return waits
 
     def drop_idle(self, now_ms: Millis) -> None:
-        """Drop shares without slots in use or waiting claims, whose slots have expired."""
+        """Drop shares without slots in use or waiting claims, whose slots have expired.
+
+        Asks without an answer are dropped, too, once what they could bring has expired.
+        """
+        lease_ms = max(self._settings.slot_lease_ms, self._settings.limit_lease_ms)
+        self._asks = {
+            owner: pending
+            for owner, pending in self._asks.items()
+            if now_ms < pending.sent_ms + lease_ms
+        }
         wanted = {subject for claim in self._waiting.values() for subject in claim.subjects}
         for subject, share in list(self._shares.items()):
             if not share.used and subject not in wanted and share.slots_expire_ms <= now_ms:
--- a/packages/marigoldarch/marigoldarch/tests/serving/limit_lending_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/limit_lending_tests.py
@@ -407,3 +407,16 @@
             self.assertEqual(entry.lending.account_count, 0)
             self.assertEqual(entry.lending._targets, {})
             self.assertEqual(entry.lending._told_until_ms, {})
+
+    def test_asks_that_nobody_answers_are_forgotten(self) -> None:
+        """Guards against memory that grows with each target whose owner was lost."""
+        model = Model(9)
+        entry = next(iter(model.entries.values()))
+        for number in range(20):
+            item = target(f"t{number}")
+            model.limit(item, 5.0)
+            claim_id = entry.lending.claim(item, model.now_ms)
+            entry.lending.ask(model.now_ms)
+            entry.lending.withdraw(claim_id)
+        entry.lending.forget_old(model.now_ms + 20_000.0)
+        self.assertEqual(entry.lending._shares._asks, {})
