Try a quarantined request again soon, and only twice within an hour

Its first quarantines now take 10 s and 40 s, then an hour: a faulty request is sent twice within an hour after its third crash (four times before), which the users' rule allows three times.

The two new tests failed before.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -14,7 +14,7 @@
 A request is one more part, which only its repeats have. Its repeats explain the crashes of a part that was
 answered before, or of other requests, but not those of a part that only it is known to have had.
 
-A quarantine ends after a time that doubles. One more crash then suffices for the next one.
+A quarantine of a part ends after a time that doubles, that of a request sooner at first. One more crash then suffices for the next one.
 """
 
 from __future__ import annotations
@@ -54,6 +54,13 @@
 
     moment_ms: Millis = 100.0
     quarantine_ms: Millis = 120_000.0
+    request_quarantines_ms: tuple[Millis, ...] = (10_000.0, 40_000.0)
+    """The first quarantines of a request; the others take `max_quarantine_ms`.
+
+    A sound request may meet three crashes in a row, and nobody but its caller can then show that it is
+    sound: it is tried again soon, but only twice.
+    """
+
     max_quarantine_ms: Millis = 3_600_000.0
     memory_ms: Millis = 600_000.0
     max_parts: int = 1024
@@ -303,6 +310,9 @@
         duration_ms = min(
             settings.quarantine_ms * 2**suspect.quarantines, settings.max_quarantine_ms
         )
+        if suspect.part.startswith(IDENTITY_PREFIX):
+            durations = (*settings.request_quarantines_ms, settings.max_quarantine_ms)
+            duration_ms = durations[min(suspect.quarantines, len(durations) - 1)]
         suspect.quarantines = min(suspect.quarantines + 1, 16)
         suspect.quarantined_until_ms = suspect.last_crash_ms + duration_ms * (
             1.0 + SPREAD_SHARE * settings.spread
--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -168,6 +168,24 @@
         self.assertTrue(self.is_refused(5500.0, REPEATED, SHARED))
         self.assertFalse(self.is_refused(5500.0, "request:2", SHARED))
 
+    def test_sound_request_that_met_three_crashes_is_tried_again_soon(self) -> None:
+        """Guards against a caller whose equal requests are refused for minutes after others' crashes."""
+        self.record_crashes(1, 3, REPEATED)
+        self.assertTrue(self.is_refused(4000.0, REPEATED))
+        self.assertFalse(self.is_refused(3000.0 + 11_000.0, REPEATED))
+        self.suspects.record_answer((REPEATED,), 14_100.0)
+        self.assertFalse(self.is_refused(14_200.0, REPEATED))
+
+    def test_faulty_request_is_tried_again_twice_within_an_hour(self) -> None:
+        """Guards against trials that crash more targets than a repeated request may."""
+        self.record_crashes(1, 3, REPEATED)
+        trials = []
+        for now_ms in range(3000, 3_600_000, 1000):
+            if not self.is_refused(float(now_ms), REPEATED):
+                trials.append(now_ms)
+                self.suspects.record_crash(crash(now_ms, now_ms + 50.0, REPEATED))
+        self.assertEqual(len(trials), 2)
+
     def test_answers_of_many_requests_displace_no_part(self) -> None:
         """Guards against a shared part that counts as new as only requests are remembered."""
         self.suspects.record_answer(("request:3", SHARED), 500.0)
