--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/limit_permissions_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/limit_permissions_tests.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from marigoldarch.clock import ManualClock
 from marigoldarch.entry.owner_placement import rank_owners
 from marigoldarch.serving.report_recipients import EntryNode
 from marigoldarch.serving.target_limits import LimitNews, TargetLimits, TargetLimitSettings
@@ -15,6 +16,7 @@
 from marigoldarch_node.serving.limit_permissions import LimitPermissions
 
 if TYPE_CHECKING:
+    from marigoldarch.clock import Clock
     from marigoldarch.serving.limit_messages import LimitAnswer, LimitAsk
 
 TARGET = target("t")
@@ -26,7 +28,11 @@
     """Three entries, of which the first by rank owns the limit of a target."""
 
     def setUp(self) -> None:
-        self.clock = SystemClock()
+        self.use_clock(SystemClock())
+
+    def use_clock(self, clock: Clock) -> None:
+        """Start the entries with a clock."""
+        self.clock = clock
         self.silent: set[str] = set()
         self.entries: dict[str, LimitPermissions] = {}
         self.limits: dict[str, TargetLimits] = {}
@@ -55,12 +61,14 @@
         self.assertTrue(self.asking.try_acquire(TARGET))
 
     def test_requests_beyond_the_limit_get_no_permission_and_a_wait(self) -> None:
+        clock = ManualClock(1000.0)
+        self.use_clock(clock)
         self.name_limit(20.0)
 
         async def acquire() -> list[float | None]:
             # An owner that has just started lends only what comes in from its first ask on.
             self.assertIsNone(await self.asking.acquire(TARGET))
-            await trio.sleep(0.06)
+            clock.advance(60.0)
             return [await self.asking.acquire(TARGET) for _ in range(3)]
 
         first, *others = trio.run(acquire)
