Reach targets through another entry where the own links are lost

Class: a lost link taken for a failed target. Ruled out as causes: the directory and the readiness check (they only decide who asks), the retry budget (refused connections take nothing from it), the false crash reports (a fault of its own, next).

Change: another entry opens a connection to the target and carries its bytes (`tunnels`, `tunnel_server`). All decisions stay with the entry that took the request: placement, limits, retries, at most once, deadline, the key and the declaration. A tunnel is one hop by construction, as the gateway connects directly or not at all. What is received comes in frames, so that an answer without a length doesn't look complete when the gateway dies. `target_links` decides by comparison: a target that another entry reaches has a lost link; two of a data centre that aren't reached mean that it is cut off; probes end the belief. `gateways` chooses two entries, the second of another data centre, by chance and by the own tunnels. If no entry can help, requests are refused at once. Only nodes know the token of a declaration, a digest of all customers' keys.

The bound is unchanged. lost_links_tests plays in one process what else a hop must keep to: whole answers, calls run once, bodies, deadline, key and customer, a caller that leaves, a gateway that is cut off, killed, frozen or stopping, an answer without length when it dies, refusals at once when no entry reaches a target, own links used again. A test of stopping entries used one port for callers and peers, which settings now refuse by name.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -50,7 +50,7 @@
     from marigoldarch_node.serving.dialect import Dialect, ForwardingInfo, ResponseInfo
     from marigoldarch_node.serving.entry_state import EntryState
     from marigoldarch_node.serving.memory_reservations import MemoryReservation, ReservationManager
-    from marigoldarch_node.serving.target_connections import TargetConnectionPool
+    from marigoldarch_node.serving.target_paths import TargetPaths
 
 log = EventLog("attempts")
 
@@ -60,7 +60,7 @@
 
     state: EntryState
     dialect: Dialect
-    connections: TargetConnectionPool
+    paths: TargetPaths
     reservations: ReservationManager
 
 
@@ -110,7 +110,8 @@
         self._context = context
         self._state = context.state
         self._dialect = context.dialect
-        self._connections = context.connections
+        self._paths = context.paths
+        self._connection: TargetConnection | None = None
         self._reservations = context.reservations
         self._plan = plan
         self._call = plan.call
@@ -118,7 +119,7 @@
         self._work_number = 0
         self._observer = observer
         self._stall_detector = StallDetector(
-            context.state, plan.call, plan.placement, self._report_silence
+            context.state, plan.call, plan.placement, self._report_silence, self._report_wait
         )
         self._scope = trio.CancelScope()
         self._is_silence_recorded = False
@@ -181,12 +182,18 @@
             self._reservations.release(self._plan.reservations)
             self._state.workload.end(self._work_number)
 
+    def _report_wait(self, waited_ms: Millis) -> None:
+        """Doubt the own links if no target at all has answered meanwhile."""
+        if self._paths.silence_ms >= waited_ms:
+            self._paths.doubt(self._plan.placement.targets[0], self._connection)
+
     def _report_silence(self, silent_ms: Millis) -> None:
         """Record a target that is silent in a stream as failing, once, and report its silence.
 
         The answer to a call may just take long.
         """
         self._was_silent = True
+        self._paths.doubt(self._plan.placement.targets[0], self._connection)
         if self._call.route.is_stream and not self._is_silence_recorded:
             self._is_silence_recorded = True
             self._state.record_failure(self._target_id, is_unreachable=False)
@@ -230,30 +237,29 @@
         if permitted_until_ms is None:
             return NotSent(FailureReason.TARGET_LIMITED)
         try:
-            connection = await self._connections.acquire(
-                target.address, must_be_new=not call.route.may_repeat
-            )
+            connection = await self._paths.acquire(target, must_be_new=not call.route.may_repeat)
         except UnreachableError as error:
-            self._state.record_failure(self._target_id, is_unreachable=error.is_refused)
+            if error.is_target_at_fault:
+                self._state.record_failure(self._target_id, is_unreachable=error.is_refused)
             return NotSent(FailureReason.UNREACHABLE)
+        self._connection = connection
         self._sent_ms = self._state.clock.monotonic_ms()
         obstacle = self._obstacle_to_sending(target, permitted_until_ms)
         if obstacle is not None:
-            connection.connection.close()
+            self._paths.release(connection, None)
             return NotSent(obstacle)
         head: ResponseHead | None = None
         outcome: Delivered | AttemptOutcome | None = None
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.send, self._request())
-                if self._stall_detector.is_needed:
-                    nursery.start_soon(self._stall_detector.run)
+                nursery.start_soon(self._stall_detector.run)
                 with trio.move_on_after(self._time_left_ms() / 1000.0):
                     head, outcome = await self._relay(connection)
                 nursery.cancel_scope.cancel()
         finally:
             self._state.waits.note_end(target.start, self._work_number)
-            self._connections.release(connection, head)
+            self._paths.release(connection, head)
         if self._has_caller_disconnected:
             raise CallerDisconnectedError
         return self._record_outcome(outcome)
@@ -294,6 +300,7 @@
         now_ms = self._state.clock.monotonic_ms()
         match outcome:
             case None:
+                self._paths.doubt(self._plan.placement.targets[0], self._connection)
                 return self._incomplete_outcome(FailureReason.TIMEOUT)
             case Delivered():
                 self._state.health.note_success(self._target_id, now_ms)
@@ -376,8 +383,11 @@
             response_info.is_misdirected,
         )
         target = self._plan.placement.targets[0]
+        self._paths.record_heard(target, connection)
         self._state.record_signals(target, response_info, origin, self._sent_ms)
-        if not response_info.wait_ms:
+        if response_info.wait_ms:
+            self._paths.record_wait(connection, target.start, response_info.wait_ms)
+        else:
             self._state.waits.note_end(target.start, self._work_number)
 
     async def _relay_whole(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -61,23 +61,24 @@
 ) -> None:
     for _ in range(MAX_CHECKS):
         try:
-            connection = await context.connections.acquire(target.address, must_be_new=True)
+            connection = await context.paths.acquire(target, must_be_new=True)
         except UnreachableError as error:
-            if error.is_refused:
+            if error.is_refused and error.is_target_at_fault:
                 context.state.crashes.record_crash(target.start, call, sent_ms)
                 context.state.record_failure(target.target_id, is_unreachable=True)
             return
-        if not await _ends_soon(connection.connection):
-            return
+        try:
+            if not await _ends_soon(connection.connection):
+                return
+        finally:
+            context.paths.release(connection, None)
 
 
 async def _ends_soon(connection: Connection) -> bool:
-    """Close a new connection after a moment; return whether its target has ended it before."""
+    """Return whether the target of a new connection ends it within a moment."""
     try:
         with trio.move_on_after(LISTENER_LAG_MS / 1000.0):
             return not await connection.stream.receive_some(1)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         return True
-    finally:
-        connection.close()
     return False
--- a/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/dialect.py
@@ -156,6 +156,10 @@
         """Encode the request that releases reserved memory."""
         ...
 
+    def health_check(self, target: Target, path: str) -> TargetRequest:
+        """Encode a request for the health of a target, at the path that its service declares."""
+        ...
+
     def read_response(self, head: ResponseHead) -> ResponseInfo:
         """Decode the headers of a target's response."""
         ...
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -59,6 +59,8 @@
 from marigoldarch_node.serving.proxy import ACCEPT_WHILE_STOPPING_MS, Proxy
 from marigoldarch_node.serving.stored_declaration import decompress_declaration
 from marigoldarch_node.serving.target_connections import ResponseError, TargetConnectionPool
+from marigoldarch_node.serving.target_paths import TargetPaths
+from marigoldarch_node.serving.tunnel_server import TunnelServer
 
 if TYPE_CHECKING:
     from marigoldarch_node.serving.dialect import Dialect
@@ -88,9 +90,11 @@
         self._dialect = dialect
         self._start_id = start_id
         self._state = EntryState(settings, start_id)
-        self._connections = TargetConnectionPool(self._state.clock)
-        self._reservations = ReservationManager(self._state, dialect, self._connections)
-        proxy = Proxy(EntryContext(self._state, dialect, self._connections, self._reservations))
+        connections = TargetConnectionPool(self._state.clock)
+        self._paths = TargetPaths(self._state, dialect, connections)
+        self._tunnels = TunnelServer(self._state, self._paths)
+        self._reservations = ReservationManager(self._state, dialect, self._paths)
+        proxy = Proxy(EntryContext(self._state, dialect, self._paths, self._reservations))
         self._caller_server = HttpServer(
             ServerState(proxy.handle, self._state.limits, self._state.clock)
         )
@@ -117,6 +121,8 @@
             await nursery.start(HttpServer(health).serve, settings.health_address)
             await nursery.start(self._caller_server.serve, settings.caller_address)
             await serve_metrics(settings, state.metrics, state.clock, self._gauge_values, nursery)
+            await nursery.start(self._tunnels.serve)
+            nursery.start_soon(self._paths.run)
             nursery.start_soon(self._datagrams.receive, self._on_datagram)
             nursery.start_soon(self._send_hellos)
             nursery.start_soon(self._send_work_reports)
@@ -137,15 +143,24 @@
         state.stop_began_ms = began_ms
         end_ms = began_ms + self._settings.bounds.stop_grace_ms - STOP_MARGIN_MS
         state.stop_end_ms = end_ms
-        self._update_limit_owners()
+        self._update_entries()
         self._caller_server.announce_closing()
         await self._send_hello(is_change=True)
         await trio.sleep(ACCEPT_WHILE_STOPPING_MS / 1000.0)
         self._caller_server.close_idle()
-        while self._caller_server.open_connections and state.clock.monotonic_ms() < end_ms:
+        while self._has_connections and state.clock.monotonic_ms() < end_ms:
             self._caller_server.close_idle()
             await trio.sleep(0.05)
-        log.info("connections drained", open_connections=self._caller_server.open_connections)
+        log.info(
+            "connections drained",
+            open_connections=self._caller_server.open_connections,
+            open_tunnels=self._tunnels.open_tunnels,
+        )
+
+    @property
+    def _has_connections(self) -> bool:
+        """Return whether callers, or other entries on their behalf, are still connected."""
+        return bool(self._caller_server.open_connections or self._tunnels.open_tunnels)
 
     def apply_settings(self, settings: ServingSettings) -> None:
         """Apply a changed settings file; control hosts that it names are added."""
@@ -163,6 +178,10 @@
             "oldest_report_ms": state.workload.oldest_report_ms,
             "control_host_silence_ms": state.control_host_silence_ms,
             "declaration_version": state.table.version if state.table else 0,
+            "lost_links": len(state.links.lost_targets),
+            "lost_data_centres": len(state.links.lost_data_centres),
+            "tunnels_in_use": self._paths.tunnels_in_use,
+            "carried_tunnels": self._tunnels.open_tunnels,
             "tickets": self._reservations.lease_count,
             "leaving_targets": len(state.target_view.leaving),
             "waiting_targets": state.waits.count,
@@ -230,10 +249,12 @@
             case LimitAsk() | LimitAnswer():
                 self._state.permissions.receive(message)
 
-    def _update_limit_owners(self) -> None:
-        """Let the entries that are known now own the limits of targets, but none that stops."""
+    def _update_entries(self) -> None:
+        """Let the entries that are known now own the limits of targets, and be gateways."""
         is_own = self._state.stop_began_ms is None
-        self._state.permissions.set_entries(self._known_entries(), is_own=is_own)
+        entries = self._known_entries()
+        self._state.permissions.set_entries(entries, is_own=is_own)
+        self._paths.set_entries(entries - {self._own_node})
 
     def _send_limit_message(self, node: str, message: LimitAsk | LimitAnswer) -> None:
         self._nursery.start_soon(self._datagrams.send, message, node)
@@ -319,7 +340,7 @@
             # The last list of entries is kept: reports go on while no control host is reachable.
             if len(self._entries_by_host) > 1:
                 self._entries_by_host.pop(host, None)
-                self._update_limit_owners()
+                self._update_entries()
 
     def _on_control_message(self, host: str, message: object) -> None:
         self._state.record_control_message()
@@ -329,12 +350,12 @@
             case NodesTold(hosts=hosts, entries=entries):
                 self._control_hosts.update(hosts)
                 self._entries_by_host[host] = set(entries)
-                self._update_limit_owners()
+                self._update_entries()
             case EntriesChanged(added=added, removed=removed):
                 known = self._entries_by_host.setdefault(host, set())
                 kept = {entry for entry in known if entry.node not in removed}
                 self._entries_by_host[host] = kept.union(added)
-                self._update_limit_owners()
+                self._update_entries()
             case TargetTold(target=target):
                 self._state.target_view.update_target(host, target)
             case TargetsTold():
@@ -400,4 +421,4 @@
         """Close expired connections to targets at intervals, until cancelled."""
         while True:
             await trio.sleep(CONNECTION_CLEANUP_INTERVAL_S)
-            self._connections.close_expired()
+            self._paths.close_expired()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections import deque
 from typing import TYPE_CHECKING
 
 import trio
@@ -15,6 +16,7 @@
 from marigoldarch.serving.retry_budget import RetryBudgetSettings
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
 from marigoldarch.serving.target_limits import LimitNews, TargetLimits, TargetLimitSettings
+from marigoldarch.serving.target_links import LinkSettings, TargetLinks
 from marigoldarch.serving.target_waits import TargetWaits, WaitSettings
 from marigoldarch.serving.targets import MergedTargetView, TargetStart
 from marigoldarch.serving.waiting_turns import WaitingTurns
@@ -39,6 +41,9 @@
 SLOW_REPORT_INTERVAL_MS: Millis = 500.0
 """The shortest time between two reports of the same slow target to the other entries."""
 
+MAX_NODE_TOKENS = 4
+"""How many of the newest declarations with other keys another entry may still have."""
+
 log = EventLog("entry")
 
 
@@ -68,6 +73,9 @@
             self.clock,
         )
         self.waiting_turns = WaitingTurns()
+        self.link_rng = random.Random(f"links/{start_id}")
+        self.links = TargetLinks(LinkSettings(), self.link_rng)
+        self.node_tokens: deque[str] = deque(maxlen=MAX_NODE_TOKENS)
         self.response_memory = ResponseMemory(
             bounds.max_response_bytes, bounds.max_held_response_bytes
         )
@@ -132,6 +140,8 @@
             return
         self._table = table
         self._has_table.set()
+        if table.node_token not in self.node_tokens:
+            self.node_tokens.append(table.node_token)
         self.limits.change(_server_limits(table.declaration.limits), self.clock.monotonic_ms())
         log.info(
             "declaration in force",
--- a/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
@@ -26,9 +26,9 @@
     from marigoldarch_node.serving.target_connections import (
         ResponseHead,
         TargetConnection,
-        TargetConnectionPool,
         TargetRequest,
     )
+    from marigoldarch_node.serving.target_paths import TargetPaths
 
 LEASE_MS: Millis = 1900.0
 """Duration of a lease. Memory held for no request counts against the system after 2 s."""
@@ -63,13 +63,11 @@
 class ReservationManager:
     """Reserves, renews and releases the memory of an entry's attempts."""
 
-    def __init__(
-        self, state: EntryState, dialect: Dialect, connections: TargetConnectionPool
-    ) -> None:
+    def __init__(self, state: EntryState, dialect: Dialect, paths: TargetPaths) -> None:
         self._state = state
         self._clock = state.clock
         self._dialect = dialect
-        self._connections = connections
+        self._paths = paths
         self._leases: dict[str, _Lease] = {}
         self._has_leases = trio.Event()
 
@@ -157,7 +155,7 @@
         """Send a request; return the status of its response, 0 if none arrives in time."""
         with trio.move_on_after(REQUEST_TIMEOUT_S):
             try:
-                connection = await self._connections.acquire(target.address, must_be_new=False)
+                connection = await self._paths.acquire(target, must_be_new=False)
             except UnreachableError:
                 return 0
             head: ResponseHead | None = None
@@ -173,7 +171,7 @@
                     log.warning("response over a limit", target=target.target_id, limit=error.limit)
                 return 0
             finally:
-                self._connections.release(connection, head)
+                self._paths.release(connection, head)
             return head.status
         return 0
 
@@ -182,5 +180,6 @@
     ) -> None:
         """Record what the response to an order says of its target; orders have no request id."""
         response_info = self._dialect.read_response(head)
+        self._paths.record_heard(target, connection)
         origin = ResponseOrigin("", "", not connection.is_reused, response_info.is_misdirected)
         self._state.record_signals(target, response_info, origin, sent_ms)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
@@ -31,6 +31,12 @@
         self.quarantines = self._counter(
             "quarantined_parts_total", "Parts of prompts whose requests are not sent any more."
         )
+        self.lost_links = self._counter(
+            "lost_links_total", "Targets that only other entries reach any more."
+        )
+        self.tunnels = self._counter(
+            "tunnels_total", "Connections to targets that other entries have asked for, by outcome."
+        )
         self.announcements = self._counter("announcements_total", "Announcements by outcome.")
         self.declarations = self._counter("declarations_total", "Declarations by outcome.")
         self.first_response = Histogram(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -228,6 +228,7 @@
         try:
             while True:
                 self._check_quarantine(call)
+                self._check_links(call)
                 placement = self._choose_placement(call)
                 if isinstance(placement, Placement):
                     permitted_until_ms = await self._acquire_permission(call, placement)
@@ -287,6 +288,18 @@
             raise RefusalError(502, "part in quarantine")
         raise RefusalError(503, "part in quarantine", quarantine.left_ms)
 
+    def _check_links(self, call: Call) -> None:
+        """End a request if neither this entry nor another one reaches any target."""
+        wait_ms = self._context.paths.cut_off_ms()
+        if wait_ms is not None:
+            log.info(
+                "no path to targets",
+                request=call.request_id,
+                lost_data_centres=sorted(self._state.links.lost_data_centres),
+                retry_after_ms=round(wait_ms),
+            )
+            self._raise_unplaced(call, "no path to targets", wait_ms)
+
     def _raise_no_capacity(self, call: Call, placement: Saturated) -> NoReturn:
         """End a request for which no target has capacity; log the load on which that is based."""
         now_ms = self._now_ms()
--- a/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/settings.py
@@ -109,6 +109,10 @@
         address = getattr(settings, name)
         if address and not address.rpartition(":")[2].isdigit():
             raise ConfigurationError(f"{name}: use IP:PORT, not {address!r}")
+        if address == settings.peer_address:
+            raise ConfigurationError(
+                f"{name}: {address} is for other nodes; change it or peer_port"
+            )
     if not settings.bounds.max_target_wait_ms > 0:
         raise ConfigurationError("bounds.max_target_wait_ms: use more than 0")
     if not 0 < settings.bounds.min_target_rate_per_s <= settings.bounds.max_target_rate_per_s:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
@@ -28,6 +28,9 @@
 CHECK_INTERVAL_MS: Millis = 300.0
 """How often to check for signs of life: a third of the shortest time allowed for a pause."""
 
+QUIET_SHARE = 0.35
+"""After this share of the time allowed the own links are in doubt, unless another target is heard."""
+
 MAX_REPORT_INTERVAL_MS: Millis = 2400.0
 """The time between two reports of a silent target doubles up to this: each may cost a placement."""
 
@@ -36,6 +39,8 @@
     """Watches the waits for a target; time spent sending to the caller does not count.
 
     While the target is silent, `on_silent` is called with the duration of the wait, again and again.
+    Long before, `on_wait` is called in the same way once the wait has taken `QUIET_SHARE` of what is
+    allowed.
     """
 
     def __init__(
@@ -44,17 +49,19 @@
         call: Call,
         placement: Placement,
         on_silent: Callable[[Millis], None],
+        on_wait: Callable[[Millis], None],
     ) -> None:
         self._state = state
         self._call = call
         self._expected_first_token_ms = placement.first_token_ms
         self._target_id = placement.targets[0].target_id
         self._on_silent = on_silent
+        self._on_wait = on_wait
         self._waiting_since_ms: Millis | None = None
         self._has_begun = False
 
     @property
-    def is_needed(self) -> bool:
+    def _reports_silence(self) -> bool:
         """Return whether another attempt may answer the request; else only the deadline ends it."""
         return self._call.route.may_repeat
 
@@ -77,8 +84,13 @@
             since_ms = self._waiting_since_ms
             left_ms = CHECK_INTERVAL_MS
             if since_ms is not None:
-                left_ms = stall_deadline_ms(self._stall_state(since_ms)) - now_ms
-                if left_ms <= 0:
+                stall = self._stall_state(since_ms)
+                left_ms = stall_deadline_ms(stall) - now_ms
+                if now_ms - since_ms >= QUIET_SHARE * stall.timeout_ms:
+                    self._on_wait(now_ms - since_ms)
+                if left_ms <= 0 and not self._reports_silence:
+                    left_ms = CHECK_INTERVAL_MS
+                elif left_ms <= 0:
                     # After a pause of this process the data may have come and not been read yet.
                     await trio.lowlevel.checkpoint()
                     if self._waiting_since_ms == since_ms:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -22,11 +22,13 @@
 from marigoldarch_node.serving.sockets import TARGET_BOUNDS, connect
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from marigoldarch.clock import Clock, Millis
     from marigoldarch_node.serving.http_server import Headers
-    from marigoldarch_node.serving.sockets import Connection
+    from marigoldarch_node.serving.sockets import Connection, SilenceBounds
+
+    OpenConnection = Callable[[str, Millis, SilenceBounds], Awaitable[Connection]]
 
 CONNECT_TIMEOUT_MS: Millis = 350.0
 """A new connection takes a round trip of about 2 ms and 1 ms at the target. This ends before the
@@ -60,12 +62,18 @@
 
 
 class UnreachableError(MarigoldarchError):
-    """No connection could be opened, so nothing was sent."""
+    """No connection could be opened, so nothing was sent.
 
-    @property
-    def is_refused(self) -> bool:
-        """Return whether the connection was refused or reset; one lost packet does not do that."""
-        return isinstance(self.__cause__, ConnectionRefusedError | ConnectionResetError)
+    With `is_refused` the connection was refused or reset; one lost packet does not do that. With
+    `is_target_at_fault` nothing points to the own links.
+    """
+
+    def __init__(
+        self, message: str, *, is_refused: bool = False, is_target_at_fault: bool = True
+    ) -> None:
+        super().__init__(message)
+        self.is_refused = is_refused
+        self.is_target_at_fault = is_target_at_fault
 
 
 class ResponseError(MarigoldarchError):
@@ -112,6 +120,8 @@
 class TargetConnection:
     """A connection in use for one request.
 
+    `opened_ms` is the monotonic time at which it was opened, and `gateway` the entry through which it goes,
+    empty for a direct one.
     `is_encoded` is set once the request is ready to be sent; nothing is read before that. `is_sent`
     is true once the whole request was sent, `has_received_bytes` once any byte of a response has
     arrived, `has_ended` once the target has closed the connection.
@@ -121,6 +131,8 @@
     connection: Connection
     protocol: h11.Connection
     is_reused: bool
+    opened_ms: Millis = 0.0
+    gateway: str = ""
     is_sent: bool = False
     has_received_bytes: bool = False
     has_ended: bool = False
@@ -218,66 +230,116 @@
         return FailureReason.CUT if self.has_received_bytes else FailureReason.RESET
 
 
-class _IdleConnection(NamedTuple):
+class _KeptConnection(NamedTuple):
     """A kept connection, which may be reused until a monotonic time."""
 
     connection: Connection
+    opened_ms: Millis
+    gateway: str
     usable_until_ms: Millis
 
 
 class TargetConnectionPool:
-    """Pool of connections to targets, by address."""
+    """Pool of connections to targets, by address; tunnels through other entries are kept apart."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, open_connection: OpenConnection | None = None) -> None:
         self._clock = clock
-        self._idle: dict[str, list[_IdleConnection]] = {}
+        self._open_connection = open_connection
+        self._direct: dict[str, list[_KeptConnection]] = {}
+        self._tunnels: dict[str, list[_KeptConnection]] = {}
 
     async def acquire(self, address: str, *, must_be_new: bool) -> TargetConnection:
-        """Return a kept or new connection; raise `UnreachableError` if none can be opened."""
-        idle = self._idle.get(address, [])
-        while idle and not must_be_new:
-            item = idle.pop()
-            is_usable = self._clock.monotonic_ms() < item.usable_until_ms
-            if is_usable and not item.connection.has_input():
-                return self._wrap_connection(address, item.connection, is_reused=True)
-            item.connection.close()
+        """Return a kept or new direct connection; raise `UnreachableError` if none can be opened."""
+        kept = None if must_be_new else self._take_kept(self._direct, address, lambda _: True)
+        if kept is not None:
+            return kept
         try:
-            connection = await connect(address, CONNECT_TIMEOUT_MS, TARGET_BOUNDS)
+            return self.wrap(address, await self.connect(address))
         except (OSError, trio.TooSlowError) as error:
-            raise UnreachableError(f"{address}: {error}") from error
-        return self._wrap_connection(address, connection, is_reused=False)
+            is_refused = isinstance(error, ConnectionRefusedError | ConnectionResetError)
+            raise UnreachableError(f"{address}: {error}", is_refused=is_refused) from error
+
+    async def connect(self, address: str) -> Connection:
+        """Open a direct connection; raise `OSError`, or `trio.TooSlowError`."""
+        open_connection = self._open_connection or connect
+        return await open_connection(address, CONNECT_TIMEOUT_MS, TARGET_BOUNDS)
+
+    def take_kept_tunnel(
+        self, address: str, is_usable: Callable[[str], bool]
+    ) -> TargetConnection | None:
+        """Return a kept tunnel to an address through a usable gateway, None if there is none."""
+        return self._take_kept(self._tunnels, address, is_usable)
+
+    def wrap(self, address: str, connection: Connection) -> TargetConnection:
+        """Return a new direct connection for its first request."""
+        return _wrap(address, connection, False, self._clock.monotonic_ms(), "")
+
+    def wrap_tunnel(self, address: str, gateway: str, connection: Connection) -> TargetConnection:
+        """Return a new tunnel for its first request."""
+        return _wrap(address, connection, False, self._clock.monotonic_ms(), gateway)
 
     def release(self, used: TargetConnection, head: ResponseHead | None) -> None:
         """Keep a connection for reuse, or close it; without `head` its response is incomplete."""
-        idle = self._idle.setdefault(used.address, [])
-        is_kept = head is not None and used.is_reusable and len(idle) < MAX_IDLE_PER_TARGET
+        kept = (self._tunnels if used.gateway else self._direct).setdefault(used.address, [])
+        is_kept = head is not None and used.is_reusable and len(kept) < MAX_IDLE_PER_TARGET
         if not is_kept or "close" in head.header(b"connection").lower():
             used.connection.close()
             return
         limit_ms = _keep_alive_timeout_ms(head.header(b"keep-alive"))
         usable_ms = DEFAULT_IDLE_TIMEOUT_MS if limit_ms is None else limit_ms - IDLE_MARGIN_MS
-        idle.append(_IdleConnection(used.connection, self._clock.monotonic_ms() + usable_ms))
+        usable_until_ms = self._clock.monotonic_ms() + usable_ms
+        kept.append(_KeptConnection(used.connection, used.opened_ms, used.gateway, usable_until_ms))
 
     def close_expired(self) -> None:
         """Close kept connections that have expired or were closed by their targets."""
         now_ms = self._clock.monotonic_ms()
-        for address, idle in list(self._idle.items()):
-            kept: list[_IdleConnection] = []
-            for item in idle:
-                if now_ms < item.usable_until_ms and not item.connection.has_input():
-                    kept.append(item)
-                else:
-                    item.connection.close()
-            if kept:
-                self._idle[address] = kept
-            else:
-                del self._idle[address]
+        for pool in (self._direct, self._tunnels):
+            _close_unless(
+                pool,
+                lambda item: now_ms < item.usable_until_ms and not item.connection.has_input(),
+            )
+
+    def close_tunnels(self, is_unwanted: Callable[[str], bool]) -> None:
+        """Close the kept tunnels through unwanted gateways."""
+        _close_unless(self._tunnels, lambda item: not is_unwanted(item.gateway))
+
+    def _take_kept(
+        self,
+        pool: dict[str, list[_KeptConnection]],
+        address: str,
+        is_usable: Callable[[str], bool],
+    ) -> TargetConnection | None:
+        kept = pool.get(address, [])
+        while kept:
+            item = kept.pop()
+            is_current = self._clock.monotonic_ms() < item.usable_until_ms
+            if is_current and is_usable(item.gateway) and not item.connection.has_input():
+                return _wrap(address, item.connection, True, item.opened_ms, item.gateway)
+            item.connection.close()
+        return None
+
 
-    def _wrap_connection(
-        self, address: str, connection: Connection, *, is_reused: bool
-    ) -> TargetConnection:
-        protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        return TargetConnection(address, connection, protocol, is_reused)
+def _close_unless(
+    pool: dict[str, list[_KeptConnection]], is_kept: Callable[[_KeptConnection], bool]
+) -> None:
+    for address, items in list(pool.items()):
+        kept: list[_KeptConnection] = []
+        for item in items:
+            if is_kept(item):
+                kept.append(item)
+            else:
+                item.connection.close()
+        if kept:
+            pool[address] = kept
+        else:
+            del pool[address]
+
+
+def _wrap(
+    address: str, connection: Connection, is_reused: bool, opened_ms: Millis, gateway: str
+) -> TargetConnection:
+    protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    return TargetConnection(address, connection, protocol, is_reused, opened_ms, gateway)
 
 
 def _keep_alive_timeout_ms(keep_alive: str) -> Millis | None:
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_check_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_check_tests.py
@@ -13,6 +13,7 @@
 from marigoldarch_node.clock import SystemClock
 from marigoldarch_node.serving.crash_check import record_crashes
 from marigoldarch_node.serving.target_connections import TargetConnectionPool
+from marigoldarch_node.serving.target_paths import TargetPaths
 from marigoldarch_node.tests.serving.support import free_address
 
 if TYPE_CHECKING:
@@ -34,8 +35,11 @@
             crashes=SimpleNamespace(record_crash=lambda start, *_: self.crashed.append(start)),
             record_failure=lambda *_, **__: None,
             clock=SystemClock(),
+            link_rng=None,
+            settings=SimpleNamespace(data_centre=""),
         )
-        context = SimpleNamespace(state=state, connections=TargetConnectionPool(state.clock))
+        paths = TargetPaths(state, None, TargetConnectionPool(state.clock))
+        context = SimpleNamespace(state=state, paths=paths)
         placement = SimpleNamespace(targets=(target("t", address=address),))
         plan = SimpleNamespace(placement=placement, call=None)
         await record_crashes(context, plan, 0.0)
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/entry_stop_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/entry_stop_tests.py
@@ -99,12 +99,12 @@
 
     async def create_host(self, grace_ms: float) -> tuple[EntryHost, str]:
         """Return an entry, whose state the test holds, and its address for callers."""
-        caller, health = await free_address(), await free_address()
+        caller, health, peers = [await free_address() for _ in range(3)]
         settings = ServingSettings(
             "e1",
             "127.0.0.1",
             "dc1",
-            int(caller.rpartition(":")[2]),
+            int(peers.rpartition(":")[2]),
             ["127.0.0.9:1"],
             caller_address=caller,
             health_address=health,
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/memory_reservations_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/memory_reservations_tests.py
@@ -12,6 +12,7 @@
 from marigoldarch_node.serving.memory_reservations import ReservationManager
 from marigoldarch_node.serving.settings import ServingSettings
 from marigoldarch_node.serving.target_connections import TargetConnectionPool
+from marigoldarch_node.serving.target_paths import TargetPaths
 from marigoldarch_node.tests.serving.support import PlainDialect, read_until, scripted_target
 
 SETTINGS = ServingSettings("e1", "10.0.0.1", "dc1", 7340, ["10.0.1.1:80"])
@@ -34,8 +35,8 @@
 
         async def run() -> int:
             state = EntryState(SETTINGS, 1)
-            connections = TargetConnectionPool(state.clock)
-            manager = ReservationManager(state, PlainDialect(), connections)
+            paths = TargetPaths(state, PlainDialect(), TargetConnectionPool(state.clock))
+            manager = ReservationManager(state, PlainDialect(), paths)
             async with scripted_target(talk) as address, trio.open_nursery() as nursery:
                 nursery.start_soon(manager.run)
                 reservations = manager.create([target("t", address=address)], 1000)
@@ -62,8 +63,8 @@
 
         async def run() -> str:
             state = EntryState(SETTINGS, 1)
-            connections = TargetConnectionPool(state.clock)
-            manager = ReservationManager(state, PlainDialect(), connections)
+            paths = TargetPaths(state, PlainDialect(), TargetConnectionPool(state.clock))
+            manager = ReservationManager(state, PlainDialect(), paths)
             async with scripted_target(talk) as address:
                 reservations = manager.create([target("t", address=address)], 1000)
                 refusing_target = await manager.reserve(reservations)
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/stall_detector_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/stall_detector_tests.py
@@ -37,7 +37,7 @@
         )
         self.reports_ms: list[float] = []
         self.detector = StallDetector(
-            state, call, Placement((TARGET,), 50.0, 0.0), self.reports_ms.append
+            state, call, Placement((TARGET,), 50.0, 0.0), self.reports_ms.append, lambda _: None
         )
 
     def test_silent_target_is_reported_until_it_speaks(self) -> None:
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -20,6 +20,7 @@
 from marigoldarch_node.serving.proxy import Proxy
 from marigoldarch_node.serving.settings import ServingSettings
 from marigoldarch_node.serving.target_connections import TargetConnectionPool, TargetRequest
+from marigoldarch_node.serving.target_paths import TargetPaths
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
@@ -87,10 +88,10 @@
     state.apply_table(RoutingTable(declaration(*routes)))
     state.target_view.connect("c1")
     state.target_view.mark_complete("c1")
-    connections = TargetConnectionPool(state.clock)
     dialect = PlainDialect()
-    reservations = ReservationManager(state, dialect, connections)
-    proxy = Proxy(EntryContext(state, dialect, connections, reservations))
+    paths = TargetPaths(state, dialect, TargetConnectionPool(state.clock))
+    reservations = ReservationManager(state, dialect, paths)
+    proxy = Proxy(EntryContext(state, dialect, paths, reservations))
     server = HttpServer(ServerState(proxy.handle, state.limits, state.clock))
     address = await free_address()
     async with trio.open_nursery() as nursery:
--- a/packages/marigoldarch/marigoldarch/serving/routing.py
+++ b/packages/marigoldarch/marigoldarch/serving/routing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+from functools import cached_property
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -55,6 +57,21 @@
         """Return whether routes that are not public need a customer's key."""
         return bool(self._declaration.customers)
 
+    @cached_property
+    def node_token(self) -> str:
+        """Return what nodes with this declaration can compute and callers can't.
+
+        It is a digest of the keys of all customers, of which a caller knows only its own. Without
+        customers nothing is secret, and it is empty.
+        """
+        if not self._customers:
+            return ""
+        digest = hashlib.blake2b(person=b"node token", digest_size=16)
+        for key in sorted(self._customers):
+            text = key.encode("utf-8", "surrogateescape")
+            digest.update(len(text).to_bytes(8, "big") + text)
+        return digest.hexdigest()
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`; all prefixes end with a slash."""
         routes = self._routes.get(host.partition(":")[0].lower())
--- a/packages/marigoldarch/marigoldarch/serving/target_health.py
+++ b/packages/marigoldarch/marigoldarch/serving/target_health.py
@@ -127,6 +127,12 @@
         record.suspensions += 1
         record.suspended_until_ms = now_ms + duration_ms
 
+    def lift(self, target_id: str) -> None:
+        """Forget the failures of a target, as they were none of its own."""
+        record = self._records.get(target_id)
+        if record is not None:
+            record.failures, record.suspensions, record.suspended_until_ms = 0, 0, 0.0
+
     def note_slowdown(self, target_id: str, ratio: float, now_ms: Millis) -> None:
         """Record the ratio of a measured duration to that of the engine formula."""
         record = self._records.setdefault(target_id, _TargetRecord())
