Tell other entries only of targets that fail by more than the own link

What callers saw: sound entries set targets aside, and refused sound requests, by the word of entries whose links were cut (163 targets set aside and 14 crashes told within 14 s of the first cut, 4 parts quarantined at seven sound entries). Change: a suspension for a connection that ended or fell silent is told after a comparison: health checks over the own link and through another entry at the same moment. Ruled out: ignoring such reports where the target was heard lately, as it would also drop reports of targets that fail part of their requests.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -52,6 +52,9 @@
     from marigoldarch_node.serving.memory_reservations import MemoryReservation, ReservationManager
     from marigoldarch_node.serving.target_paths import TargetPaths
 
+CONNECTION_ENDS = (FailureReason.RESET, FailureReason.CUT, FailureReason.CONNECTION_LOST)
+"""Failures of a connection, of the target's end or of the way there."""
+
 log = EventLog("attempts")
 
 
@@ -196,7 +199,7 @@
         self._paths.doubt(self._plan.placement.targets[0], self._connection)
         if self._call.route.is_stream and not self._is_silence_recorded:
             self._is_silence_recorded = True
-            self._state.record_failure(self._target_id, is_unreachable=False)
+            self._record_unanswered()
         self._observer.on_silent(self, silent_ms)
 
     async def _claim_response(self) -> None:
@@ -304,10 +307,20 @@
                 return self._incomplete_outcome(FailureReason.TIMEOUT)
             case Delivered():
                 self._state.health.note_success(self._target_id, now_ms)
+            case OutcomeUnknown(reason=reason) | StreamBroken(reason=reason) if (
+                reason in CONNECTION_ENDS
+            ):
+                self._record_unanswered()
             case OutcomeUnknown() | StreamBroken() | TargetFailed() if self._is_target_at_fault:
                 self._state.record_failure(self._target_id, is_unreachable=False)
         return outcome
 
+    def _record_unanswered(self) -> None:
+        """Record a failure that may be one of the own link; the others are told if it isn't."""
+        target = self._plan.placement.targets[0]
+        if self._state.record_failure(self._target_id, is_unreachable=False, is_told=False):
+            self._paths.verify_suspension(target)
+
     def _running_work(self) -> RunningAttempt:
         """Return the load of this attempt, as it is reported to the other entries."""
         call, placement = self._call, self._plan.placement
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -158,12 +158,24 @@
             await self._has_table.wait()
         return self._table
 
-    def record_failure(self, target_id: str, *, is_unreachable: bool) -> None:
-        """Record a failed attempt; if it suspends the target, report that to the other entries."""
+    def record_failure(self, target_id: str, *, is_unreachable: bool, is_told: bool = True) -> bool:
+        """Record a failed attempt; return whether it suspends the target.
+
+        That is reported to the other entries if it `is_told`.
+        """
         now_ms = self.clock.monotonic_ms()
-        if self.health.note_failure(target_id, now_ms, is_unreachable=is_unreachable):
-            log.warning("target set aside", target=target_id, is_unreachable=is_unreachable)
-            self.workload.report_suspended_target(cached_name_hash(target_id))
+        if not self.health.note_failure(target_id, now_ms, is_unreachable=is_unreachable):
+            return False
+        log.warning(
+            "target set aside", target=target_id, is_unreachable=is_unreachable, is_told=is_told
+        )
+        if is_told:
+            self.tell_suspension(target_id)
+        return True
+
+    def tell_suspension(self, target_id: str) -> None:
+        """Report to the other entries that a target is suspended."""
+        self.workload.report_suspended_target(cached_name_hash(target_id))
 
     def record_slowdown(self, target_id: str, ratio: float) -> None:
         """Record how many times longer than predicted a target took for an event of a stream.
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_paths.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_paths.py
@@ -50,8 +50,8 @@
 """The shortest time between two comparisons of targets that have fallen silent."""
 
 RECENTLY_HEARD_MS: Millis = 500.0
-"""While some target was heard of so lately, one to which connecting takes too long is compared with
-others beside the request, which goes to another target."""
+"""While some target was heard of so lately, one to which connecting takes too long is compared beside
+the request, which goes to another target, and no other targets have to answer a health check."""
 
 log = EventLog("links")
 
@@ -356,7 +356,18 @@
         self._doubted_ms = self._now_ms()
         self._nursery.start_soon(self._resolve_doubt, target)
 
-    async def _resolve_doubt(self, target: Target) -> None:
+    def verify_suspension(self, target: Target) -> None:
+        """Tell the other entries of a suspended target, unless the own link to it is lost."""
+        if not self._uses_gateways:
+            self._state.tell_suspension(target.target_id)
+        elif not self._state.links.is_lost(target):
+            self._nursery.start_soon(self._tell_unless_lost, target)
+
+    async def _tell_unless_lost(self, target: Target) -> None:
+        if await self._resolve_doubt(target) is LinkVerdict.TARGET_AT_FAULT:
+            self._state.tell_suspension(target.target_id)
+
+    async def _resolve_doubt(self, target: Target) -> LinkVerdict:
         answered: dict[str, bool] = {}
         reached: dict[Target, bool] = {}
 
@@ -375,6 +386,8 @@
                 return
 
         async def probe_others() -> None:
+            if self.silence_ms < RECENTLY_HEARD_MS:
+                return
             reached.update(
                 await self._try_controls(target, lambda other: self._probe(other, PROBE_TIMEOUT_MS))
             )
@@ -383,11 +396,24 @@
             nursery.start_soon(probe_directly)
             nursery.start_soon(probe_elsewhere)
             nursery.start_soon(probe_others)
-        is_lost = any(answered.values()) and not answered["own link"]
-        log.info("silent target compared", target=target.target_id, answered=answered)
-        if is_lost:
+        verdict = LinkVerdict.TARGET_AT_FAULT
+        if any(answered.values()) and not answered["own link"]:
+            verdict = LinkVerdict.LINK_LOST
             self._record_lost(target)
-            self._record_controls(target, reached)
+            if reached:
+                self._record_controls(target, reached)
+            else:
+                await self.are_links_sound(target)
+        elif reached and not any(reached.values()):
+            verdict = LinkVerdict.UNCERTAIN
+        log.info(
+            "silent target compared",
+            target=target.target_id,
+            answered=answered,
+            controls={other.target_id: is_reached for other, is_reached in reached.items()},
+            verdict=str(verdict),
+        )
+        return verdict
 
     def _record_lost(self, target: Target) -> None:
         """Record that another entry reaches a target that the own link doesn't reach."""
