--- a/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/crash_suspects_tests.py
@@ -176,6 +176,14 @@
         self.suspects.record_answer((REPEATED,), 14_100.0)
         self.assertFalse(self.is_refused(14_200.0, REPEATED))
 
+    def test_refusal_tells_the_wait_for_the_part_whose_quarantine_ends_last(self) -> None:
+        """Guards against a wait that depends on the order of a set, and a caller refused again after it."""
+        for number in range(16):
+            self.setUp()
+            self.record_crashes(1, 4, f"request:{number}", SHARED, FAULTY)
+            found = self.suspects.find_quarantine((f"request:{number}", SHARED, FAULTY), 4000.0)
+            self.assertEqual(found.left_ms, SETTINGS.quarantine_ms - 1000.0)
+
     def test_faulty_request_is_tried_again_twice_within_an_hour(self) -> None:
         """Guards against trials that crash more targets than a repeated request may."""
         self.record_crashes(1, 3, REPEATED)
