Tell refused callers the wait for the quarantine that ends last

What callers saw: a request whose part is refused for 120 s was told 10 s, and refused again after it. Cause: of several quarantined parts of a request with equally many crashes, the order of a set chose the one whose rest was told. Now the one whose quarantine ends last is looked at first; whether a request is refused doesn't change.

--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -354,7 +354,8 @@
         # A part that has reached its limit of crashes has lost those before them.
         full = [item for item in others if len(item.crashes) >= self._settings.max_crashes_per_part]
         since_ms = max((min(item.crashes.values()) for item in full), default=float("-inf"))
-        for suspect in sorted(suspects, key=lambda item: -len(item.crashes)):
+        # The last quarantine to end decides how long the caller has to wait.
+        for suspect in sorted(suspects, key=lambda item: (-item.quarantined_until_ms, item.part)):
             is_excusable = self._may_be_excused_by_request(suspect)
             left = unexplained - repeated if is_excusable else unexplained
             moments = self._count_moments(
