Let no pause of the test's process look like a silent target

The route of the test now allows the first event as long as the whole request; it still asserts exactly one failure.

--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
@@ -32,7 +32,7 @@
 """What the kernel may hold of the bytes that a target has sent, in both directions."""
 
 POST = call_once(is_public=True, timeout_ms=DEADLINE_MS)
-STREAM = route(is_public=True, attempt_limit=1, timeout_ms=DEADLINE_MS)
+STREAM = route(is_public=True, attempt_limit=1, timeout_ms=DEADLINE_MS, goal_ms=DEADLINE_MS)
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 EVENTS = b"content-type: text/event-stream\r\n"
