Call targets through another node in the product's own interface, too

The same class of fault: a scheduler grants targets that the node of the caller doesn't reach, each call there failed, and the pool counted it as the target's failure. Where connecting fails, the node now has another node send the call (peer key, peer TLS, one hop); nothing is sent twice, as only a node that did not connect answers that the call was not run. Not covered: own connections that open and stay silent. Crashes need no change: a pool counts one only if the announcement ends, too.

--- a/packages/marigoldarch-node/marigoldarch_node/edge/connection_pool.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/connection_pool.py
@@ -8,12 +8,16 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
 
 import httpcore
 import trio
 
 from marigoldarch_node.edge.listener import tcp_socket_options
 
+if TYPE_CHECKING:
+    from marigoldarch_node.security.tls import TlsContexts
+
 KEEP_ALIVE_TIMEOUT_S = 30.0
 TCP_USER_TIMEOUT_MS = 10_000
 MAX_CONNECTIONS_IN_USE = 10_000
@@ -25,11 +29,19 @@
 class HttpcoreConnectionPool:
     """Connections of `httpcore` to all targets; idle ones are kept by the address of their target."""
 
-    def __init__(self, max_in_use: int = MAX_CONNECTIONS_IN_USE) -> None:
+    def __init__(
+        self, max_in_use: int = MAX_CONNECTIONS_IN_USE, tls: TlsContexts | None = None
+    ) -> None:
         self._max_in_use = max_in_use
+        self._tls = tls
         self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
         self._in_use = 0
 
+    @property
+    def scheme(self) -> str:
+        """Return the scheme of the URLs of all connections."""
+        return "https" if self._tls else "http"
+
     @property
     def in_use(self) -> int:
         """Return how many connections carry a request."""
@@ -73,7 +85,8 @@
             await _close(connection)
         host, _, port = address.rpartition(":")
         return httpcore.AsyncHTTPConnection(
-            httpcore.Origin(b"http", host.encode(), int(port)),
+            httpcore.Origin(self.scheme.encode(), host.encode(), int(port)),
+            ssl_context=self._tls.client if self._tls else None,
             keepalive_expiry=KEEP_ALIVE_TIMEOUT_S,
             socket_options=tcp_socket_options(TCP_USER_TIMEOUT_MS),
         )
--- a/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
@@ -3,24 +3,33 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator, AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from typing import TYPE_CHECKING, Annotated, Any
 
 import httpcore
 import msgspec
+import trio
 
 from marigoldarch.codec import decode_json, encode_json
 from marigoldarch.entry.stream import Frame
 from marigoldarch.exceptions import CodecError, MarigoldarchError
 from marigoldarch_node.edge.connection_pool import HttpcoreConnectionPool
+from marigoldarch_node.edge.forwarding import (
+    CONNECT_ERRORS,
+    FORWARD_PATH,
+    RELAYED_HEADER,
+    Forwarders,
+    TargetCall,
+)
 from marigoldarch_node.lines import LineSplitter, LineTooLongError
+from marigoldarch_node.logs import get_logger
 
 if TYPE_CHECKING:
     from marigoldarch.effects import OrderTarget
     from marigoldarch.identifiers import PermitId, TargetAddress
     from marigoldarch_node.calls import Payload
+    from marigoldarch_node.security.tls import TlsContexts
 
-CONNECT_TIMEOUT_S = 1.0
 COMMAND_TIMEOUT_S = 2.0
 MAX_LINE_BYTES = 1024 * 1024
 MAX_LINE_CHUNKS = 8192
@@ -32,8 +41,6 @@
 MAX_FRAME_TOKENS = 1_000_000
 NOT_RUN = "not_run"
 
-_CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.ConnectionNotAvailable)
-
 TokenOffset = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
@@ -62,18 +69,36 @@
     end: bool = False
 
 
+log = get_logger("targets")
+
 _FRAME_DECODER = msgspec.json.Decoder(WireFrame)
 
 
 class TargetClient:
-    """A client that calls targets over pooled HTTP connections."""
+    """A client that calls targets over pooled HTTP connections.
+
+    Where the own link to a target is lost, the call goes through one of `forwarders`.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, forwarders: Forwarders | None = None, peer_tls: TlsContexts | None = None
+    ) -> None:
         self._connections = HttpcoreConnectionPool()
+        self._peer_connections = HttpcoreConnectionPool(tls=peer_tls)
+        self._forwarders = forwarders
+
+    @property
+    def connections(self) -> HttpcoreConnectionPool:
+        """Return the connections to targets."""
+        return self._connections
 
     async def run(self) -> None:
-        """Close expired idle connections until cancelled."""
-        await self._connections.close_expired_periodically()
+        """Close expired idle connections, and probe lost links, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._connections.close_expired_periodically)
+            nursery.start_soon(self._peer_connections.close_expired_periodically)
+            if self._forwarders is not None:
+                nursery.start_soon(self._forwarders.run)
 
     async def generate(
         self,
@@ -158,19 +183,14 @@
         io_timeout_s: float | None,
     ) -> AsyncIterator[httpcore.Response]:
         """Send a request and open its response; raise `TargetError` unless the status is 200."""
-        timeouts = {"connect": CONNECT_TIMEOUT_S, "read": io_timeout_s, "write": io_timeout_s}
-        url = f"http://{target.address}{path}"
+        call = TargetCall(method, target, path, encode_json(body), io_timeout_s)
         try:
-            async with (
-                self._connections.acquire(target.address) as connection,
-                connection.stream(
-                    method, url, content=encode_json(body), extensions={"timeout": timeouts}
-                ) as response,
-            ):
+            async with AsyncExitStack() as stack:
+                response = await self._send(call, stack)
                 if response.status != 200:
                     raise await _refusal_error(response)
                 yield response
-        except _CONNECT_ERRORS as error:
+        except CONNECT_ERRORS as error:
             raise TargetError(f"cannot connect to {target.address}", is_unsent=True) from error
         except httpcore.TimeoutException as error:
             raise TargetError(f"{target.address} did not answer", is_unsent=False) from error
@@ -181,6 +201,64 @@
                 is_connection_lost=True,
             ) from error
 
+    async def _send(self, call: TargetCall, stack: AsyncExitStack) -> httpcore.Response:
+        """Open the response to a call, which stays open as long as `stack`.
+
+        Raises one of `CONNECT_ERRORS` if the target is reached neither by the own link nor through
+        another node.
+        """
+        forwarders = self._forwarders
+        if forwarders is None or forwarders.is_empty:
+            return await self._send_directly(call, stack)
+        if not forwarders.is_lost(call.target):
+            try:
+                return await self._send_directly(call, stack)
+            except CONNECT_ERRORS:
+                log.info("No connection to {}, other nodes are tried.", call.target.address)
+        for gateway in forwarders.choose():
+            response = await self._send_through(gateway, call, stack)
+            if response is not None:
+                forwarders.record_lost(call.target)
+                return response
+        raise httpcore.ConnectError(f"no node reaches {call.target.address}")
+
+    async def _send_directly(self, call: TargetCall, stack: AsyncExitStack) -> httpcore.Response:
+        connection = await stack.enter_async_context(self._connections.acquire(call.target.address))
+        url = f"http://{call.target.address}{call.path}"
+        extensions = {"timeout": call.timeouts}
+        return await stack.enter_async_context(
+            connection.stream(call.method, url, content=call.content, extensions=extensions)
+        )
+
+    async def _send_through(
+        self, gateway: str, call: TargetCall, stack: AsyncExitStack
+    ) -> httpcore.Response | None:
+        """Open the response of a target through another node, None if that did not call it."""
+        async with AsyncExitStack() as attempt:
+            try:
+                connection = await attempt.enter_async_context(
+                    self._peer_connections.acquire(gateway)
+                )
+                response = await attempt.enter_async_context(
+                    connection.stream(
+                        "POST",
+                        f"{self._peer_connections.scheme}://{gateway}{FORWARD_PATH}",
+                        headers=self._forwarders.forwarded_headers(call),
+                        content=call.content,
+                        extensions={"timeout": call.timeouts},
+                    )
+                )
+            except CONNECT_ERRORS:
+                self._forwarders.avoid(gateway)
+                return None
+            if RELAYED_HEADER in dict(response.headers):
+                stack.push_async_exit(attempt.pop_all())
+                return response
+            error = await _refusal_error(response)
+            if error.is_unsent:
+                return None
+            raise error
+
 
 async def _refusal_error(response: httpcore.Response) -> TargetError:
     """Return the error for a refused call.
--- a/packages/marigoldarch-node/marigoldarch_node/runtime.py
+++ b/packages/marigoldarch-node/marigoldarch_node/runtime.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections import deque
 from typing import TYPE_CHECKING
@@ -29,6 +30,7 @@
 from marigoldarch_node.attempts import AttemptRunner
 from marigoldarch_node.calls import CallTable
 from marigoldarch_node.clock import SystemClock
+from marigoldarch_node.edge.forwarding import Forwarders, ForwardRoutes
 from marigoldarch_node.edge.peer_links import LinkSettings, PeerLinks
 from marigoldarch_node.edge.target_client import TargetClient
 from marigoldarch_node.logs import get_logger
@@ -55,7 +57,6 @@
         self.clock = SystemClock()
         self.calls = CallTable()
         self.metrics = Metrics(core.pools.prefill_tokens_per_s, Registry())
-        self.client = TargetClient()
         self.recorder = TimelineRecorder(core.node, settings.timeline_file)
         self.security = CredentialStore(settings)
         self.keys = self.security.keys
@@ -68,6 +69,9 @@
             self.security.peer_tls,
         )
         self.links = PeerLinks(link_settings, core.peers, self.submit)
+        forwarders = Forwarders(core.address, core.peers, settings.peer_key, random.Random())
+        self.client = TargetClient(forwarders, self.security.peer_tls)
+        self.forwarding = ForwardRoutes(self.client.connections, self.keys)
         self.attempts = AttemptRunner(self.calls, self.client, self.clock, self.submit)
         self.stopped = trio.Event()
         self.operator_replies: dict[str, trio.MemorySendChannel] = {}
--- a/packages/marigoldarch-node/marigoldarch_node/server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/server.py
@@ -36,7 +36,7 @@
     public_router = Router(
         caller_routes + TargetRoutes(runtime).routes + OperatorRoutes(runtime).routes
     )
-    peer_router = Router(runtime.links.routes)
+    peer_router = Router(runtime.links.routes + runtime.forwarding.routes)
     log.info("Starting node {}.", address.node)
     public_settings = ListenerSettings(
         address.caller_address,
