Spread tunnels over all entries, keep the near ones, ask two entries at once

Found in reading the change at the target size: of a data centre with hundreds of entries the others know four, all the same ones, so that 173 entries that lose their links at once would have turned to eight (model: 286 tunnels at one entry where 20 would be even). Also: a comparison asks both entries at once; tunnels through another data centre are closed after use if a near entry helps; targets that no path reaches count as suspended, so that the others are tried first.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_paths.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_paths.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from contextlib import suppress
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -90,6 +91,7 @@
         self._last_heard_ms: Millis = float("-inf")
         self._data_centres: set[str] = set()
         self._generation = -1
+        state.candidates.find_unreachable = self._find_unreachable
 
     @property
     def is_isolated(self) -> bool:
@@ -118,6 +120,10 @@
         self._gateways.set_entries(entries)
         self._connections.close_tunnels(lambda node: not self._is_usable(node))
 
+    def name_neighbours(self) -> list[str]:
+        """Return some other entries of this data centre that entries elsewhere may ask for tunnels."""
+        return self._gateways.name_neighbours()
+
     def cut_off_ms(self) -> Millis | None:
         """Return after how long a request may reach some target again, None if it may now.
 
@@ -125,12 +131,19 @@
         """
         if not self._uses_gateways or not self.is_isolated:
             return None
-        if self._gateways.choose(self._now_ms()):
+        if self._gateways.has_usable(self._now_ms()):
             return None
         return max(
             self._gateways.wait_ms(self._now_ms()), self._state.links.probe_interval_ms / 2.0
         )
 
+    def _find_unreachable(self) -> Callable[[Target], bool] | None:
+        """Return whether a target is reached by no path now, None if each has one."""
+        links = self._state.links
+        if links.are_sound or not self._uses_gateways or self._gateways.has_usable(self._now_ms()):
+            return None
+        return links.is_lost
+
     # Connections
 
     async def acquire(self, target: Target, *, must_be_new: bool) -> TargetConnection:
@@ -148,7 +161,7 @@
         """Keep a connection for reuse, or close it; without `head` its response is incomplete."""
         if used.gateway:
             self._in_use[used.gateway] -= 1
-            if not self._is_usable(used.gateway):
+            if not self._gateways.is_preferred(used.gateway, self._now_ms()):
                 head = None
         self._connections.release(used, head)
 
@@ -210,8 +223,9 @@
         """Open a tunnel; raise `TunnelError`, and avoid a gateway that can't help for now."""
         ask = TunnelAsk(target.target_id, target.born_ms, target.address, self._token)
         try:
-            connection = await open_tunnel(gateway, ask)
+            connection, neighbours = await open_tunnel(gateway, ask)
         except TunnelError as error:
+            self._learn(error.neighbours)
             log.info("no tunnel", peer=gateway, target=target.target_id, outcome=str(error.outcome))
             if error.outcome in (
                 TunnelOutcome.GATEWAY_SILENT,
@@ -223,9 +237,13 @@
                 self._gateways.avoid(gateway, self._now_ms(), is_silent=is_silent)
                 self._connections.close_tunnels(lambda node: node == gateway)
             raise
+        self._learn(neighbours)
         self._in_use[gateway] += 1
         return self._connections.wrap_tunnel(target.address, gateway, connection)
 
+    def _learn(self, nodes: Collection[str]) -> None:
+        self._gateways.learn(nodes, self._state.settings.peer_address, self._now_ms())
+
     # Comparisons
 
     async def _reach_otherwise(self, target: Target, error: UnreachableError) -> TargetConnection:
@@ -258,24 +276,40 @@
     async def _compare(self, target: Target) -> tuple[LinkVerdict, TargetConnection | None]:
         """Compare what the own link met with what other entries meet; return a tunnel if one opens."""
         self._nursery.start_soon(self.are_links_sound, target)
-        views = 0
-        for gateway in self._gateways.choose(self._now_ms(), is_second_view=True):
-            try:
-                connection = await self._open_tunnel(gateway, target)
-            except TunnelError as error:
-                if error.outcome in (TunnelOutcome.TARGET_REFUSED, TunnelOutcome.TARGET_SILENT):
-                    views += 1
-                    break
-            else:
-                self._record_lost(target)
-                return LinkVerdict.LINK_LOST, connection
+        connection = await self._open_first_tunnel(target)
+        if connection is not None:
+            self._record_lost(target)
+            return LinkVerdict.LINK_LOST, connection
         verdict = LinkVerdict.UNCERTAIN
         if await self.are_links_sound(target):
             verdict = LinkVerdict.TARGET_AT_FAULT
             self._record_down(target)
-        log.info("target compared", target=target.target_id, verdict=str(verdict), views=views)
+        log.info("target compared", target=target.target_id, verdict=str(verdict))
         return verdict, None
 
+    async def _open_first_tunnel(self, target: Target) -> TargetConnection | None:
+        """Ask several entries at once; return the first tunnel that opens, None if none does."""
+        opened: list[TargetConnection] = []
+
+        async def open_one(gateway: str) -> None:
+            with suppress(TunnelError):
+                opened.append(await self._open_tunnel(gateway, target))
+                nursery.cancel_scope.cancel()
+
+        try:
+            async with trio.open_nursery() as nursery:
+                for gateway in self._gateways.choose(self._now_ms()):
+                    nursery.start_soon(open_one, gateway)
+        except BaseException:
+            self._release_all(opened)
+            raise
+        self._release_all(opened[1:])
+        return opened[0] if opened else None
+
+    def _release_all(self, connections: list[TargetConnection]) -> None:
+        for connection in connections:
+            self.release(connection, None)
+
     async def are_links_sound(self, unreached: Target) -> bool:
         """Return whether some other target is reached, beside one that isn't.
 
@@ -375,15 +409,14 @@
             answered["own link"] = await self._probe(target, PROBE_TIMEOUT_MS)
 
         async def probe_elsewhere() -> None:
-            for gateway in self._gateways.choose(self._now_ms(), is_second_view=True):
-                try:
-                    connection = await self._open_tunnel(gateway, target)
-                except TunnelError:
-                    continue
-                answered[gateway] = self._may_send(target) and await self._is_answered(
-                    connection, target, COMPARISON_MS
-                )
+            connection = await self._open_first_tunnel(target)
+            if connection is None:
+                return
+            if not self._may_send(target):
+                self.release(connection, None)
                 return
+            gateway = connection.gateway
+            answered[gateway] = await self._is_answered(connection, target, COMPARISON_MS)
 
         async def probe_others() -> None:
             if self.silence_ms < RECENTLY_HEARD_MS:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/tunnel_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/tunnel_server.py
@@ -29,7 +29,7 @@
     from marigoldarch_node.serving.sockets import Connection
     from marigoldarch_node.serving.target_paths import TargetPaths
 
-MAX_TUNNELS = 400
+MAX_TUNNELS = 300
 """Each takes two file descriptors, beside those of the callers' connections and the own ones."""
 
 ASK_TIMEOUT_S = 1.0
@@ -93,7 +93,9 @@
         )
         self._state.metrics.tunnels.inc({"outcome": str(outcome)})
         try:
-            await stream.send_all(msgspec.json.encode(TunnelAnswer(outcome)) + b"\n")
+            is_node = outcome is not TunnelOutcome.NOT_ALLOWED
+            answer = TunnelAnswer(outcome, self._paths.name_neighbours() if is_node else [])
+            await stream.send_all(msgspec.json.encode(answer) + b"\n")
             if connection is not None:
                 await _carry(stream, connection)
         finally:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/tunnels.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/tunnels.py
@@ -18,10 +18,12 @@
 from marigoldarch_node.serving.sockets import Connection, connect
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from marigoldarch.clock import Millis
 
-GATEWAY_CONNECT_TIMEOUT_MS: Millis = 250.0
-"""How long a gateway may take to accept a connection; it is a node that was heard from lately."""
+GATEWAY_CONNECT_TIMEOUT_MS: Millis = 400.0
+"""How long a gateway may take to accept a connection, as for other nodes."""
 
 GATEWAY_ANSWER_TIMEOUT_MS: Millis = 450.0
 """How long a gateway may take to answer, which includes the time to connect to the target."""
@@ -33,11 +35,15 @@
 
 
 class TunnelError(MarigoldarchError):
-    """A gateway opened no tunnel, so nothing was sent to the target."""
+    """A gateway opened no tunnel, so nothing was sent to the target.
+
+    `neighbours` are other entries that it names.
+    """
 
-    def __init__(self, outcome: TunnelOutcome) -> None:
+    def __init__(self, outcome: TunnelOutcome, neighbours: Collection[str] = ()) -> None:
         super().__init__(str(outcome))
         self.outcome = outcome
+        self.neighbours = neighbours
 
 
 class TunnelStream:
@@ -82,20 +88,23 @@
         return self.stream.has_bytes or super().has_input()
 
 
-async def open_tunnel(gateway: str, ask: TunnelAsk) -> TunnelConnection:
-    """Open a connection to a target through a gateway; raise `TunnelError` if there is none."""
+async def open_tunnel(gateway: str, ask: TunnelAsk) -> tuple[TunnelConnection, list[str]]:
+    """Open a connection to a target through a gateway; raise `TunnelError` if there is none.
+
+    Returns the other entries that the gateway names, too.
+    """
     try:
         connection = await connect(gateway, GATEWAY_CONNECT_TIMEOUT_MS)
     except (OSError, trio.TooSlowError) as error:
         raise TunnelError(TunnelOutcome.GATEWAY_SILENT) from error
-    outcome = TunnelOutcome.GATEWAY_SILENT
+    answer = TunnelAnswer(TunnelOutcome.GATEWAY_SILENT)
     try:
         with trio.move_on_after(GATEWAY_ANSWER_TIMEOUT_MS / 1000.0):
             await connection.stream.send_all(msgspec.json.encode(ask) + b"\n")
-            outcome, rest = await _read_answer(connection.stream)
-        if outcome is TunnelOutcome.CONNECTED:
+            answer, rest = await _read_answer(connection.stream)
+        if answer.outcome is TunnelOutcome.CONNECTED:
             stream = TunnelStream(connection.stream, FrameReader(rest))
-            return TunnelConnection(connection.socket, stream)
+            return TunnelConnection(connection.socket, stream), answer.neighbours
     except (trio.BrokenResourceError, trio.ClosedResourceError, msgspec.MsgspecError) as error:
         connection.close()
         raise TunnelError(TunnelOutcome.GATEWAY_SILENT) from error
@@ -103,7 +112,7 @@
         connection.close()
         raise
     connection.close()
-    raise TunnelError(outcome)
+    raise TunnelError(answer.outcome, answer.neighbours)
 
 
 async def tell_wait(gateway: str, wait: TargetWait) -> None:
@@ -120,13 +129,13 @@
         connection.close()
 
 
-async def _read_answer(stream: trio.SocketStream) -> tuple[TunnelOutcome, bytes]:
-    """Return the outcome that a gateway answers, and the bytes that follow its answer."""
+async def _read_answer(stream: trio.SocketStream) -> tuple[TunnelAnswer, bytes]:
+    """Return the answer of a gateway, and the bytes that follow it."""
     received = b""
     while b"\n" not in received:
         data = await stream.receive_some(READ_BYTES)
         if not data or len(received) > MAX_ANSWER_BYTES:
-            return TunnelOutcome.GATEWAY_SILENT, b""
+            return TunnelAnswer(TunnelOutcome.GATEWAY_SILENT), b""
         received += data
     line, _, rest = received.partition(b"\n")
-    return _ANSWER_DECODER.decode(line).outcome, rest
+    return _ANSWER_DECODER.decode(line), rest
--- a/packages/marigoldarch/marigoldarch/serving/candidates.py
+++ b/packages/marigoldarch/marigoldarch/serving/candidates.py
@@ -9,6 +9,8 @@
 from marigoldarch.serving.work_reports import name_hash
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marigoldarch.clock import Millis
     from marigoldarch.serving.limit_lending import LimitLending
     from marigoldarch.serving.pool_view import PoolView
@@ -24,7 +26,11 @@
 
 
 class CandidateSource:
-    """Builds the candidates of a service from an entry's targets, their load and their state."""
+    """Builds the candidates of a service from an entry's targets, their load and their state.
+
+    `find_unreachable` returns whether a target is out of reach for now, None if none is; such a target
+    counts as suspended.
+    """
 
     def __init__(
         self,
@@ -41,6 +47,7 @@
         self._health = health
         self._waits = waits
         self._lending = lending
+        self.find_unreachable: Callable[[], Callable[[Target], bool] | None] = lambda: None
         self._generation = -1
         self._targets_by_service: dict[str, list[tuple[Target, float]]] = {}
         self._near_by_service: dict[str, list[tuple[Target, float]]] = {}
@@ -48,11 +55,7 @@
     def find(self, service: str, excluded: set[str], now_ms: Millis) -> list[Candidate]:
         """Return the candidates of a service without the targets whose ids are excluded."""
         self._refresh()
-        return [
-            self._candidate(target, fill_order, now_ms)
-            for target, fill_order in self._targets_by_service.get(service, [])
-            if target.target_id not in excluded
-        ]
+        return self._candidates(self._targets_by_service.get(service, []), excluded, now_ms)
 
     def has_any(self, service: str, excluded: set[str]) -> bool:
         """Return whether a service has a target whose id is not excluded."""
@@ -73,11 +76,23 @@
         """
         if not self.has_near(service):
             return []
-        return [
+        return self._candidates(self._near_by_service[service], excluded, now_ms)
+
+    def _candidates(
+        self, targets: list[tuple[Target, float]], excluded: set[str], now_ms: Millis
+    ) -> list[Candidate]:
+        candidates = [
             self._candidate(target, fill_order, now_ms)
-            for target, fill_order in self._near_by_service[service]
+            for target, fill_order in targets
             if target.target_id not in excluded
         ]
+        is_unreachable = self.find_unreachable()
+        if is_unreachable is None:
+            return candidates
+        return [
+            item._replace(is_suspended=item.is_suspended or is_unreachable(item.target))
+            for item in candidates
+        ]
 
     def _candidate(self, target: Target, fill_order: float, now_ms: Millis) -> Candidate:
         target_id, start = target.target_id, target.start
--- a/packages/marigoldarch/marigoldarch/serving/target_links.py
+++ b/packages/marigoldarch/marigoldarch/serving/target_links.py
@@ -32,7 +32,7 @@
 
     controls_per_data_centre: int = 2
     max_control_data_centres: int = 4
-    max_probes: int = 8
+    max_probes: int = 4
     probe_interval_ms: Millis = 500.0
 
 
--- a/packages/marigoldarch/marigoldarch/serving/tunnel_messages.py
+++ b/packages/marigoldarch/marigoldarch/serving/tunnel_messages.py
@@ -57,9 +57,14 @@
 
 
 class TunnelAnswer(msgspec.Struct, frozen=True):
-    """Answers a `TunnelAsk`."""
+    """Answers a `TunnelAsk`.
+
+    `neighbours` are some other entries of the gateway's data centre, by their peer addresses. Entries
+    elsewhere know few of these, and would all ask the same ones.
+    """
 
     outcome: TunnelOutcome
+    neighbours: list[str] = []
 
 
 class FrameReader:
