--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_memory_tests.py
@@ -168,6 +168,34 @@
         self.assertIsNotNone(self.second.crashes.find_quarantine(repeat))
         self.assertIsNone(self.second.crashes.find_quarantine(call()))
 
+    def test_one_repeat_at_a_time_tries_for_all_entries_after_a_quarantine(self) -> None:
+        """Guards against several entries that try a crashing request at the end of its quarantine."""
+        for number in range(3):
+            self.crash(self.first, number, identity=REQUEST)
+        self.tell(self.first, self.second)
+        self.clock.advance(12_000.0)
+        tried = call(identity=REQUEST)
+        self.assertIsNone(self.first.crashes.find_quarantine(tried))
+        self.tell(self.first, self.second)
+        for entry in (self.first, self.second):
+            self.assertIsNone(self.first.crashes.find_quarantine(tried))
+            refusal = entry.crashes.find_quarantine(call(identity=REQUEST))
+            self.assertLessEqual(refusal.left_ms, 2000.0)
+        self.clock.advance(2100.0)
+        self.assertIsNone(self.second.crashes.find_quarantine(call(identity=REQUEST)))
+
+    def test_answer_to_the_tried_request_lets_its_repeats_through(self) -> None:
+        for number in range(3):
+            self.crash(self.first, number, identity=REQUEST)
+        self.tell(self.first, self.second)
+        self.clock.advance(12_000.0)
+        tried = call(identity=REQUEST)
+        self.assertIsNone(self.first.crashes.find_quarantine(tried))
+        self.first.crashes.record_answer(tried)
+        self.tell(self.first, self.second)
+        for entry in (self.first, self.second):
+            self.assertIsNone(entry.crashes.find_quarantine(call(identity=REQUEST)))
+
     def test_identity_of_a_request_is_told_beside_many_parts(self) -> None:
         """Guards against long prompts in whose reports their identity is left out."""
         for number in range(3):
