Send one request at a time with a part whose quarantine has ended, over all entries

Cause: quarantines end at all entries at one moment, callers come back when they were told to, and each entry decided alone. Now the first entry claims the trial and tells the others, which refuse for 2 s at most; an answer acquits the part everywhere, a crash begins the next quarantine. Two entries may still try within the 10 ms that a report takes.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_memory.py
@@ -8,7 +8,13 @@
 
 from typing import TYPE_CHECKING
 
-from marigoldarch.crash_suspects import CrashSuspects, Quarantine, SuspectSettings, TargetCrash
+from marigoldarch.crash_suspects import (
+    CrashSuspects,
+    Quarantine,
+    SuspectSettings,
+    TargetCrash,
+    TrialClaim,
+)
 from marigoldarch.serving.candidates import cached_name_hash
 from marigoldarch.serving.request_identity import IDENTITY_PREFIX
 from marigoldarch_node.serving.event_log import EventLog
@@ -47,6 +53,7 @@
         self._has_suspected_requests = False
         workload.on_crash = self._on_peer_crash
         workload.on_acquittal = self._on_peer_acquittal
+        workload.on_trial = self._on_peer_trial
         workload.crashes_to_tell = self._suspects.crashes_to_tell
         workload.acquittals_to_tell = self._suspects.acquittals_to_tell
 
@@ -82,8 +89,21 @@
             self._look_for_suspected_requests()
 
     def find_quarantine(self, call: Call) -> Quarantine | None:
-        """Return why a request must not be sent, None if it may be."""
-        return self._suspects.find_quarantine(self._parts_of(call), self._clock.monotonic_ms())
+        """Return why a request must not be sent, None if it may be.
+
+        After a quarantine it may be only if no other request tries; the other entries are told.
+        """
+        parts, now_ms = self._parts_of(call), self._clock.monotonic_ms()
+        quarantine = self._suspects.find_quarantine(parts, now_ms)
+        if quarantine is not None:
+            return quarantine
+        match self._suspects.claim_trial(parts, id(call), now_ms):
+            case Quarantine() as trial_of_another:
+                return trial_of_another
+            case TrialClaim(part=part):
+                log.info("part tried again", parts=[part])
+                self._workload.report_trial(part)
+        return None
 
     def may_retry(self, call: Call) -> bool:
         """Return whether a request whose target has crashed may be sent to another one."""
@@ -110,6 +130,9 @@
         self._suspects.acquit(part, at_ms)
         self._look_for_suspected_requests()
 
+    def _on_peer_trial(self, part: str) -> None:
+        self._suspects.record_trial(part, self._clock.monotonic_ms())
+
     def _on_peer_crash(self, crash: TargetCrash) -> None:
         self._record(crash, told_by="peer")
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/shared_workload.py
@@ -49,7 +49,8 @@
 MAX_TOLD_CRASHES = 16
 MAX_TOLD_ACQUITTALS = 64
 MAX_TOLD_LIMITS = 64
-"""How many crashes, acquittals and limits a report lists."""
+MAX_TOLD_TRIALS = 64
+"""How many crashes, acquittals, limits and trials a report lists."""
 
 PEER_TIMEOUT_MS: Millis = 4000.0
 """The work of a peer is dropped when two of its full reports are missing."""
@@ -84,7 +85,8 @@
     slow or leaving: `on_suspended`, `on_slow` and `on_leaving` are called with the reports of peers,
     `on_slow` with the ratio of measured to predicted duration, `on_leaving` with the instant of the
     target's start. `on_crash` is called with each reported crash of a target, `on_acquittal` with a
-    part of prompts and the instant of its answer; `crashes_to_tell` and `acquittals_to_tell` return
+    part of prompts and the instant of its answer, `on_trial` with a part of which another entry sends one
+    request alone; `crashes_to_tell` and `acquittals_to_tell` return
     what whole reports tell. `on_limit` is called with each limit that a target has named or ended: its
     hash, the instant of its start, the rate or None, and the instant of the news; `limits_to_tell`
     returns those that whole reports tell. `on_start` is called with a peer that has started again.
@@ -109,6 +111,7 @@
         self._unreported_leaving: dict[int, int] = {}
         self._crashes: list[TargetCrash] = []
         self._acquittals: list[tuple[str, Millis]] = []
+        self._trials: list[str] = []
         self._limits: list[LimitNews] = []
         self._requests: Counter[int] = Counter()
         self._peers: dict[str, _Peer] = {}
@@ -126,6 +129,7 @@
         self.on_leaving: Callable[[int, int], None] = lambda _, __: None
         self.on_crash: Callable[[TargetCrash], None] = lambda _: None
         self.on_acquittal: Callable[[str, Millis], None] = lambda _, __: None
+        self.on_trial: Callable[[str], None] = lambda _: None
         self.crashes_to_tell: Callable[[int], list[TargetCrash]] = lambda _: []
         self.acquittals_to_tell: Callable[[int], list[tuple[str, Millis]]] = lambda _: []
         self.on_start: Callable[[str], None] = lambda _: None
@@ -227,6 +231,11 @@
         self._acquittals.append((part, at_ms))
         self._has_changes.set()
 
+    def report_trial(self, part: str) -> None:
+        """Tell the peers that one request with a suspected part is sent alone."""
+        self._trials.append(part)
+        self._has_changes.set()
+
     def report_limit(self, news: LimitNews) -> None:
         """Tell the peers of a limit that a target names, or of its end."""
         self._limits.append(news)
@@ -287,12 +296,13 @@
                 part: round(now_ms - at_ms) for part, at_ms in acquittals[:MAX_TOLD_ACQUITTALS]
             },
             limits=[_limit_to_wire(news, now_ms) for news in limits[:MAX_TOLD_LIMITS]],
+            trials=self._trials[:MAX_TOLD_TRIALS],
         )
         partial = self._partial_report(report)
         self._widely_reported.difference_update(self._ended)
         self._started, self._prefilled, self._ended, self._suspended = [], [], [], []
         self._slow, self._unreported_leaving = {}, {}
-        self._crashes, self._acquittals, self._limits = [], [], []
+        self._crashes, self._acquittals, self._limits, self._trials = [], [], [], []
         self._requests.clear()
         return OutgoingReports(
             msgspec.msgpack.encode(report),
@@ -330,7 +340,7 @@
         )
         news = (partial.started, partial.read, partial.ended)
         news += (partial.suspended, partial.slow, partial.leaving)
-        news += (partial.crashes, partial.acquitted, partial.limits)
+        news += (partial.crashes, partial.acquitted, partial.limits, partial.trials)
         return partial if any(news) or (report.is_whole and is_needed) else None
 
     def next_summary(
@@ -440,6 +450,8 @@
             self.on_crash(TargetCrash(crash_id, now_ms - item.age_ms, tuple(item.parts), sent_ms))
         for part, age_ms in report.acquitted.items():
             self.on_acquittal(part, now_ms - age_ms)
+        for part in report.trials:
+            self.on_trial(part)
 
     def _notify_waiters(self) -> None:
         self._work_ended.set()
--- a/packages/marigoldarch/marigoldarch/crash_suspects.py
+++ b/packages/marigoldarch/marigoldarch/crash_suspects.py
@@ -15,6 +15,7 @@
 answered before, or of other requests, but not those of a part that only it is known to have had.
 
 A quarantine of a part ends after a time that doubles, that of a request sooner at first. One more crash then suffices for the next one.
+Until an answer acquits the part, one request with it is sent at a time: the callers that were told the same wait all come back at once.
 """
 
 from __future__ import annotations
@@ -62,6 +63,9 @@
     """
 
     max_quarantine_ms: Millis = 3_600_000.0
+    trial_ms: Millis = 2000.0
+    """How long one request with a part whose quarantine has ended is sent alone."""
+
     memory_ms: Millis = 600_000.0
     max_parts: int = 1024
     max_crashes_per_part: int = 32
@@ -95,12 +99,19 @@
     left_ms: Millis
 
 
+class TrialClaim(NamedTuple):
+    """A part of which one request is sent alone from now on."""
+
+    part: str
+
+
 @dataclass
 class _Suspect:
     """The crashes of which a part is accused, with their instants, and its newest quarantine.
 
     `sent_ms` are the instants at which the requests that ran were sent, where they are known.
-    `moments` is the number of crashes, with those of the same moment counted once.
+    `moments` is the number of crashes, with those of the same moment counted once. After a quarantine
+    only the request `trial_holder` is sent until `trial_until_ms`, one of another node if it is 0.
     """
 
     part: str
@@ -109,6 +120,8 @@
     moments: int = 0
     quarantines: int = 0
     quarantined_until_ms: Millis = float("-inf")
+    trial_holder: int = 0
+    trial_until_ms: Millis = float("-inf")
 
     @property
     def last_crash_ms(self) -> Millis:
@@ -193,17 +206,51 @@
             for suspect in self._find_accused(wanted, self._settings.crash_limit)
             if now_ms < suspect.quarantined_until_ms
         ]
+        worst = self._find_worst(quarantined, wanted)
+        if worst is None:
+            return None
+        return Quarantine(worst.part, len(worst.crashes), worst.quarantined_until_ms - now_ms)
+
+    def claim_trial(
+        self, parts: Iterable[str], holder: int, now_ms: Millis
+    ) -> Quarantine | TrialClaim | None:
+        """Let a request be the only one that is sent with a part whose quarantine has ended.
+
+        `holder` is a number of the request, not 0. Returns the claim if it is new, for the other nodes, and
+        the rest of the trial of another request, if there is one. Without such a part there is nothing to
+        claim. The request must not be in quarantine.
+        """
+        if not self._suspects:
+            return None
+        wanted = set(parts)
+        accused = self._find_accused(wanted, self._settings.crash_limit)
+        worst = self._find_worst([item for item in accused if item.quarantines], wanted)
+        if worst is None:
+            return None
+        is_running = now_ms < worst.trial_until_ms
+        if is_running and worst.trial_holder == holder:
+            return None
+        if is_running:
+            return Quarantine(worst.part, len(worst.crashes), worst.trial_until_ms - now_ms)
+        worst.trial_holder, worst.trial_until_ms = holder, now_ms + self._settings.trial_ms
+        return TrialClaim(worst.part)
+
+    def record_trial(self, part: str, now_ms: Millis) -> None:
+        """Record that another node sends a request with a part alone."""
+        suspect = self._suspects.get(part)
+        if suspect is not None and now_ms >= suspect.trial_until_ms:
+            suspect.trial_holder, suspect.trial_until_ms = 0, now_ms + self._settings.trial_ms
+
+    def _find_worst(self, quarantined: list[_Suspect], wanted: set[str]) -> _Suspect | None:
+        """Return one that blocks a request with the `wanted` parts, None if others explain them all."""
         # A faulty part gets no more crashes while parts that come with it are refused, so fewer of
         # its own explain the first ones of these.
         limit = self._settings.crash_limit
         strong = [suspect for suspect in quarantined if suspect.moments > limit]
         weak = [suspect for suspect in quarantined if suspect.moments <= limit]
-        worst = self._find_unexplained(limit, strong, wanted) or self._find_unexplained(
+        return self._find_unexplained(limit, strong, wanted) or self._find_unexplained(
             self._settings.retry_crash_limit, weak, wanted
         )
-        if worst is None:
-            return None
-        return Quarantine(worst.part, len(worst.crashes), worst.quarantined_until_ms - now_ms)
 
     def may_retry(self, parts: Iterable[str], now_ms: Millis) -> bool:
         """Return whether a request whose target has crashed may be sent to another one."""
--- a/packages/marigoldarch/marigoldarch/serving/work_reports.py
+++ b/packages/marigoldarch/marigoldarch/serving/work_reports.py
@@ -69,6 +69,7 @@
     entry knows if the report is whole. `acquitted` are parts of prompts that were suspected of
     crashing targets and have been answered, each with the time since then in milliseconds. `limits`
     are changes of the limits that targets name, or those that the entry knows if the report is whole.
+    `trials` are parts of prompts after a quarantine, of which this entry sends one request alone.
     """
 
     node: str
@@ -86,6 +87,7 @@
     crashes: list[CrashReport] = msgspec.field(default_factory=list)
     acquitted: dict[str, int] = msgspec.field(default_factory=dict)
     limits: list[LimitReport] = msgspec.field(default_factory=list)
+    trials: list[str] = msgspec.field(default_factory=list)
 
 
 class TargetSummary(msgspec.Struct, array_like=True, frozen=True):
