--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -5,7 +5,7 @@
 import math
 from contextlib import aclosing
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
@@ -44,13 +44,9 @@
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
     from marigoldarch.serving.attempts import AttemptOutcome
-    from marigoldarch.serving.placement import Placement
     from marigoldarch.serving.targets import Target
-    from marigoldarch_node.serving.call import Call
-    from marigoldarch_node.serving.dialect import Dialect, ForwardingInfo, ResponseInfo
-    from marigoldarch_node.serving.entry_state import EntryState
-    from marigoldarch_node.serving.memory_reservations import MemoryReservation, ReservationManager
-    from marigoldarch_node.serving.target_paths import TargetPaths
+    from marigoldarch_node.serving.attempt_plan import AttemptPlan, EntryContext
+    from marigoldarch_node.serving.dialect import ResponseInfo
 
 CONNECTION_ENDS = (FailureReason.RESET, FailureReason.CUT, FailureReason.CONNECTION_LOST)
 """Failures of a connection, of the target's end or of the way there."""
@@ -58,32 +54,6 @@
 log = EventLog("attempts")
 
 
-class EntryContext(NamedTuple):
-    """The objects of an entry that all its attempts share."""
-
-    state: EntryState
-    dialect: Dialect
-    paths: TargetPaths
-    reservations: ReservationManager
-
-
-@dataclass
-class AttemptPlan:
-    """The targets and headers of an attempt, and the memory to reserve at its helpers first.
-
-    With `is_repeat` the request was sent to another target before. The request may be sent until
-    `permitted_until_ms` by the limit that the target names; None if the owner of the limit has not
-    been asked.
-    """
-
-    call: Call
-    placement: Placement
-    forwarding: ForwardingInfo
-    reservations: list[MemoryReservation]
-    is_repeat: bool
-    permitted_until_ms: Millis | None = None
-
-
 @dataclass(frozen=True)
 class Delivered:
     """The whole response was sent to the caller."""
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
     from marigoldarch.serving.targets import Target
-    from marigoldarch_node.serving.attempt import AttemptPlan, EntryContext
+    from marigoldarch_node.serving.attempt_plan import AttemptPlan, EntryContext
     from marigoldarch_node.serving.call import Call
     from marigoldarch_node.serving.sockets import Connection
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -41,7 +41,7 @@
 )
 from marigoldarch.serving.work_reports import PoolSummary, RelayedReport, WorkReport
 from marigoldarch.store.document import Document
-from marigoldarch_node.serving.attempt import EntryContext
+from marigoldarch_node.serving.attempt_plan import EntryContext
 from marigoldarch_node.serving.datagrams import DatagramSocket
 from marigoldarch_node.serving.dialect import CheckReadiness
 from marigoldarch_node.serving.entry_state import EntryState, run_cleanup
--- a/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/hedging.py
@@ -21,7 +21,7 @@
 
     from marigoldarch.clock import Millis
     from marigoldarch.serving.attempts import AttemptOutcome, NextStep
-    from marigoldarch_node.serving.attempt import AttemptPlan, EntryContext
+    from marigoldarch_node.serving.attempt_plan import AttemptPlan, EntryContext
     from marigoldarch_node.serving.call import Call
 
 log = EventLog("attempts")
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -33,7 +33,8 @@
     refusal_retry_after_ms,
 )
 from marigoldarch.serving.waiting_turns import leave_limited_to_earlier, next_turn_ms
-from marigoldarch_node.serving.attempt import AttemptPlan, Delivered, EntryContext
+from marigoldarch_node.serving.attempt import Delivered
+from marigoldarch_node.serving.attempt_plan import AttemptPlan, EntryContext
 from marigoldarch_node.serving.call import Call
 from marigoldarch_node.serving.crash_check import may_come_from_crash
 from marigoldarch_node.serving.dialect import ForwardingInfo, RequestInfo
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_check_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_check_tests.py
@@ -36,6 +36,7 @@
             record_failure=lambda *_, **__: None,
             clock=SystemClock(),
             link_rng=None,
+            candidates=SimpleNamespace(),
             settings=SimpleNamespace(data_centre=""),
         )
         paths = TargetPaths(state, None, TargetConnectionPool(state.clock))
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -11,7 +11,7 @@
 from marigoldarch.clock import ManualClock
 from marigoldarch.serving.routing import RoutingTable
 from marigoldarch.tests.serving.support import declaration
-from marigoldarch_node.serving.attempt import EntryContext
+from marigoldarch_node.serving.attempt_plan import EntryContext
 from marigoldarch_node.serving.dialect import RequestInfo, ResponseInfo
 from marigoldarch_node.serving.entry_state import EntryState
 from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
