--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -51,6 +51,9 @@
 CONNECTION_ENDS = (FailureReason.RESET, FailureReason.CUT, FailureReason.CONNECTION_LOST)
 """Failures of a connection, of the target's end or of the way there."""
 
+MIN_DOUBT_MS: Millis = 300.0
+"""A target that answers nothing for a shorter time, as its caller's deadline has passed, is not compared."""
+
 log = EventLog("attempts")
 
 
@@ -273,7 +276,8 @@
         now_ms = self._state.clock.monotonic_ms()
         match outcome:
             case None:
-                self._paths.doubt(self._plan.placement.targets[0], self._connection)
+                if now_ms - self._sent_ms >= MIN_DOUBT_MS:
+                    self._paths.doubt(self._plan.placement.targets[0], self._connection)
                 return self._incomplete_outcome(FailureReason.TIMEOUT)
             case Delivered():
                 self._state.health.note_success(self._target_id, now_ms)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/link_checks.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/link_checks.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import re
+import traceback
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -45,6 +47,9 @@
 RECENTLY_HEARD_MS: Millis = 500.0
 """While some target was heard of so lately, the own links are not in doubt as a whole."""
 
+PATH_PATTERN = re.compile(r"/[!-~]*")
+"""A path that can be sent; of any other health path, "/" is asked for, whose answer counts as well."""
+
 log = EventLog("links")
 
 
@@ -130,9 +135,27 @@
                     self._has_lost_links = trio.Event()
                     await self._has_lost_links.wait()
                 await trio.sleep(self._state.links.probe_interval_ms / 1000.0)
-                while await self._probe_lost_links():
-                    # The other links are probably back as well.
-                    pass
+                try:
+                    while await self._probe_lost_links():
+                        # The other links are probably back as well.
+                        pass
+                except* Exception as errors:
+                    log.error("probes failed", errors=[repr(item) for item in errors.exceptions])
+
+    def _start(self, task: Callable[..., Awaitable[object]], *arguments: object) -> None:
+        """Run a task beside the requests; a fault of one must not end the entry."""
+
+        async def run_task() -> None:
+            try:
+                await task(*arguments)
+            except Exception as error:
+                log.error(
+                    "link check failed",
+                    error=type(error).__name__,
+                    trace=traceback.format_exc(limit=-4),
+                )
+
+        self._nursery.start_soon(run_task)
 
     # Targets to which no connection opens
 
@@ -141,7 +164,7 @@
 
         Returns the tunnel that shows that only the own link is lost.
         """
-        self._nursery.start_soon(self.are_links_sound, target)
+        self._start(self.are_links_sound, target)
         tunnel = await self._tunnels.open_first(target)
         if tunnel is not None:
             self._record_lost(target)
@@ -155,7 +178,7 @@
 
     def compare_in_background(self, target: Target, *, is_refused: bool) -> None:
         """Compare a target beside the requests, and record its failure if it is at fault."""
-        self._nursery.start_soon(self._compare_and_record, target, is_refused)
+        self._start(self._compare_and_record, target, is_refused)
 
     async def _compare_and_record(self, target: Target, is_refused: bool) -> None:
         verdict, tunnel = await self.compare(target)
@@ -175,17 +198,19 @@
             if self._now_ms() < self._controls_ms + CONTROLS_VALID_MS:
                 return self._were_controls_reached
             self._controls_done = trio.Event()
-            self._nursery.start_soon(self._run_controls, unreached, self._controls_done)
+            self._start(self._run_controls, unreached, self._controls_done)
         await self._controls_done.wait()
         return self._were_controls_reached
 
     async def _run_controls(self, unreached: Target, done: trio.Event) -> None:
-        reached = await self._try_controls(unreached, self._connects)
-        self._were_controls_reached = not reached or any(reached.values())
-        self._record_controls(unreached, reached)
-        self._controls_ms = self._now_ms()
-        self._controls_done = None
-        done.set()
+        try:
+            reached = await self._try_controls(unreached, self._connects)
+            self._were_controls_reached = not reached or any(reached.values())
+            self._record_controls(unreached, reached)
+            self._controls_ms = self._now_ms()
+        finally:
+            self._controls_done = None
+            done.set()
 
     async def _try_controls(
         self, unreached: Target, attempt: Callable[[Target], Awaitable[bool]]
@@ -238,11 +263,11 @@
         if self._now_ms() < self._doubted_ms + DOUBT_INTERVAL_MS:
             return
         self._doubted_ms = self._now_ms()
-        self._nursery.start_soon(self._compare_answers, target)
+        self._start(self._compare_answers, target)
 
     def verify_suspension(self, target: Target) -> None:
         """Tell the other entries of a suspended target, unless the own link to it is lost."""
-        self._nursery.start_soon(self._tell_unless_lost, target)
+        self._start(self._tell_unless_lost, target)
 
     async def _tell_unless_lost(self, target: Target) -> None:
         if await self._compare_answers(target) is LinkVerdict.TARGET_AT_FAULT:
@@ -346,9 +371,10 @@
     def _health_path(self, target: Target) -> str:
         table = self._state.table
         try:
-            return table.find_service(target.service).health_path if table is not None else "/"
+            path = table.find_service(target.service).health_path if table is not None else ""
         except KeyError:
-            return "/"
+            path = ""
+        return path if PATH_PATTERN.fullmatch(path) else "/"
 
     def _close(self, connection: TargetConnection) -> None:
         if connection.gateway:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/tunnel_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/tunnel_server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hmac
+import traceback
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,6 +15,7 @@
 
 from marigoldarch.serving.targets import TargetStart
 from marigoldarch.serving.tunnel_messages import (
+    MAX_FRAME_BYTES,
     TargetWait,
     TunnelAnswer,
     TunnelAsk,
@@ -34,7 +36,6 @@
 
 ASK_TIMEOUT_S = 1.0
 MAX_ASK_BYTES = 4096
-READ_BYTES = 65_536
 
 _ASK_DECODER = msgspec.json.Decoder(TunnelAsk | TargetWait)
 _BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -74,6 +75,11 @@
             await self._serve(stream, message)
         except (*_BROKEN, OSError):
             return
+        except Exception as error:
+            # A fault of one tunnel must not end the entry.
+            log.error(
+                "tunnel failed", error=type(error).__name__, trace=traceback.format_exc(limit=-4)
+            )
         finally:
             self._open -= 1
             stream.socket.close()
@@ -150,7 +156,7 @@
     """Return the first line of a connection, None if it is no message."""
     received = b""
     while not received.endswith(b"\n"):
-        data = await stream.receive_some(READ_BYTES)
+        data = await stream.receive_some(MAX_FRAME_BYTES)
         received += data
         if not data or len(received) > MAX_ASK_BYTES:
             return None
@@ -166,7 +172,7 @@
 
     async def carry_requests() -> None:
         try:
-            while data := await stream.receive_some(READ_BYTES):
+            while data := await stream.receive_some(MAX_FRAME_BYTES):
                 await connection.stream.send_all(data)
         except _BROKEN:
             pass
@@ -176,7 +182,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(carry_requests)
         try:
-            while data := await connection.stream.receive_some(READ_BYTES):
+            while data := await connection.stream.receive_some(MAX_FRAME_BYTES):
                 await stream.send_all(encode_frame(data))
             await stream.send_all(encode_frame(b""))
         except _BROKEN:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/tunnels.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/tunnels.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from marigoldarch.exceptions import MarigoldarchError
+from marigoldarch.exceptions import MarigoldarchError, StreamError
 from marigoldarch.serving.tunnel_messages import (
     FrameReader,
     TargetWait,
@@ -72,11 +72,14 @@
 
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return bytes of the target, none at the end of its connection."""
-        while (content := self._frames.take()) is None:
-            data = await self._stream.receive_some(max_bytes)
-            if not data:
-                raise trio.BrokenResourceError("the tunnel has ended before its last frame")
-            self._frames.feed(data)
+        try:
+            while (content := self._frames.take()) is None:
+                data = await self._stream.receive_some(max_bytes)
+                if not data:
+                    raise trio.BrokenResourceError("the tunnel has ended before its last frame")
+                self._frames.feed(data)
+        except StreamError as error:
+            raise trio.BrokenResourceError(str(error)) from error
         return content
 
 
--- a/packages/marigoldarch/marigoldarch/serving/tunnel_messages.py
+++ b/packages/marigoldarch/marigoldarch/serving/tunnel_messages.py
@@ -12,7 +12,11 @@
 
 import msgspec
 
+from marigoldarch.exceptions import StreamError
+
 LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 65_536
+"""The largest content of a frame, what is read from a target at once."""
 
 
 class TunnelOutcome(StrEnum):
@@ -83,10 +87,16 @@
         self._buffer += data
 
     def take(self) -> bytes | None:
-        """Return the content of the next frame, None if it is not complete."""
+        """Return the content of the next frame, None if it is not complete.
+
+        Raises `StreamError` if the frame is too large.
+        """
         if len(self._buffer) < LENGTH_BYTES:
             return None
-        end = LENGTH_BYTES + int.from_bytes(self._buffer[:LENGTH_BYTES])
+        length = int.from_bytes(self._buffer[:LENGTH_BYTES])
+        if length > MAX_FRAME_BYTES:
+            raise StreamError(f"a frame of {length} bytes exceeds {MAX_FRAME_BYTES}")
+        end = LENGTH_BYTES + length
         if len(self._buffer) < end:
             return None
         content = bytes(self._buffer[LENGTH_BYTES:end])
