Doubt own links later, and compare with other targets only where one link is lost

Now a target is in doubt after 0.5 s at the soonest, and other targets get health checks only once a link is lost.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/link_checks.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/link_checks.py
@@ -279,7 +279,6 @@
         The link is lost if only the other way is answered.
         """
         answered: dict[str, bool] = {}
-        reached: dict[Target, bool] = {}
 
         async def probe_directly() -> None:
             answered["own link"] = await self._probe(target)
@@ -290,31 +289,26 @@
                 is_answered = await self._is_answered(tunnel, target, COMPARISON_MS)
                 answered[tunnel.gateway] = is_answered
 
-        async def probe_others() -> None:
-            if self.silence_ms >= RECENTLY_HEARD_MS:
-                reached.update(await self._try_controls(target, self._probe))
-
         async with trio.open_nursery() as nursery:
             nursery.start_soon(probe_directly)
             nursery.start_soon(probe_elsewhere)
-            nursery.start_soon(probe_others)
         verdict = LinkVerdict.TARGET_AT_FAULT
         if any(answered.values()) and not answered["own link"]:
             verdict = LinkVerdict.LINK_LOST
             self._record_lost(target)
-            if reached:
-                self._record_controls(target, reached)
-            else:
-                await self.are_links_sound(target)
-        elif reached and not any(reached.values()):
+        elif not answered["own link"] and not await self.are_links_sound(target):
             verdict = LinkVerdict.UNCERTAIN
         log.info(
             "silent target compared",
             target=target.target_id,
             answered=answered,
-            controls={other.target_id: is_reached for other, is_reached in reached.items()},
             verdict=str(verdict),
         )
+        if verdict is LinkVerdict.LINK_LOST:
+            # Where connections open and carry nothing, only an answer shows whether others are reached.
+            is_heard = self.silence_ms < RECENTLY_HEARD_MS
+            attempt = self._connects if is_heard else self._probe
+            self._record_controls(target, await self._try_controls(target, attempt))
         return verdict
 
     # Probes
--- a/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/stall_detector.py
@@ -29,7 +29,9 @@
 """How often to check for signs of life: a third of the shortest time allowed for a pause."""
 
 QUIET_SHARE = 0.35
-"""After this share of the time allowed the own links are in doubt, unless another target is heard."""
+MIN_QUIET_MS: Millis = 500.0
+"""After this share of the time allowed, and no sooner, the own links are in doubt, unless another target
+is heard. Entries with few requests often hear nothing for a shorter time."""
 
 MAX_REPORT_INTERVAL_MS: Millis = 2400.0
 """The time between two reports of a silent target doubles up to this: each may cost a placement."""
@@ -40,7 +42,7 @@
 
     While the target is silent, `on_silent` is called with the duration of the wait, again and again.
     Long before, `on_wait` is called in the same way once the wait has taken `QUIET_SHARE` of what is
-    allowed.
+    allowed, and `MIN_QUIET_MS`.
     """
 
     def __init__(
@@ -86,7 +88,7 @@
             if since_ms is not None:
                 stall = self._stall_state(since_ms)
                 left_ms = stall_deadline_ms(stall) - now_ms
-                if now_ms - since_ms >= QUIET_SHARE * stall.timeout_ms:
+                if now_ms - since_ms >= max(MIN_QUIET_MS, QUIET_SHARE * stall.timeout_ms):
                     self._on_wait(now_ms - since_ms)
                 if left_ms <= 0 and not self._reports_silence:
                     left_ms = CHECK_INTERVAL_MS
