--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -126,7 +126,14 @@
 class Platform:
     """Starts, kills and restarts the processes of a small deployment, and knows their addresses."""
 
-    def __init__(self, record: Record, controls: int = 3, entries: int = 3, memory_mb: int = 300):
+    def __init__(
+        self,
+        record: Record,
+        controls: int = 3,
+        entries: int = 3,
+        memory_mb: int = 300,
+        zones: tuple[str, ...] = ("ne-east-a", "ne-east-b", "ne-east-c"),
+    ):
         self._record = record
         self.folder = Path(tempfile.mkdtemp(prefix="marigoldarch-review-"))
         self._deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -134,14 +141,13 @@
         spread = random.SystemRandom()
         self._net = f"127.{spread.randrange(16, 250)}.{spread.randrange(1, 250)}"
         self.port, self._ready_port, self._peer_port = (self.free_port() for _ in range(3))
-        zones = ["ne-east-a", "ne-east-b", "ne-east-c"]
         self.zones = zones
         self.controls = [
-            Machine(f"core-{n}", "control", f"{self._net}.{n + 1}", zones[n % 3])
+            Machine(f"core-{n}", "control", f"{self._net}.{n + 1}", zones[n % len(zones)])
             for n in range(controls)
         ]
         self.entries = [
-            Machine(f"edge-{n}", "entry", f"{self._net}.{n + 51}", zones[n % 3])
+            Machine(f"edge-{n}", "entry", f"{self._net}.{n + 51}", zones[n % len(zones)])
             for n in range(entries)
         ]
         self._next_replica = 101
