--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib-2"))
+sys.dont_write_bytecode = True
+sys.path.insert(0, str(FOLDER))
 
 from standins import (  # noqa: E402
     ENGINES,
@@ -29,26 +30,45 @@
     events_of,
     main,
     route,
+    send_stream,
 )
 
 EVENTS = 38  # of the kind `quiz`
 EVENT_GAP_S = 0.2  # within the pause of 250 ms
-NOTICE_S = 2.0  # `scale_in`, "spot": gone 2 s after the notice
+# `scale_in`, "spot": a share of .147 at most, gone 2 s after the notice; another one comes 4 s later.
+REPLICAS = 7
+NOTICE_S = 2.0
+SUCCESSOR_S = 4.0
+# `garble`, "unframed": at most 5 in 100 answers have no length. The stand-in does not spoil them.
+UNFRAMED = 4
+QUICK_STREAMS = 84
+LONG_STREAMS = 14
+LATER_STREAMS = 32
+QUICK_GAP_S = 0.002
 
 
-class UnframedReplica(Replica):
-    """A replica whose streams have no length and end with their connection."""
+class StreamReplica(Replica):
+    """A replica that streams; the first `unframed_left` long streams have no length and end with their connection."""
+
+    unframed_left = 0
 
     async def run(self, request: Message, writer: asyncio.StreamWriter) -> bool:
-        """Stream the answer, then end the connection."""
+        """Stream the answer, quickly to a request of the path `/quiz/quick`."""
         last = int(request.header("last-event-id") or 0)
+        is_quick = request.path.endswith("/quick")
+        gap_s = QUICK_GAP_S if is_quick else EVENT_GAP_S
+        if is_quick or self.unframed_left == 0:
+            await send_stream(writer, self.signed(request), last + 1, EVENTS, gap_s)
+            return True
+        self.unframed_left -= 1
+        self.record.line(f"replica {self.ident}: {request.header('request-id')} without a length")
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Connection: close"]
         lines += [f"{name}: {value}" for name, value in self.signed(request).items()]
         writer.write("\r\n".join([*lines, "", ""]).encode())
         for number in range(last + 1, EVENTS + 1):
             writer.write(event(number))
             await writer.drain()
-            await asyncio.sleep(EVENT_GAP_S)
+            await asyncio.sleep(gap_s)
         return False
 
 
@@ -77,7 +97,8 @@
             print(text, flush=True)
 
     async def run() -> None:
-        replica = UnframedReplica(Place(), Output(), fields["ident"], "coach-models", fields["zone"])
+        replica = StreamReplica(Place(), Output(), fields["ident"], "coach-models", fields["zone"])
+        replica.unframed_left = UNFRAMED
         await replica.start()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, sys.stdin.readline)
@@ -108,12 +129,15 @@
             text=True,
         )
         os.set_blocking(child.stdout.fileno(), False)
-        other = UnframedReplica(platform, record, "i-engine-other", "coach-models", platform.zones[0])
+        others = [
+            StreamReplica(platform, record, f"i-engine-{n}", "coach-models", platform.zones[n % 3])
+            for n in range(REPLICAS - 1)
+        ]
         routes = [route("quiz", "streaming", "coach-models", 10000, 300, gap_target_ms=250)]
-        await begin(platform, [other], configuration(routes, [ENGINES]))
+        await begin(platform, others, configuration(routes, [ENGINES]))
         entry = platform.entries[0]
 
-        async def ask(request_id: str) -> Message | None:
+        async def ask(request_id: str, path: str = "/quiz/x") -> Message | None:
             """Send a stream request."""
             headers = {
                 "Request-Id": request_id,
@@ -124,21 +148,32 @@
                 "Authorization": f"Bearer {KEY}",
             }
             record.line(f"client: {request_id} sent")
-            return await call(platform.address(entry), "POST", "/quiz/x", headers, b"prompt")
+            return await call(platform.address(entry), "POST", path, headers, b"prompt")
 
-        first = [asyncio.create_task(ask(f"d{number:03x}")) for number in range(6)]
+        quick: list[Message | None] = []
+        for number in range(QUICK_STREAMS // LONG_STREAMS):
+            names = [f"q{number:x}{item:02x}" for item in range(LONG_STREAMS)]
+            quick += await asyncio.gather(*(ask(name, "/quiz/quick") for name in names))
+        first = [asyncio.create_task(ask(f"d{number:03x}")) for number in range(LONG_STREAMS)]
         await asyncio.sleep(1.0)
         # The replica leaves: it says so in its answers at once, and with its next check-in.
         child.stdin.write("leave\n")
         child.stdin.flush()
         notice_s = time.monotonic()
-        more = [asyncio.create_task(ask(f"e{number:03x}")) for number in range(6)]
+        later = [f"e{number:03x}" for number in range(LATER_STREAMS)]
+        more = [asyncio.create_task(ask(name, "/quiz/quick")) for name in later]
         await asyncio.sleep(max(0.0, notice_s + NOTICE_S - time.monotonic()))
         if has_trouble:
             child.send_signal(signal.SIGKILL)
             child.wait()
             record.line("replica i-engine-spot: killed")
-        answers = await asyncio.gather(*first, *more)
+        await asyncio.sleep(max(0.0, notice_s + NOTICE_S + SUCCESSOR_S - time.monotonic()))
+        successor = StreamReplica(
+            platform, record, "i-engine-successor", "coach-models", platform.zones[0]
+        )
+        others.append(successor)
+        await successor.start()
+        answers = [*quick, *await asyncio.gather(*first, *more)]
         for text in child.stdout.read().splitlines():
             record.line(f"(told later) {text}")
         broken = 0
@@ -156,7 +191,8 @@
             )
         if not any(a is not None and "spot" in a.header("server-signature") for a in answers):
             raise CannotRunError("the replica that leaves has run nothing")
-        await other.stop()
+        for replica in others:
+            await replica.stop()
         return broken == 0
     finally:
         if child is not None:
