--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")"
 python3 -c '
 import pathlib
-for folder in ("lib-2", "6", "7", "8", "9", "10", "spare-2/leak"):
+for folder in ("6", "7", "8", "9", "10"):
     for path in sorted(pathlib.Path(folder).glob("*.py")):
         compile(path.read_text(), str(path), "exec")
 '
