Tell a whole last answer of a leaving target from one that is broken off

The opposite too: whole last answers of targets that had only announced that they leave were cut, or failed with 502.

Cause: `Attempt._check_end` looked for no crash where a target had said in an answer that it leaves, and took any refused connection for a crash where it had only announced it.

Change: `response_end.judge_end` decides from the state of the listener, what the target has announced, whether another target may be asked and whether all tokens have come. A stream that may be resumed goes on at another target, which has nothing to add if it was whole. Otherwise the entry waits up to 300 ms for the news that the target is gone, which a sound one sends before it exits. The end of a leaving target no longer counts as a crash under the request. The log says what was known.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -31,6 +31,7 @@
 from marigoldarch_node.serving.crash_check import MIN_SOUND_WRITING_MS, record_crashes
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import CallerDisconnectedError
+from marigoldarch_node.serving.response_end_check import ResponseEndCheck
 from marigoldarch_node.serving.response_memory import ResponseMemoryFullError
 from marigoldarch_node.serving.stall_detector import StallDetector
 from marigoldarch_node.serving.target_connections import (
@@ -122,14 +123,8 @@
     async def record_crashes(self) -> None:
         """Record which of the targets have crashed, if the request may be the cause."""
         if not self._is_crash_checked and self._may_cause_crash():
-            await self._find_crash()
-
-    async def _find_crash(self) -> bool:
-        """Record which of the targets have crashed; return whether any has."""
-        self._is_crash_checked = True
-        return await record_crashes(
-            self._context, self._plan, self._sent_ms, is_suspected=self._may_cause_crash()
-        )
+            self._is_crash_checked = True
+            await record_crashes(self._context, self._plan, self._sent_ms)
 
     def _may_cause_crash(self) -> bool:
         """Return whether a crash of a target now may come from the request."""
@@ -428,21 +423,12 @@
         return head, Delivered()
 
     async def _check_end(self, connection: TargetConnection, head: ResponseHead) -> None:
-        """Raise `ResponseError` if a response that ended with its connection was ended by a crash.
-
-        A target that leaves ends as well, after its last response.
-        """
+        """Raise `ResponseError` if a response that ended with its connection was broken off."""
         if head.is_framed or not connection.has_ended:
             return
-        if self._state.target_view.is_leaving(self._plan.placement.targets[0]):
-            return
-        if await self._find_crash():
-            log.warning(
-                "response ended by a crash",
-                request=self._call.request_id,
-                target=self._target_id,
-                events=self._event_count,
-            )
+        self._is_crash_checked = True
+        end_check = ResponseEndCheck(self._context, self._plan, self._sent_ms)
+        if await end_check.is_broken_off(self._event_count, is_suspected=self._may_cause_crash()):
             raise ResponseError(FailureReason.CUT)
 
     async def _read_body(self, connection: TargetConnection) -> bytes:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -7,17 +7,18 @@
 
 Load pattern: targets crash while they write answers that have no length and end with their connection.
 The kernel of a crashed target ends its connections as a sound target ends a whole answer, and refuses new
-ones. Such an answer is complete only if its target has not crashed. The events of a stream are passed on
-as they arrive; only the end waits for the check.
+ones. Such an answer is complete only if its target has not crashed (`response_end`). The events of a
+stream are passed on as they arrive; only the end waits for the check.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from marigoldarch.serving.attempts import FailureReason, OutcomeUnknown, StreamBroken
+from marigoldarch.serving.response_end import ListenerState
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.target_connections import UnreachableError
 
@@ -56,20 +57,28 @@
             return False
 
 
-async def record_crashes(
-    context: EntryContext, plan: AttemptPlan, sent_ms: Millis, *, is_suspected: bool = True
-) -> bool:
-    """Record which targets of an attempt have crashed; the connection to the first has just ended.
+class CrashCheck(NamedTuple):
+    """What new connections to the targets of an attempt have shown.
 
-    Returns whether any has. Targets that hold a part of the prompt may crash as well as the one that
-    answers. Unless the request is suspected, they have failed, but not under this request.
+    `crashed` are those that refuse them, although the own links are sound. `listener` is the state of all:
+    one that refuses counts before one that does not answer.
     """
+
+    crashed: list[Target]
+    listener: ListenerState
+
+
+async def check_targets(context: EntryContext, plan: AttemptPlan) -> CrashCheck:
+    """Connect to the targets of an attempt anew; the connection to the first has just ended."""
     crashed: list[Target] = []
+    states: dict[str, ListenerState] = {}
     first = plan.placement.targets[0]
 
     async def check(target: Target) -> None:
-        if await _has_crashed(context, target):
-            crashed.append(target)
+        states[target.target_id] = ListenerState.UNKNOWN
+        check = await _check_target(context, target)
+        states[target.target_id] = check.listener
+        crashed.extend(check.crashed)
 
     # A caller that leaves meanwhile must not take the evidence along.
     with trio.move_on_after(MAX_CHECK_MS / 1000.0, shield=True):
@@ -78,27 +87,44 @@
                 # A helper that leaves may have ended after its part was read.
                 if target is first or not context.state.target_view.is_leaving(target):
                     nursery.start_soon(check, target)
-    for target in crashed:
+    for state in (ListenerState.REFUSES, ListenerState.UNKNOWN):
+        if state in states.values():
+            return CrashCheck(crashed, state)
+    return CrashCheck(crashed, ListenerState.LISTENS)
+
+
+async def record_crashes(
+    context: EntryContext, plan: AttemptPlan, sent_ms: Millis, *, is_suspected: bool = True
+) -> ListenerState:
+    """Record which targets of an attempt have crashed; the connection to the first has just ended.
+
+    Returns what the check has shown. Targets that hold a part of the prompt may crash as well as the one
+    that answers. Unless the request is suspected, they have failed, but not under this request.
+    """
+    check = await check_targets(context, plan)
+    for target in check.crashed:
         if is_suspected:
             context.state.crashes.record_crash(target.start, plan.call, sent_ms)
         context.state.record_failure(target.target_id, is_unreachable=True)
-    return bool(crashed)
+    return check.listener
 
 
-async def _has_crashed(context: EntryContext, target: Target) -> bool:
+async def _check_target(context: EntryContext, target: Target) -> CrashCheck:
     for _ in range(MAX_CHECKS):
         try:
             connection = await context.paths.acquire(target, must_be_new=True)
         except UnreachableError as error:
             if not error.is_refused:
                 log.info("crash not checked", target=target.target_id, reason=str(error))
-            return error.is_refused and error.is_target_at_fault
+            if error.is_refused and error.is_target_at_fault:
+                return CrashCheck([target], ListenerState.REFUSES)
+            return CrashCheck([], ListenerState.UNKNOWN)
         try:
             if not await _ends_soon(connection.connection):
-                return False
+                return CrashCheck([], ListenerState.LISTENS)
         finally:
             context.paths.release(connection, None)
-    return False
+    return CrashCheck([], ListenerState.LISTENS)
 
 
 async def _ends_soon(connection: Connection) -> bool:
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_check_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/crash_check_tests.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from marigoldarch.serving.response_end import ListenerState
 from marigoldarch.serving.targets import TargetStart
 from marigoldarch.tests.serving.support import target
 from marigoldarch_node.clock import SystemClock
@@ -30,8 +31,8 @@
         self.failed: list[str] = []
         self.accepted = 0
 
-    async def check(self, address: str, *, is_suspected: bool = True) -> bool:
-        """Check a target at an address; return whether it has crashed."""
+    async def check(self, address: str, *, is_suspected: bool = True) -> ListenerState:
+        """Check a target at an address; return what that has shown."""
         state = SimpleNamespace(
             crashes=SimpleNamespace(record_crash=lambda start, *_: self.crashed.append(start)),
             record_failure=lambda target_id, **_: self.failed.append(target_id),
@@ -86,16 +87,16 @@
     def test_crash_under_a_request_that_is_not_suspected_is_a_failure_of_the_target_alone(
         self,
     ) -> None:
-        async def run() -> bool:
+        async def run() -> ListenerState:
             return await self.check(await free_address(), is_suspected=False)
 
-        self.assertTrue(trio.run(run))
+        self.assertEqual(trio.run(run), ListenerState.REFUSES)
         self.assertEqual((self.crashed, self.failed), ([], ["t"]))
 
     def test_target_that_does_not_answer_in_time_has_not_crashed(self) -> None:
         """Guards against whole answers that are taken for cut ones as a packet is lost."""
         with unanswering_address() as address:
-            self.assertFalse(trio.run(self.check, address))
+            self.assertEqual(trio.run(self.check, address), ListenerState.UNKNOWN)
         self.assertEqual((self.crashed, self.failed), ([], []))
 
     def test_target_that_accepts_connections_has_not_crashed(self) -> None:
--- a/packages/marigoldarch/marigoldarch/serving/engine_formula.py
+++ b/packages/marigoldarch/marigoldarch/serving/engine_formula.py
@@ -27,3 +27,11 @@
     step_ms = engine.step_ms + decoding_requests * engine.step_ms_per_decoding_request
     step_ms += context_tokens / 1000.0 * engine.step_ms_per_1k_context
     return step_ms * engine.steps_per_pass
+
+
+def has_all_tokens(engine: EngineSpec, events: int, max_tokens: int) -> bool:
+    """Return whether a stream has as many events as the longest answer to its request.
+
+    Each pass of the engine makes one event, of a token for each step.
+    """
+    return 0 < max_tokens <= events * engine.steps_per_pass
--- a/packages/marigoldarch/marigoldarch/serving/targets.py
+++ b/packages/marigoldarch/marigoldarch/serving/targets.py
@@ -162,6 +162,7 @@
     def __init__(self) -> None:
         self._views: dict[str, HostView] = {}
         self._leaving_since_ms: dict[TargetStart, Millis] = {}
+        self._departed: set[TargetStart] = set()
         self._newest_announcements: dict[str, Target] = {}
         self._usable: dict[str, Target] = {}
         self._generation = 0
@@ -194,6 +195,23 @@
         """Return whether a target has said in a response that it is leaving."""
         return target.start in self._leaving_since_ms
 
+    def has_announced_departure(self, target: Target) -> bool:
+        """Return whether a target leaves, by one of its responses or by an announcement."""
+        newest = self._newest_announcements.get(target.target_id)
+        is_announced = newest is not None and newest.start == target.start and newest.is_leaving
+        return is_announced or self.is_leaving(target)
+
+    def has_departed(self, target: Target) -> bool:
+        """Return whether a target has announced that it leaves, and later that it is gone.
+
+        One that announces only that it is gone goes on serving for a time.
+        """
+        return target.start in self._departed
+
+    def _is_draining(self, start: TargetStart) -> bool:
+        newest = self._newest_announcements.get(start.target_id)
+        return self._is_listed(start) and newest.is_leaving and not newest.is_gone
+
     def mark_leaving(self, start: TargetStart, now_ms: Millis) -> bool:
         """Record that a target has said in a response that it is leaving; return whether it is new.
 
@@ -208,10 +226,13 @@
     def forget_departed(self, now_ms: Millis) -> None:
         """Drop the marks of targets that are no longer listed and can no longer come back."""
         for start, since_ms in list(self._leaving_since_ms.items()):
-            newest = self._newest_announcements.get(start.target_id)
-            is_listed = newest is not None and newest.start == start
-            if not is_listed and now_ms >= since_ms + GONE_TARGET_RETENTION_MS:
+            if not self._is_listed(start) and now_ms >= since_ms + GONE_TARGET_RETENTION_MS:
                 del self._leaving_since_ms[start]
+        self._departed = {start for start in self._departed if self._is_listed(start)}
+
+    def _is_listed(self, start: TargetStart) -> bool:
+        newest = self._newest_announcements.get(start.target_id)
+        return newest is not None and newest.start == start
 
     def connect(self, host: str) -> None:
         """Start an empty view of a control host, which replaces any earlier one."""
@@ -230,6 +251,8 @@
         view.targets[target.target_id] = target
         newest = self._newest_announcements.get(target.target_id)
         if newest is None or target.announcement_order > newest.announcement_order:
+            if target.is_gone and self._is_draining(target.start):
+                self._departed.add(target.start)
             self._newest_announcements[target.target_id] = target
         self._merge_one(target.target_id)
 
--- a/packages/marigoldarch/marigoldarch/tests/serving/targets_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/targets_tests.py
@@ -129,6 +129,46 @@
         self.assertEqual(self.merged.generation, before + 1)
 
 
+class DepartureTests(unittest.TestCase):
+    """What an entry knows of a target that leaves: whether it has ended its work."""
+
+    def setUp(self) -> None:
+        self.merged = MergedTargetView()
+        self.merged.connect("c1")
+        self.merged.mark_complete("c1")
+        self.merged.update_target("c1", target("t"))
+
+    def announce(self, serial: int, *, is_gone: bool) -> None:
+        """Hear that the target leaves."""
+        news = target("t", serial=serial, is_leaving=True)._replace(is_gone=is_gone)
+        self.merged.update_target("c1", news)
+
+    def test_target_that_drains_and_then_is_gone_has_departed(self) -> None:
+        self.announce(2, is_gone=False)
+        self.assertTrue(self.merged.has_announced_departure(target("t")))
+        self.assertFalse(self.merged.has_departed(target("t")))
+        self.announce(3, is_gone=True)
+        self.announce(4, is_gone=True)
+        self.assertTrue(self.merged.has_departed(target("t")))
+
+    def test_target_that_only_says_that_it_is_gone_goes_on_serving(self) -> None:
+        """Guards against parts of answers taken for whole ones as such a target is killed."""
+        self.merged.mark_leaving(target("t").start, 0.0)
+        self.announce(2, is_gone=True)
+        self.assertTrue(self.merged.has_announced_departure(target("t")))
+        self.assertFalse(self.merged.has_departed(target("t")))
+
+    def test_departure_ends_with_a_new_start_and_is_forgotten_with_the_target(self) -> None:
+        self.announce(2, is_gone=False)
+        self.announce(3, is_gone=True)
+        self.assertFalse(self.merged.has_departed(target("t", born_ms=2000)))
+        self.merged.forget_departed(0.0)
+        self.assertTrue(self.merged.has_departed(target("t")))
+        self.merged.remove_target("c1", "t")
+        self.merged.forget_departed(0.0)
+        self.assertFalse(self.merged.has_departed(target("t")))
+
+
 class LeavingAnswerTests(unittest.TestCase):
     """A target that says in an answer that it leaves, whatever its announcements say."""
 
