Doubt an answer without a length whose target is refused behind another entry

What callers would see: an entry without links of its own reaches a target through another entry; the target crashes in an answer without a length, and the part that has arrived counts as the whole.

Cause: a refusal that one other entry alone reports proves no crash, and what proved no crash counted as a sound target. To accuse a target and to doubt an answer need different evidence.

Evidence: TunnelledCrashedReplicaTests failed in five of six tests before, TunnelledLeavingReplicaTests in three of seven.

Change: the check tells both, which targets have crashed and whether one no longer listens.

Measured: these tests pass.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -61,7 +61,7 @@
     """What new connections to the targets of an attempt have shown.
 
     `crashed` are those that refuse them, although the own links are sound. `listener` is the state of all:
-    one that refuses counts before one that does not answer.
+    one that refuses, through other entries too, counts before one that does not answer.
     """
 
     crashed: list[Target]
@@ -116,9 +116,9 @@
         except UnreachableError as error:
             if not error.is_refused:
                 log.info("crash not checked", target=target.target_id, reason=str(error))
-            if error.is_refused and error.is_target_at_fault:
-                return CrashCheck([target], ListenerState.REFUSES)
-            return CrashCheck([], ListenerState.UNKNOWN)
+                return CrashCheck([], ListenerState.UNKNOWN)
+            crashed = [target] if error.is_target_at_fault else []
+            return CrashCheck(crashed, ListenerState.REFUSES)
         try:
             if not await _ends_soon(connection.connection):
                 return CrashCheck([], ListenerState.LISTENS)
