Hold a departure whatever the order of announcements in which it is heard

What callers would see: requests reach a target for seconds after its departure was acknowledged.

Cause: a control host numbers the message that a target is gone after the last announcement that it has heard. Another host may have heard a later one, as renewals are passed on every 150 ms; it confirmed the departure and ignored it. Entries chose between the two by the number alone.

The two new tests failed before, on a registry and on the merged view of an entry. Not seen in a run of processes.

Change: of two announcements of one start, leaving and gone hold, and the newer one gives the rest (`merge_announcements`), at control hosts and entries. A target that is gone although it was silent becomes silent again, so that entries forget it.

Measured: tests of targets and the fuzz machine of target signals pass.

--- a/packages/marigoldarch/marigoldarch/serving/targets.py
+++ b/packages/marigoldarch/marigoldarch/serving/targets.py
@@ -55,6 +55,20 @@
         return TargetStart(self.target_id, self.born_ms)
 
 
+def merge_announcements(known: Target, told: Target) -> Target:
+    """Return what two announcements of one target say together.
+
+    The newer one counts. Leaving and gone are final until the target starts again, also if a later
+    announcement says neither: the hosts that number and pass on announcements have not heard the same ones.
+    """
+    newer = max(known, told, key=lambda target: target.announcement_order)
+    if known.born_ms != told.born_ms:
+        return newer
+    return newer._replace(
+        is_leaving=known.is_leaving or told.is_leaving, is_gone=known.is_gone or told.is_gone
+    )
+
+
 def _differs_in_serial_only(first: Target, second: Target) -> bool:
     """Return whether two announcements are equal but for their serials."""
     return first._replace(serial=second.serial) == second
@@ -89,16 +103,14 @@
         if heard is None:
             self._heard[target.target_id] = Heard(target, now_ms)
             return True
-        if target.announcement_order <= heard.target.announcement_order:
+        known = heard.target
+        merged = merge_announcements(known, target)
+        is_newer = target.announcement_order > known.announcement_order
+        is_change = not _differs_in_serial_only(known, merged)
+        if not is_change and (known.is_gone or not is_newer):
             return False
-        is_change = heard.is_silent or not _differs_in_serial_only(heard.target, target)
-        if target.born_ms == heard.target.born_ms and not target.is_gone:
-            # Leaving and gone are final until the target starts again.
-            if heard.target.is_gone:
-                return False
-            is_leaving = target.is_leaving or heard.target.is_leaving
-            target = target._replace(is_leaving=is_leaving)
-        heard.target = target
+        is_change = is_change or heard.is_silent
+        heard.target = merged
         heard.heard_ms = now_ms
         heard.is_silent = False
         return is_change
@@ -126,6 +138,8 @@
             )
             heard.target = gone
             heard.heard_ms = now_ms
+            # Entries are told of it, so that they must be told as well when it has become silent.
+            heard.is_silent = False
         return heard.target
 
     def expire(self, now_ms: Millis) -> list[Target]:
@@ -250,10 +264,9 @@
             return
         view.targets[target.target_id] = target
         newest = self._newest_announcements.get(target.target_id)
-        if newest is None or target.announcement_order > newest.announcement_order:
-            if target.is_gone and self._is_draining(target.start):
-                self._departed.add(target.start)
-            self._newest_announcements[target.target_id] = target
+        if target.is_gone and self._is_draining(target.start):
+            self._departed.add(target.start)
+        self._newest_announcements[target.target_id] = merge_announcements(newest or target, target)
         self._merge_one(target.target_id)
 
     def remove_target(self, host: str, target_id: str) -> None:
--- a/packages/marigoldarch/marigoldarch/tests/serving/targets_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/targets_tests.py
@@ -48,6 +48,22 @@
         self.registry.record_announcement(target("t", serial=8), 20.0)
         self.assertTrue(self.registry.targets[0].is_gone)
 
+    def test_departure_holds_though_another_host_has_heard_a_later_announcement(self) -> None:
+        """Guards against departures that are confirmed and not recorded.
+
+        A host that is told that a target is gone numbers this after the last announcement that it has
+        heard itself; another host may have heard a newer one.
+        """
+        for news in (
+            target("t", serial=4, is_leaving=True),
+            target("t", serial=4, is_leaving=True)._replace(is_gone=True),
+        ):
+            registry = TargetRegistry()
+            registry.record_announcement(target("t", serial=6), 0.0)
+            self.assertTrue(registry.record_announcement(news, 10.0))
+            self.assertEqual(registry.targets, [news._replace(serial=6)])
+            self.assertFalse(registry.record_announcement(news, 20.0))
+
     def test_silent_target_is_reported_once_and_returns_with_its_next_announcement(self) -> None:
         self.registry.record_announcement(target("t"), 0.0)
         silent = self.registry.expire(TARGET_SILENCE_MS)
@@ -97,6 +113,17 @@
         self.merged.update_target("c2", target("t", serial=4))
         self.assertEqual(self.usable(), set())
 
+    def test_departure_that_one_host_tells_holds_though_another_lists_a_later_announcement(
+        self,
+    ) -> None:
+        self.merged.update_target("c1", target("t", serial=5))
+        self.merged.update_target("c2", target("t", serial=4, is_leaving=True))
+        self.assertEqual(self.usable(), set())
+        self.merged.update_target("c1", target("t", serial=6))
+        self.assertEqual(self.usable(), set())
+        self.merged.update_target("c1", target("t", born_ms=2000))
+        self.assertEqual(self.usable(), {"t"})
+
     def test_target_is_dropped_when_no_host_lists_it(self) -> None:
         self.merged.update_target("c1", target("t"))
         self.merged.update_target("c2", target("t"))
