Acknowledge the departure of a target once several control hosts have it on disk

Cause: departures were acknowledged from the memory of two control hosts; the file of targets is saved at most once a second. After the restart all hosts listed the target as live.

Change: each host appends departures to a file and syncs it before it confirms them; one more host than the losses that are borne must have it on disk, two at least. The host that is asked need not be one of them, so that one bad disk stops nothing. One sync covers all that wait.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -44,6 +44,7 @@
 from marigoldarch_node.serving.body_reader import too_large
 from marigoldarch_node.serving.caller_guard import CallerGuard
 from marigoldarch_node.serving.datagrams import DatagramSocket
+from marigoldarch_node.serving.departure_recorder import ControlHosts
 from marigoldarch_node.serving.dialect import (
     Announce,
     EndEvacuation,
@@ -78,7 +79,8 @@
     compress_declaration,
     decompress_declaration,
 )
-from marigoldarch_node.serving.target_registrar import TargetRegistrar
+from marigoldarch_node.serving.target_registrar import TargetFiles, TargetRegistrar
+from marigoldarch_node.storage.departure_file import DepartureFile
 from marigoldarch_node.storage.folder import DataFolder
 from marigoldarch_node.storage.target_file import TargetFile
 
@@ -159,8 +161,9 @@
             self._metrics,
             self._entry_subscribers,
             self._control_subscribers,
-            TargetFile(data_folder),
+            TargetFiles(TargetFile(data_folder), DepartureFile(data_folder)),
             settings.data_centre,
+            self._count_hosts,
         )
         self._targets.restore()
         self._update_cold_services(store.document)
@@ -200,6 +203,7 @@
             nursery.start_soon(self._send_hellos)
             nursery.start_soon(self._targets.relay_renewals)
             nursery.start_soon(self._targets.save_changes)
+            nursery.start_soon(self._targets.record_departures)
 
     async def stop(self) -> None:
         """Transfer leadership and announce that this host leaves, before the process ends."""
@@ -267,6 +271,10 @@
         voters = {name.node for name in self._store.store.replica.configuration.members}
         return sorted({*self._presence.control_hosts, *self._seed_hosts, *voters})
 
+    def _count_hosts(self) -> ControlHosts:
+        """Return how many control hosts are known."""
+        return ControlHosts(len(self._known_hosts()), self._settings.tolerated_losses)
+
     async def _on_datagram(self, message: Hello | HostsKnown) -> None:
         match message:
             case Hello():
--- a/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/metrics.py
@@ -45,6 +45,9 @@
             "tunnels_total", "Connections to targets that other entries have asked for, by outcome."
         )
         self.announcements = self._counter("announcements_total", "Announcements by outcome.")
+        self.departures = self._counter(
+            "departures_total", "Departures of targets that were to be recorded, by outcome."
+        )
         self.declarations = self._counter("declarations_total", "Declarations by outcome.")
         self.evacuation_orders = self._counter(
             "evacuation_orders_total",
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 import trio
@@ -15,20 +15,21 @@
 from marigoldarch.serving.targets import Target, TargetRegistry
 from marigoldarch.serving.watch import TargetSilent, TargetTold, pack_targets
 from marigoldarch.store.messages import TargetsHeard, TargetsNoted
+from marigoldarch_node.serving.departure_recorder import ControlHosts, DepartureRecorder
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import JSON_HEADERS
 
 if TYPE_CHECKING:
-    from marigoldarch.clock import Clock, Millis
+    from collections.abc import Callable
+
+    from marigoldarch.clock import Clock
     from marigoldarch_node.serving.dialect import Dialect
     from marigoldarch_node.serving.http_server import Exchange
     from marigoldarch_node.serving.metrics import ServingMetrics
     from marigoldarch_node.serving.peer_stream import Subscribers
+    from marigoldarch_node.storage.departure_file import DepartureFile
     from marigoldarch_node.storage.target_file import TargetFile
 
-ACKNOWLEDGEMENT_TIMEOUT_MS: Millis = 500.0
-"""How long to wait for another control host to acknowledge that a target leaves."""
-
 RENEWAL_RELAY_INTERVAL_S = 0.15
 """How often announcements that only renew a target are sent to the other control hosts."""
 
@@ -38,6 +39,13 @@
 log = EventLog("targets")
 
 
+class TargetFiles(NamedTuple):
+    """What a control host keeps of targets on its disk."""
+
+    targets: TargetFile
+    departures: DepartureFile
+
+
 class TargetRegistrar:
     """Registers the targets that announce themselves here or at another control host.
 
@@ -51,8 +59,9 @@
         metrics: ServingMetrics,
         entry_subscribers: Subscribers,
         control_subscribers: Subscribers,
-        file: TargetFile,
+        files: TargetFiles,
         data_centre: str,
+        control_hosts: Callable[[], ControlHosts],
     ) -> None:
         self._dialect = dialect
         self._data_centre = data_centre
@@ -60,16 +69,22 @@
         self._metrics = metrics
         self._entry_subscribers = entry_subscribers
         self._control_subscribers = control_subscribers
-        self._file = file
+        self._file = files.targets
         self._has_unsaved_changes = False
         self._registry = TargetRegistry()
+        self._departures = DepartureRecorder(
+            clock,
+            metrics,
+            control_subscribers,
+            files.departures,
+            control_hosts,
+            lambda: self._registry.departures,
+        )
         self._renewals_to_relay: dict[str, Target] = {}
         self._untold_elsewhere: dict[str, Target] = {}
         self._cold = ColdRegistry()
         self._untold_cold: dict[str, ColdNews] = {}
         self.cold_services: frozenset[str] = frozenset()
-        self._last_batch = 0
-        self._acknowledgements: dict[int, trio.Event] = {}
 
     @property
     def targets(self) -> list[Target]:
@@ -77,14 +92,19 @@
         return self._registry.targets
 
     def restore(self) -> None:
-        """Load the targets that were registered before a restart."""
+        """Load the targets that were registered before a restart, and their departures."""
+        departures = self._departures.load()
+        targets: list[Target] = []
         try:
             targets = self._file.load()
         except StorageError as error:
             log.warning("targets not restored", reason=str(error))
-            return
-        self._registry.restore(targets, self._clock.monotonic_ms())
-        log.info("targets restored", targets=len(targets))
+        self._registry.restore(targets + departures, self._clock.monotonic_ms())
+        log.info("targets restored", targets=len(targets), departures=len(departures))
+
+    async def record_departures(self) -> None:
+        """Write departures to their file until cancelled."""
+        await self._departures.run()
 
     async def save_changes(self) -> None:
         """Write the targets to the file whenever one is new or has changed, until cancelled."""
@@ -102,7 +122,7 @@
     async def handle_announcement(self, exchange: Exchange, target_id: str) -> None:
         """Serve the announcement of a target.
 
-        A target that leaves gets 503 until another control host has acknowledged it.
+        A target that leaves gets 503 until enough control hosts have recorded it.
         """
         match self._dialect.read_announcement(target_id, exchange.request.body):
             case Target() as target:
@@ -118,7 +138,9 @@
             self._record_cold(ColdNews(target_id, target.born_ms, target.serial, cold_ms))
         is_new = self._register(target)
         self._metrics.announcements.inc({"outcome": "taken"})
-        if is_new and target.is_leaving and not await self._replicate_departure(target):
+        known = self._registry.find(target_id)
+        has_departed = target.is_leaving and known.start == target.start
+        if is_new and has_departed and not await self._departures.record(known):
             await exchange.answer(503, JSON_HEADERS, b"{}")
             return
         if not is_new:
@@ -128,13 +150,13 @@
         await exchange.answer(200, JSON_HEADERS, b"{}")
 
     async def handle_leave(self, exchange: Exchange, target_id: str) -> None:
-        """Serve the message of a target that has left; 503 until another host acknowledges it."""
+        """Serve the message of a target that has left; 503 until enough hosts have recorded it."""
         departed = self._registry.mark_gone(target_id, self._clock.monotonic_ms())
         if departed is not None:
             self._has_unsaved_changes = True
             log.info("target has left", target=target_id, serial=departed.serial)
             self._tell_entries(departed)
-            if not await self._replicate_departure(departed):
+            if not await self._departures.record(departed):
                 await exchange.answer(503, JSON_HEADERS, b"{}")
                 return
         await exchange.answer(200, JSON_HEADERS, b"{}")
@@ -151,15 +173,14 @@
                 for target in targets:
                     self._register(target)
                 if batch:
-                    self._control_subscribers.send(peer, TargetsNoted(batch))
+                    self._departures.record_for(peer, batch, targets)
             case TargetsNoted(batch=batch):
-                acknowledged = self._acknowledgements.get(batch)
-                if acknowledged is not None:
-                    acknowledged.set()
+                self._departures.receive_confirmation(peer, batch)
 
     def expire(self) -> None:
         """Tell the entries which targets no longer announce themselves."""
         self._cold.forget_old(self._clock.monotonic_ms())
+        self._departures.forget(self._registry)
         for target in self._registry.expire(self._clock.monotonic_ms()):
             self._has_unsaved_changes = True
             log.warning("target is silent", target=target.target_id, address=target.address)
@@ -238,19 +259,3 @@
             batch = pack_targets(self._untold_elsewhere.values())
             self._untold_elsewhere.clear()
             self._entry_subscribers.send_to_other_groups(self._data_centre, batch)
-
-    async def _replicate_departure(self, target: Target) -> bool:
-        """Tell the other control hosts that a target leaves; return whether one acknowledged it.
-
-        If no other control host knows it, the information is lost when this host fails.
-        """
-        self._last_batch += 1
-        batch = self._last_batch
-        acknowledged = self._acknowledgements[batch] = trio.Event()
-        self._control_subscribers.send_to_all(TargetsHeard(batch, (target,)))
-        try:
-            with trio.move_on_after(ACKNOWLEDGEMENT_TIMEOUT_MS / 1000.0):
-                await acknowledged.wait()
-            return acknowledged.is_set()
-        finally:
-            del self._acknowledgements[batch]
--- /dev/null
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
@@ -0,0 +1,213 @@
+"""Tests of departures that control hosts record before they acknowledge them.
+
+They guard against targets that are in use again, or still, after their departure was acknowledged.
+"""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+import msgspec
+import trio
+
+from marigoldarch.exceptions import StorageError
+from marigoldarch.serving.targets import Target
+from marigoldarch.tests.serving.support import target
+from marigoldarch_node.clock import SystemClock
+from marigoldarch_node.serving.departure_recorder import ControlHosts
+from marigoldarch_node.serving.http_server import Request
+from marigoldarch_node.serving.metrics import ServingMetrics
+from marigoldarch_node.serving.target_registrar import TargetFiles, TargetRegistrar
+from marigoldarch_node.storage.departure_file import DepartureFile
+from marigoldarch_node.storage.target_file import TargetFile
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+MANY = 400
+
+
+class Links:
+    """Passes the messages of one control host to the others that it reaches."""
+
+    def __init__(self, cluster: Cluster, name: str) -> None:
+        self._cluster = cluster
+        self._name = name
+
+    def send(self, peer: str, message: object) -> None:
+        """Pass on a message to one host, unless either is cut off."""
+        if not {peer, self._name} & self._cluster.cut_off:
+            self._cluster.hosts[peer].receive(self._name, message)
+
+    def send_to_all(self, message: object) -> None:
+        """Pass on a message to all others."""
+        for peer in self._cluster.hosts:
+            if peer != self._name:
+                self.send(peer, message)
+
+
+class Cluster:
+    """Registrars of several control hosts, each with a folder of its own."""
+
+    def __init__(self, folder: Path, hosts: int = 3, tolerated_losses: int = 1) -> None:
+        self.cut_off: set[str] = set()
+        self.hosts: dict[str, TargetRegistrar] = {}
+        self._counts = ControlHosts(hosts, tolerated_losses)
+        for name in (f"c{number}" for number in range(1, hosts + 1)):
+            (folder / name).mkdir(exist_ok=True)
+            files = TargetFiles(TargetFile(folder / name), DepartureFile(folder / name))
+            self.hosts[name] = TargetRegistrar(
+                JsonDialect(),
+                SystemClock(),
+                ServingMetrics(),
+                mock.Mock(),
+                Links(self, name),
+                files,
+                "dc1",
+                lambda: self._counts,
+            )
+            self.hosts[name].restore()
+
+    def find(self, target_id: str) -> list[Target | None]:
+        """Return what each host knows of a target."""
+        return [host._registry.find(target_id) for host in self.hosts.values()]
+
+    async def announce(self, host: str, announced: Target) -> int:
+        """Announce a target to a host; return the status of the answer."""
+        exchange = RecordingExchange(msgspec.json.encode(announced))
+        await self.hosts[host].handle_announcement(exchange, announced.target_id)
+        return exchange.status
+
+    async def delete(self, host: str, target_id: str) -> int:
+        """Tell a host that a target has left; return the status of the answer."""
+        exchange = RecordingExchange(b"")
+        await self.hosts[host].handle_leave(exchange, target_id)
+        return exchange.status
+
+
+class JsonDialect:
+    """A dialect whose announcements are targets in JSON."""
+
+    def read_announcement(self, target_id: str, body: bytes) -> Target:
+        """Return the target."""
+        return msgspec.json.decode(body, type=Target)
+
+    def read_cold_ms(self, body: bytes) -> None:
+        """Return that nothing is said of a cold phase."""
+
+
+class RecordingExchange:
+    """An exchange whose status is recorded."""
+
+    def __init__(self, body: bytes) -> None:
+        self.request = Request("PUT", "/", [], body, 0.0)
+        self.status = 0
+
+    async def answer(self, status: int, headers: object, body: bytes = b"") -> None:
+        """Record the status."""
+        self.status = status
+
+
+class DepartureTestCase(unittest.TestCase):
+    """Control hosts that are killed by the end of a run, and read their folders in the next one."""
+
+    def setUp(self) -> None:
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.folder = Path(scratch.name)
+
+    def run_cluster(self, test: Callable[[Cluster], Awaitable[Any]], **sizes: int) -> Any:
+        """Run a function with hosts that have just started."""
+
+        async def run() -> Any:
+            cluster = Cluster(self.folder, **sizes)
+            async with trio.open_nursery() as nursery:
+                for host in cluster.hosts.values():
+                    nursery.start_soon(host.record_departures)
+                result = await test(cluster)
+                nursery.cancel_scope.cancel()
+            return result
+
+        return trio.run(run)
+
+
+class RecordedDepartureTests(DepartureTestCase):
+    """Load pattern: all control hosts are killed as one acknowledges a departure."""
+
+    def known_after_kill(self, **sizes: int) -> int:
+        """Return how many hosts know after a restart that the target leaves."""
+
+        async def count(cluster: Cluster) -> int:
+            return sum(known is not None and known.is_leaving for known in cluster.find("t"))
+
+        return self.run_cluster(count, **sizes)
+
+    def test_departure_is_known_after_all_hosts_were_killed(self) -> None:
+        async def leave(cluster: Cluster) -> int:
+            await cluster.announce("c1", target("t"))
+            return await cluster.delete("c1", "t")
+
+        self.assertEqual(self.run_cluster(leave), 200)
+        self.assertGreaterEqual(self.known_after_kill(), 2)
+
+    def test_drain_is_known_on_as_many_disks_as_losses_are_tolerated_and_one_more(self) -> None:
+        async def drain(cluster: Cluster) -> int:
+            await cluster.announce("c1", target("t"))
+            return await cluster.announce("c2", target("t", serial=2, is_leaving=True))
+
+        sizes = {"hosts": 5, "tolerated_losses": 2}
+        self.assertEqual(self.run_cluster(drain, **sizes), 200)
+        self.assertGreaterEqual(self.known_after_kill(**sizes), 3)
+
+    def test_host_whose_disk_refuses_relies_on_the_others(self) -> None:
+        async def leave(cluster: Cluster) -> list[int]:
+            await cluster.announce("c1", target("t"))
+            append = cluster.hosts["c1"]._departures._file
+            with mock.patch.object(append, "append", side_effect=StorageError("full")):
+                first = await cluster.delete("c1", "t")
+                cluster.cut_off = {"c3"}
+                await cluster.announce("c1", target("u"))
+                return [first, await cluster.delete("c1", "u")]
+
+        self.assertEqual(self.run_cluster(leave), [200, 503])
+
+    def test_targets_that_leave_at_once_share_syncs(self) -> None:
+        async def leave(cluster: Cluster) -> tuple[list[int], int]:
+            names = [f"t{number}" for number in range(MANY)]
+            statuses: list[int] = []
+            file = cluster.hosts["c1"]._departures._file
+            with mock.patch.object(file, "append", wraps=file.append) as append:
+                async with trio.open_nursery() as nursery:
+
+                    async def leave_one(name: str) -> None:
+                        await cluster.announce("c1", target(name))
+                        statuses.append(await cluster.delete("c1", name))
+
+                    for name in names:
+                        nursery.start_soon(leave_one, name)
+                return statuses, append.call_count
+
+        statuses, syncs = self.run_cluster(leave)
+        self.assertEqual(statuses, [200] * MANY)
+        self.assertLess(syncs, MANY / 10)
+
+    def test_departure_that_no_other_host_has_recorded_is_not_acknowledged(self) -> None:
+        async def leave(cluster: Cluster) -> int:
+            await cluster.announce("c1", target("t"))
+            cluster.cut_off = {"c2", "c3"}
+            return await cluster.delete("c1", "t")
+
+        self.assertEqual(self.run_cluster(leave), 503)
+
+    def test_one_control_host_alone_acknowledges_what_it_has_recorded(self) -> None:
+        async def leave(cluster: Cluster) -> int:
+            await cluster.announce("c1", target("t"))
+            return await cluster.delete("c1", "t")
+
+        sizes = {"hosts": 1, "tolerated_losses": 0}
+        self.assertEqual(self.run_cluster(leave, **sizes), 200)
+        self.assertEqual(self.known_after_kill(**sizes), 1)
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_registrar_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_registrar_tests.py
@@ -15,9 +15,11 @@
 from marigoldarch.serving.watch import TargetsTold, TargetTold, unpack_targets
 from marigoldarch.store.messages import TargetsHeard
 from marigoldarch.tests.serving.support import target
+from marigoldarch_node.serving.departure_recorder import ControlHosts
 from marigoldarch_node.serving.http_server import Request
 from marigoldarch_node.serving.metrics import ServingMetrics
-from marigoldarch_node.serving.target_registrar import TargetRegistrar
+from marigoldarch_node.serving.target_registrar import TargetFiles, TargetRegistrar
+from marigoldarch_node.storage.departure_file import DepartureFile
 from marigoldarch_node.storage.target_file import TargetFile
 
 
@@ -64,8 +66,9 @@
             ServingMetrics(),
             self.entries,
             RecordingSubscribers(),
-            TargetFile(Path(folder.name)),
+            TargetFiles(TargetFile(Path(folder.name)), DepartureFile(Path(folder.name))),
             "dc1",
+            lambda: ControlHosts(1, 0),
         )
 
     def hear(self, *targets: Target) -> None:
@@ -120,8 +123,9 @@
             ServingMetrics(),
             self.entries,
             self.hosts,
-            TargetFile(Path(folder.name)),
+            TargetFiles(TargetFile(Path(folder.name)), DepartureFile(Path(folder.name))),
             "dc1",
+            lambda: ControlHosts(1, 0),
         )
 
     def announce(self, serial: int, cold_ms: float | None, service: str = "engines") -> None:
--- a/packages/marigoldarch/marigoldarch/serving/targets.py
+++ b/packages/marigoldarch/marigoldarch/serving/targets.py
@@ -97,6 +97,15 @@
         """Return every target that is not silent, including those that have left."""
         return [heard.target for heard in self._heard.values() if not heard.is_silent]
 
+    def __contains__(self, target_id: str) -> bool:
+        """Return whether a target is remembered."""
+        return target_id in self._heard
+
+    @property
+    def departures(self) -> list[Target]:
+        """Return every target that leaves or has left, silent or not, as long as it is remembered."""
+        return [heard.target for heard in self._heard.values() if heard.target.is_leaving]
+
     def record_announcement(self, target: Target, now_ms: Millis) -> bool:
         """Store an announcement; return whether it must be passed on to the other nodes at once."""
         heard = self._heard.get(target.target_id)
@@ -115,14 +124,24 @@
         heard.is_silent = False
         return is_change
 
+    def find(self, target_id: str) -> Target | None:
+        """Return what is known of a target, also if it is silent."""
+        heard = self._heard.get(target_id)
+        return None if heard is None else heard.target
+
     def restore(self, targets: list[Target], now_ms: Millis) -> None:
         """Add targets that were known before a restart, without replacing known ones.
 
-        Those that are alive announce themselves again; the others become silent.
+        Those that are alive announce themselves again; the others become silent. Several announcements of one
+        target count together.
         """
         heard_ms = now_ms - TARGET_SILENCE_MS + RESTORED_TARGET_GRACE_MS
+        restored: dict[str, Target] = {}
         for target in targets:
-            self._heard.setdefault(target.target_id, Heard(target, heard_ms))
+            known = restored.get(target.target_id, target)
+            restored[target.target_id] = merge_announcements(known, target)
+        for target_id, target in restored.items():
+            self._heard.setdefault(target_id, Heard(target, heard_ms))
 
     def mark_gone(self, target_id: str, now_ms: Millis) -> Target | None:
         """Mark a target as gone.
