Acknowledge a repeated departure only if other control hosts have recorded it

What callers would see: requests reach a target whose departure was acknowledged by a control host that alone knew of it, and has failed since.

Cause: only an announcement that was new to the host was confirmed by another one. The first try, refused with 503, made the second one known here.

Change: each announcement of a departure needs it recorded; the recorder remembers which are.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
@@ -139,8 +139,9 @@
         is_new = self._register(target)
         self._metrics.announcements.inc({"outcome": "taken"})
         known = self._registry.find(target_id)
-        has_departed = target.is_leaving and known.start == target.start
-        if is_new and has_departed and not await self._departures.record(known):
+        is_departure = target.is_leaving and known.start == target.start
+        # One that is not new may have been told by a try that no other host has heard.
+        if is_departure and not await self._departures.record(known):
             await exchange.answer(503, JSON_HEADERS, b"{}")
             return
         if not is_new:
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
@@ -211,3 +211,36 @@
         sizes = {"hosts": 1, "tolerated_losses": 0}
         self.assertEqual(self.run_cluster(leave, **sizes), 200)
         self.assertEqual(self.known_after_kill(**sizes), 1)
+
+
+class RepeatedDepartureTests(DepartureTestCase):
+    """Load pattern: a target repeats that it leaves while the other control hosts don't answer."""
+
+    def test_repeated_announcement_is_acknowledged_only_once_it_is_recorded(self) -> None:
+        """Guards against an acknowledgement of what only one host knows: the first try told this host."""
+
+        async def repeat(cluster: Cluster) -> list[int]:
+            await cluster.announce("c1", target("t"))
+            cluster.cut_off = {"c2", "c3"}
+            statuses = [
+                await cluster.announce("c1", target("t", serial=serial, is_leaving=True))
+                for serial in (2, 3)
+            ]
+            statuses += [await cluster.delete("c1", "t") for _ in range(2)]
+            cluster.cut_off = {"c3"}
+            return [*statuses, await cluster.delete("c1", "t")]
+
+        self.assertEqual(self.run_cluster(repeat), [503, 503, 503, 503, 200])
+
+    def test_recorded_departure_is_acknowledged_again_without_the_others(self) -> None:
+        async def repeat(cluster: Cluster) -> list[int]:
+            await cluster.announce("c1", target("t"))
+            statuses = [await cluster.announce("c1", target("t", serial=2, is_leaving=True))]
+            cluster.cut_off = {"c2", "c3"}
+            statuses.append(await cluster.announce("c1", target("t", serial=3, is_leaving=True)))
+            return [
+                *statuses,
+                await cluster.announce("c1", target("t", born_ms=5, serial=9, is_leaving=True)),
+            ]
+
+        self.assertEqual(self.run_cluster(repeat), [200, 200, 200])
