Acknowledge the departure of an unknown target only if the other control hosts don't know it

What callers would see: requests reach a target that has left by way of a control host that had just started with an old file: it answered 200, and nobody was told.

Change: 503 until the host has been up for the time in which every live target announces itself; later the other hosts must answer first, so that what they had told has arrived.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -28,7 +28,6 @@
     NodeRole,
     Presence,
 )
-from marigoldarch.serving.targets import TARGET_SILENCE_MS
 from marigoldarch.serving.watch import (
     WATCH_MESSAGES,
     EntriesChanged,
@@ -344,15 +343,12 @@
         return [targets, nodes, self._host_status()]
 
     def _host_status(self) -> HostStatus:
-        """Return the status that entries get.
-
-        The host knows all targets once each of them has had time to announce itself.
-        """
+        """Return the status that entries get."""
         now_ms = self._clock.monotonic_ms()
         evacuations = self._store.store.evacuations
         return HostStatus(
             self._store.store.document.version,
-            now_ms >= self._started_ms + TARGET_SILENCE_MS,
+            self._targets.has_all_targets,
             self._settings.data_centre,
             len(self._presence.entry_nodes(now_ms)),
             evacuations if evacuations.revision else None,
--- a/packages/marigoldarch-node/marigoldarch_node/serving/departure_recorder.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/departure_recorder.py
@@ -144,6 +144,10 @@
         self._metrics.departures.inc({"outcome": "recorded" if is_recorded else "unconfirmed"})
         return is_recorded
 
+    async def hear_others(self) -> bool:
+        """Return whether as many control hosts answer now as record a departure."""
+        return (await self._ask_hosts(())).is_recorded
+
     async def _ask_hosts(self, targets: tuple[Target, ...]) -> DepartureRound:
         """Ask all control hosts to record departures, and wait until enough have, or for too long."""
         self._last_batch += 1
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
@@ -12,7 +12,7 @@
 
 from marigoldarch.exceptions import StorageError
 from marigoldarch.serving.cold_news import ColdNews, ColdRegistry, TargetsCold
-from marigoldarch.serving.targets import Target, TargetRegistry
+from marigoldarch.serving.targets import TARGET_SILENCE_MS, Target, TargetRegistry
 from marigoldarch.serving.watch import TargetSilent, TargetTold, pack_targets
 from marigoldarch.store.messages import TargetsHeard, TargetsNoted
 from marigoldarch_node.serving.departure_recorder import ControlHosts, DepartureRecorder
@@ -66,6 +66,7 @@
         self._dialect = dialect
         self._data_centre = data_centre
         self._clock = clock
+        self._started_ms = clock.monotonic_ms()
         self._metrics = metrics
         self._entry_subscribers = entry_subscribers
         self._control_subscribers = control_subscribers
@@ -91,6 +92,11 @@
         """Return every registered target that is not silent."""
         return self._registry.targets
 
+    @property
+    def has_all_targets(self) -> bool:
+        """Return whether each live target has had time to announce itself since the start."""
+        return self._clock.monotonic_ms() >= self._started_ms + TARGET_SILENCE_MS
+
     def restore(self) -> None:
         """Load the targets that were registered before a restart, and their departures."""
         departures = self._departures.load()
@@ -152,15 +158,31 @@
 
     async def handle_leave(self, exchange: Exchange, target_id: str) -> None:
         """Serve the message of a target that has left; 503 until enough hosts have recorded it."""
+        is_recorded = await self._record_leave(target_id)
+        await exchange.answer(200 if is_recorded else 503, JSON_HEADERS, b"{}")
+
+    async def _record_leave(self, target_id: str) -> bool:
+        """Return whether it is recorded that a target has left, or that no host knows it.
+
+        A host that has just started with an old file may not know a target that the others have in use.
+        """
+        departed = self._mark_gone(target_id)
+        if departed is not None:
+            return await self._departures.record(departed)
+        is_heard = self.has_all_targets and await self._departures.hear_others()
+        log.info("unknown target has left", target=target_id, is_heard_by_others=is_heard)
+        # What the others had told before they answered has arrived.
+        departed = self._mark_gone(target_id)
+        return is_heard if departed is None else await self._departures.record(departed)
+
+    def _mark_gone(self, target_id: str) -> Target | None:
+        """Mark a target as gone and tell the entries; return None if it is unknown."""
         departed = self._registry.mark_gone(target_id, self._clock.monotonic_ms())
         if departed is not None:
             self._has_unsaved_changes = True
             log.info("target has left", target=target_id, serial=departed.serial)
             self._tell_entries(departed)
-            if not await self._departures.record(departed):
-                await exchange.answer(503, JSON_HEADERS, b"{}")
-                return
-        await exchange.answer(200, JSON_HEADERS, b"{}")
+        return departed
 
     def receive(self, peer: str, message: TargetsHeard | TargetsNoted | TargetsCold) -> None:
         """Apply a message from another control host."""
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
@@ -15,7 +15,7 @@
 import trio
 
 from marigoldarch.exceptions import StorageError
-from marigoldarch.serving.targets import Target
+from marigoldarch.serving.targets import TARGET_SILENCE_MS, Target
 from marigoldarch.tests.serving.support import target
 from marigoldarch_node.clock import SystemClock
 from marigoldarch_node.serving.departure_recorder import ControlHosts
@@ -244,3 +244,34 @@
             ]
 
         self.assertEqual(self.run_cluster(repeat), [200, 200, 200])
+
+
+class UnknownDepartureTests(DepartureTestCase):
+    """Load pattern: a target leaves by way of a control host that has just started with an old file."""
+
+    def test_departure_of_a_target_that_only_others_know_is_recorded(self) -> None:
+        """Guards against a departure that is acknowledged and leaves no trace."""
+
+        async def leave(cluster: Cluster) -> tuple[int, list[bool]]:
+            cluster.cut_off = {"c1"}
+            await cluster.announce("c2", target("t"))
+            cluster.cut_off = set()
+            status = await cluster.delete("c1", "t")
+            return status, [known is not None and known.is_gone for known in cluster.find("t")]
+
+        status, is_gone = self.run_cluster(leave)
+        if status == 200:
+            self.assertEqual(is_gone, [True, True, True])
+        self.assertIn(status, (200, 503))
+
+    def test_departure_of_a_target_that_nobody_knows_is_acknowledged_if_others_confirm_that(
+        self,
+    ) -> None:
+        async def leave(cluster: Cluster) -> list[int]:
+            early = await cluster.delete("c1", "t")
+            cluster.hosts["c1"]._started_ms -= TARGET_SILENCE_MS
+            late = await cluster.delete("c1", "t")
+            cluster.cut_off = {"c2", "c3"}
+            return [early, late, await cluster.delete("c1", "t")]
+
+        self.assertEqual(self.run_cluster(leave), [503, 200, 503])
