Tell a control host that returns of the targets that have left meanwhile

What callers would see: requests reach a target that left some seconds ago, as a control host comes back with a file from before.

Change: a host that connects gets the remembered departures, too.

Measured: tests of the registrar and the recorder pass.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -315,7 +315,7 @@
             cold_targets = self._targets.cold_targets()
             await self._entry_subscribers.serve(exchange, messages, cold_targets)
         elif path == MESSAGES_PATH:
-            targets = TargetsHeard(0, tuple(self._targets.targets))
+            targets = TargetsHeard(0, tuple(self._targets.known_targets))
             cold_targets = self._targets.cold_targets()
             await self._control_subscribers.serve(exchange, [targets], cold_targets)
         elif path == DOCUMENT_PATH:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
@@ -92,6 +92,12 @@
         """Return every registered target that is not silent."""
         return self._registry.targets
 
+    @property
+    def known_targets(self) -> list[Target]:
+        """Return what another control host must know: `targets`, and those that have left and are silent."""
+        listed = {target.target_id: target for target in self._registry.departures + self.targets}
+        return list(listed.values())
+
     @property
     def has_all_targets(self) -> bool:
         """Return whether each live target has had time to announce itself since the start."""
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_registrar_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_registrar_tests.py
@@ -101,6 +101,15 @@
         self.registrar.tell_elsewhere()
         self.assertEqual(self.entries.elsewhere, [])
 
+    def test_host_that_returns_is_told_of_targets_that_have_left_long_ago(self) -> None:
+        """Guards against a target that is in use again, as a host has it in its file from before its departure."""
+        gone = target("t", serial=2, is_leaving=True)._replace(is_gone=True)
+        self.hear(target("t"), target("u"), gone)
+        self.registrar._clock.advance(60_000.0)
+        self.registrar.expire()
+        self.assertEqual(self.registrar.targets, [])
+        self.assertEqual(self.registrar.known_targets, [gone])
+
     def test_cold_target_that_another_host_heard_is_told_once(self) -> None:
         message = TargetsCold((ColdNews("t", 1000, 1, 3000.0),))
         self.registrar.receive("c2", message)
