Bound the header fields of targets' responses, and the memory of all heads

What callers would see: an entry runs out of memory and ends, and all its requests with it, as a faulty target sends heads of many short fields.

Cause: heads were bounded by 16 KiB of text each. Parsed, short fields take twenty times that, and no account held the sum.

The two new tests failed before.

Change: 256 fields at most, and an account for the heads of all responses beside that for bodies, so that a body within its bound still has room.

Tests of endless responses and response memory pass (20).

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -107,6 +107,7 @@
         self._first_event_ms: Millis | None = None
         self._has_caller_disconnected = False
         self._held_response = context.state.response_memory.open(self._target_id)
+        self._held_head = context.state.response_heads.open(self._target_id)
         self._is_target_at_fault = True
         self._is_crash_checked = False
 
@@ -160,7 +161,7 @@
             return Superseded()
         finally:
             if self._withheld_failure is None:
-                self._held_response.close()
+                self.close()
             self._reservations.release(self._plan.reservations)
             self._state.workload.end(self._work_number)
 
@@ -281,6 +282,7 @@
         """Drop the withheld error response, if any, and free its memory."""
         self._withheld_failure = None
         self._held_response.close()
+        self._held_head.close()
 
     def _record_outcome(
         self, outcome: Delivered | AttemptOutcome | None
@@ -362,6 +364,7 @@
         try:
             with self._stall_detector.waiting(has_begun=False):
                 head = await connection.read_head()
+            self._held_head.add(head.memory_bytes)
             response_info = self._dialect.read_response(head)
             self._record_signals(connection, response_info)
             if response_info.is_event_stream and 200 <= head.status < 300:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -206,6 +206,7 @@
             "lent_limits": state.permissions.account_count,
             "suspected_parts": state.crashes.suspect_count,
             "held_response_bytes": state.response_memory.held_bytes,
+            "held_response_head_bytes": state.response_heads.held_bytes,
             "held_request_bytes": self._guard.memory.held_bytes,
         }
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -31,7 +31,11 @@
 from marigoldarch_node.serving.limit_history import LimitHistory
 from marigoldarch_node.serving.limit_permissions import LimitPermissions
 from marigoldarch_node.serving.metrics import ServingMetrics
-from marigoldarch_node.serving.response_memory import ResponseMemory
+from marigoldarch_node.serving.response_memory import (
+    MAX_HEAD_BYTES,
+    MAX_HELD_HEAD_BYTES,
+    ResponseMemory,
+)
 from marigoldarch_node.serving.shared_workload import SharedWorkload
 from marigoldarch_node.serving.waiting_requests import WaitingRequests
 
@@ -91,6 +95,9 @@
         self.response_memory = ResponseMemory(
             bounds.max_response_bytes, bounds.max_held_response_bytes
         )
+        self.response_heads = ResponseMemory(
+            MAX_HEAD_BYTES, MAX_HELD_HEAD_BYTES, "bytes of all heads"
+        )
         self.metrics = ServingMetrics()
         budget = RetryBudgetSettings(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms)
         self.workload = SharedWorkload(settings.peer_address, start_id, self.clock, budget)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/response_memory.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/response_memory.py
@@ -1,7 +1,7 @@
 """Bounds the memory that responses of targets take in an entry.
 
 A response counts with the bytes that the entry keeps of it: the whole body, or of a stream the
-incomplete event. While a body is sent to the caller, it takes up to twice these bytes.
+incomplete event. Heads have an account of their own, so that a body within its bound always has room. While a body is sent to the caller, it takes up to twice these bytes.
 """
 
 from __future__ import annotations
@@ -17,6 +17,11 @@
 """The same for an event of a stream."""
 
 
+MAX_HEAD_BYTES = 128 * 1024
+MAX_HELD_HEAD_BYTES = 8 * 1024 * 1024
+"""The memory of the heads of all responses; a usual one takes about 1.5 KB."""
+
+
 class ResponseMemoryFullError(ResponseError):
     """Other responses take all the memory; the target is not at fault."""
 
@@ -25,10 +30,16 @@
     """The memory for responses of one entry.
 
     A response that is not complete yet may take `max_response_bytes`, those of one target together
-    half of `max_held_bytes`, and all responses `max_held_bytes`.
+    half of `max_held_bytes`, and all responses `max_held_bytes`. Errors name the latter by `limit_name`.
     """
 
-    def __init__(self, max_response_bytes: int, max_held_bytes: int) -> None:
+    def __init__(
+        self,
+        max_response_bytes: int,
+        max_held_bytes: int,
+        limit_name: str = "max_held_response_bytes",
+    ) -> None:
+        self._limit_name = limit_name
         self._max_response_bytes = max_response_bytes
         self._max_held_bytes = max_held_bytes
         self._held_bytes = 0
@@ -52,11 +63,11 @@
         incomplete_bytes = self._incomplete_bytes.get(target_id, 0) + size
         if incomplete_bytes > self._max_held_bytes // 2:
             raise ResponseError(
-                FailureReason.GARBLED, f"half of max_held_response_bytes {self._max_held_bytes}"
+                FailureReason.GARBLED, f"half of {self._limit_name} {self._max_held_bytes}"
             )
         if self._held_bytes + size > self._max_held_bytes:
             raise ResponseMemoryFullError(
-                FailureReason.GARBLED, f"max_held_response_bytes {self._max_held_bytes}"
+                FailureReason.GARBLED, f"{self._limit_name} {self._max_held_bytes}"
             )
         self._held_bytes += size
         if incomplete_bytes:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -48,6 +48,12 @@
 MAX_HEAD_BYTES = 16 * 1024
 """The size of an incomplete head, line of a chunk or trailer."""
 
+MAX_HEAD_FIELDS = 256
+"""How many header fields a response may have; parsed, each takes many times its bytes."""
+
+FIELD_BYTES = 200
+"""The memory of a parsed header field beside its text."""
+
 MAX_INFORMATIONAL_RESPONSES = 16
 """How many responses with a status below 200 may precede the final one."""
 
@@ -113,6 +119,11 @@
                 return value.decode("latin-1")
         return ""
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return about how much memory the head takes."""
+        return sum(len(name) + len(value) + FIELD_BYTES for name, value in self.headers)
+
     @property
     def is_framed(self) -> bool:
         """Return whether the body has a length or chunks; else it ends with the connection."""
@@ -168,6 +179,8 @@
             if isinstance(event, h11.Response):
                 if event.status_code > MAX_STATUS or not event.http_version.startswith(b"1."):
                     raise ResponseError(FailureReason.GARBLED)
+                if len(event.headers) > MAX_HEAD_FIELDS:
+                    raise ResponseError(FailureReason.GARBLED, f"head fields {MAX_HEAD_FIELDS}")
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ResponseError(FailureReason.GARBLED)
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
@@ -114,6 +114,10 @@
         self.check_end(POST, OK, b"x: y\r\n", 0)
         self.check_end(POST, OK + b"x: ", b"y", 0)
 
+    # Guards against heads that take many times their bytes once they are parsed, in many responses at once.
+    def test_head_of_many_short_fields_ends_the_attempt(self) -> None:
+        self.check_end(POST, OK + b"a: b\r\n" * 1000 + b"content-length: 9\r\n\r\n", b"x", 0)
+
     # Guards against a target that holds the processor with responses that are not the final one.
     def test_informational_responses_without_end_end_the_attempt(self) -> None:
         self.check_end(POST, b"", b"HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n", 0)
@@ -214,6 +218,31 @@
         self.assertTrue(outcome.response.endswith(body))
         self.assertEqual(left_bytes, 0)
 
+    def test_heads_count_as_memory_of_their_target(self) -> None:
+        """Guards against heads within the bound that together fill an entry, as no body follows."""
+        opened = 0
+
+        async def talk(stream: trio.SocketStream) -> None:
+            nonlocal opened
+            await read_until(stream, b"\r\n\r\n")
+            opened += 1
+            await stream.send_all(OK + b"a: b\r\n" * 200 + b"content-length: 9\r\n\r\nx")
+            await trio.sleep_forever()
+
+        async def run() -> int:
+            async with entry(POST) as (state, address), scripted_target(talk) as faulty:
+                state.target_view.update_target("c1", target("t", address=faulty))
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(request, address, POST)
+                    while not opened:
+                        await trio.sleep(0.01)
+                    await trio.sleep(0.2)
+                    held_bytes = state.response_heads.held_bytes
+                    nursery.cancel_scope.cancel()
+            return held_bytes
+
+        self.assertGreater(trio.run(run), 200 * 100)
+
     # Guards against a sound target that is set aside as others have filled the entry.
     def test_full_memory_does_not_count_against_the_target(self) -> None:
         failures: list[str] = []
