Hold little of a stream whose caller reads slowly

What callers would see: an entry runs out of memory and ends, as a target sends small events faster than the callers of many streams read.

Cause: what one read of 64 KiB had brought was kept in several forms while the caller was slow, as an object for each event among them.

Change: events are joined where they are split, and 16 KiB are read of a target at once.

Tests of endless responses and event streams pass.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -22,9 +22,9 @@
 from marigoldarch.serving.engine_formula import decode_pass_ms
 from marigoldarch.serving.event_stream import (
     MAX_EVENT_BYTES,
+    EventBatch,
     EventSplitter,
-    StreamEvent,
-    events_in_order,
+    take_events,
 )
 from marigoldarch.serving.pool_view import RunningAttempt
 from marigoldarch.serving.response_origin import ResponseOrigin
@@ -491,33 +491,32 @@
         Raises `StreamError` if one is missing, and `ResponseError` if the incomplete one takes too
         much memory.
         """
-        events = splitter.feed(data)
-        if not events:
+        batch = take_events(splitter, data, self._call.last_event)
+        if not batch.count and batch.wrong_id is None:
             self._held_response.add(len(data))
             return
         self._held_response.begin_event(splitter.partial_bytes)
-        sound = events_in_order(events, self._call.last_event)
-        if sound:
+        if batch.count:
             await self._claim_response()
-            await self._send_events(head, sound)
-        if len(sound) < len(events):
-            wrong, last = events[len(sound)].event_id, self._call.last_event
-            raise StreamError(f"event {wrong} follows event {last} of the stream")
+            await self._send_events(head, batch)
+        if batch.wrong_id is not None:
+            raise StreamError(
+                f"event {batch.wrong_id} follows event {self._call.last_event} of the stream"
+            )
 
-    async def _send_events(self, head: ResponseHead, events: list[StreamEvent]) -> None:
+    async def _send_events(self, head: ResponseHead, batch: EventBatch) -> None:
         """Send events to the caller, after the response head if it was not sent yet."""
         exchange = self._call.exchange
-        ids = [event.event_id for event in events if event.event_id is not None]
-        if ids:
-            self._call.last_event = ids[-1]
+        if batch.last_id is not None:
+            self._call.last_event = batch.last_id
         if not self._event_count:
             self._first_event_ms = self._state.clock.monotonic_ms()
             self._state.workload.finish_prefill(self._work_number)
             if not exchange.is_head_sent:
                 self._record_first_response()
                 await exchange.send_head(head.status, self._dialect.caller_headers(head))
-        self._event_count += len(events)
-        await exchange.send_data(b"".join(event.data for event in events))
+        self._event_count += batch.count
+        await exchange.send_data(batch.data)
 
     def _measure_slowdown(self, previous_ms: Millis, now_ms: Millis, events: int) -> None:
         """Record the time per event relative to the predicted duration of an engine pass.
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -18,7 +18,6 @@
 from marigoldarch.decimals import parse_whole_number
 from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch.serving.attempts import FailureReason
-from marigoldarch_node.serving.http_server import READ_BYTES
 from marigoldarch_node.serving.sockets import TARGET_BOUNDS, connect
 
 if TYPE_CHECKING:
@@ -48,6 +47,9 @@
 MAX_HEAD_BYTES = 16 * 1024
 """The size of an incomplete head, line of a chunk or trailer."""
 
+TARGET_READ_BYTES = 16 * 1024
+"""A stream holds some four times as much while its caller reads slowly."""
+
 MAX_HEAD_FIELDS = 256
 """How many header fields a response may have; parsed, each takes many times its bytes."""
 
@@ -226,7 +228,7 @@
     async def _next_event(self) -> h11.Event:
         try:
             while (event := self.protocol.next_event()) is h11.NEED_DATA:
-                data = await self.connection.stream.receive_some(READ_BYTES)
+                data = await self.connection.stream.receive_some(TARGET_READ_BYTES)
                 self.has_received_bytes = self.has_received_bytes or bool(data)
                 self.has_ended = not data
                 if self.has_ended and not self.connection.has_orderly_end():
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/endless_responses_tests.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 import time
+import tracemalloc
 import unittest
 from typing import TYPE_CHECKING, NamedTuple
 from unittest.mock import patch
@@ -31,6 +33,11 @@
 SOCKET_BUFFER_BYTES = 12 * 1024 * 1024
 """What the kernel may hold of the bytes that a target has sent, in both directions."""
 
+SLOW_CALLERS = 8
+SLOW_CALLERS_S = 3.0
+MAX_STREAM_BYTES = 128 * 1024
+"""What a stream may hold whose caller does not read, with the scripted target and the caller."""
+
 POST = call_once(is_public=True, timeout_ms=DEADLINE_MS)
 STREAM = route(is_public=True, attempt_limit=1, timeout_ms=DEADLINE_MS, goal_ms=DEADLINE_MS)
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -243,6 +250,38 @@
 
         self.assertGreater(trio.run(run), 200 * 100)
 
+    def test_stream_whose_caller_does_not_read_holds_little(self) -> None:
+        """Guards against many such streams of small events that fill an entry."""
+
+        events = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 10**6))
+
+        async def talk(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"\r\n\r\n")
+            await stream.send_all(OK + EVENTS + b"request-id: r1\r\n\r\n")
+            await stream.send_all(events)
+
+        async def send_and_wait(address: str) -> None:
+            stream = await open_stream(address)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            path = STREAM.path_prefix.encode()
+            await stream.send_all(b"GET %bx HTTP/1.1\r\nhost: desk.example\r\n\r\n" % path)
+            await trio.sleep_forever()
+
+        async def run() -> int:
+            async with entry(STREAM) as (state, address), scripted_target(talk) as faulty:
+                state.target_view.update_target("c1", target("t", address=faulty))
+                async with trio.open_nursery() as nursery:
+                    tracemalloc.start()
+                    for _ in range(SLOW_CALLERS):
+                        nursery.start_soon(send_and_wait, address)
+                    await trio.sleep(SLOW_CALLERS_S)
+                    held_bytes, _ = tracemalloc.get_traced_memory()
+                    tracemalloc.stop()
+                    nursery.cancel_scope.cancel()
+            return held_bytes
+
+        self.assertLess(trio.run(run), SLOW_CALLERS * MAX_STREAM_BYTES)
+
     # Guards against a sound target that is set aside as others have filled the entry.
     def test_full_memory_does_not_count_against_the_target(self) -> None:
         failures: list[str] = []
--- a/packages/marigoldarch/marigoldarch/serving/event_stream.py
+++ b/packages/marigoldarch/marigoldarch/serving/event_stream.py
@@ -68,6 +68,36 @@
         return events
 
 
+class EventBatch(NamedTuple):
+    """Events of a stream that have arrived together, up to the first that does not follow the one before.
+
+    `data` are their bytes and `last_id` is the last of their ids, None if none has one. `wrong_id` is the id
+    of the event that does not follow, None if all do. Joined, small events take a tenth of the memory
+    while the caller is slow to take them.
+    """
+
+    data: bytes
+    count: int
+    last_id: int | None
+    wrong_id: int | None
+
+
+def take_events(splitter: EventSplitter, data: bytes, last: int | None) -> EventBatch:
+    """Add received bytes to a splitter, and return the events that are complete now.
+
+    `last` is the id of the event before them. Raises `EventTooLongError`.
+    """
+    events = splitter.feed(data)
+    sound = events_in_order(events, last)
+    ids = [event.event_id for event in sound if event.event_id is not None]
+    return EventBatch(
+        b"".join(event.data for event in sound),
+        len(sound),
+        ids[-1] if ids else None,
+        events[len(sound)].event_id if len(sound) < len(events) else None,
+    )
+
+
 def events_in_order(events: list[StreamEvent], last: int | None) -> list[StreamEvent]:
     """Return the events up to the first whose id does not follow the one before.
 
