Bound what precedes the body of an answer on the product's own interface

What callers would see: requests of a node wait in turns while a target sends responses with a status below 200 without end to one of its calls.

Cause: httpcore passes over any number of them, and bounds no number of header fields.

Evidence: three such calls did not end in 4 s and stalled other tasks by up to 147 ms. The new tests failed before: one call timed out, and a whole answer with 300 fields was taken.

Tests of the edge and of security pass.

--- a/packages/marigoldarch-node/marigoldarch_node/edge/connection_pool.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/connection_pool.py
@@ -13,6 +13,7 @@
 import httpcore
 import trio
 
+from marigoldarch_node.edge.bounded_connection import BoundedConnection
 from marigoldarch_node.edge.listener import tcp_socket_options
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
     ) -> None:
         self._max_in_use = max_in_use
         self._tls = tls
-        self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+        self._idle: dict[str, list[BoundedConnection]] = {}
         self._in_use = 0
 
     @property
@@ -53,7 +54,7 @@
         return sum(len(connections) for connections in self._idle.values())
 
     @asynccontextmanager
-    async def acquire(self, address: str) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
+    async def acquire(self, address: str) -> AsyncIterator[BoundedConnection]:
         """Provide a connection to `address` (IP:PORT) for one request.
 
         Raises `httpcore.ConnectError` when too many connections are in use: the request was not
@@ -76,7 +77,7 @@
             for address in list(self._idle):
                 await self._close_expired(address)
 
-    async def _take_idle_or_create(self, address: str) -> httpcore.AsyncHTTPConnection:
+    async def _take_idle_or_create(self, address: str) -> BoundedConnection:
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
@@ -84,14 +85,14 @@
                 return connection
             await _close(connection)
         host, _, port = address.rpartition(":")
-        return httpcore.AsyncHTTPConnection(
+        return BoundedConnection(
             httpcore.Origin(self.scheme.encode(), host.encode(), int(port)),
             ssl_context=self._tls.client if self._tls else None,
             keepalive_expiry=KEEP_ALIVE_TIMEOUT_S,
             socket_options=tcp_socket_options(TCP_USER_TIMEOUT_MS),
         )
 
-    async def _release(self, address: str, connection: httpcore.AsyncHTTPConnection) -> None:
+    async def _release(self, address: str, connection: BoundedConnection) -> None:
         idle = self._idle.setdefault(address, [])
         is_usable = connection.is_idle() and not connection.is_closed()
         if is_usable and len(idle) < MAX_IDLE_PER_TARGET:
@@ -109,7 +110,7 @@
                 await _close(connection)
 
 
-async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
+async def _close(connection: BoundedConnection) -> None:
     with trio.move_on_after(CLOSE_TIMEOUT_S) as scope:
         scope.shield = True
         await connection.aclose()
--- a/packages/marigoldarch-node/marigoldarch_node/tests/edge/target_client_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/edge/target_client_tests.py
@@ -30,6 +30,36 @@
 PAYLOAD = Payload(model="m", prompt="p", max_tokens=10)
 
 
+class EndlessHeadTests(unittest.TestCase):
+    """One faulty target must not hold a node with what precedes the body of its answer."""
+
+    def call(self, filler: bytes) -> None:
+        """Call a target that sends a filler without end before any body; its call must end."""
+
+        async def talk(stream: trio.SocketStream) -> None:
+            await read_until(stream, b"}")
+            while True:
+                await stream.send_all(filler)
+
+        async def run() -> None:
+            async with scripted_target(talk) as address:
+                with trio.fail_after(LATEST_END_S), self.assertRaises(TargetError):
+                    await TargetClient().call_service(
+                        TargetAddress("t", "i", address), PERMIT, 1, PAYLOAD
+                    )
+
+        trio.run(run)
+
+    def test_informational_responses_without_end_end_the_call(self) -> None:
+        """Guards against a target that holds the processor: httpcore passes over any number of them."""
+        self.call(b"HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n" * 1000)
+
+    def test_answer_with_many_short_fields_is_none(self) -> None:
+        body = encode_json({"call": str(PERMIT), "body": "whole"})
+        fields = b"a: b\r\n" * 300 + b"content-length: %d\r\n\r\n" % len(body)
+        self.call(b"HTTP/1.1 200 OK\r\n" + fields + body)
+
+
 class EndlessAnswersTests(unittest.TestCase):
     """One faulty target must not fill the memory or hold the processor of a node."""
 
