Bound the memory of all incomplete answers on the product's own interface

What callers would see: a node runs out of memory and ends, as faulty targets stall in large answers.

Cause: each answer and each line of a stream had a bound, their sum had none.

The new test failed before.

--- a/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/target_client.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator, AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, closing, contextmanager
 from typing import TYPE_CHECKING, Annotated, Any
 
 import httpcore
@@ -23,6 +23,8 @@
 )
 from marigoldarch_node.lines import LineSplitter, LineTooLongError
 from marigoldarch_node.logs import get_logger
+from marigoldarch_node.serving.response_memory import HeldResponse, ResponseMemory
+from marigoldarch_node.serving.target_connections import ResponseError
 
 if TYPE_CHECKING:
     from marigoldarch.effects import OrderTarget
@@ -37,6 +39,9 @@
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_ANSWER_CHUNKS = 32_768
+MAX_HELD_ANSWER_BYTES = 64 * 1024 * 1024
+"""What all answers of targets together may take that a node is reading, and twice what those of one may."""
+
 MAX_COMMAND_ANSWER_BYTES = 16 * 1024
 MAX_FRAME_TOKENS = 1_000_000
 NOT_RUN = "not_run"
@@ -86,6 +91,9 @@
         self._connections = HttpcoreConnectionPool()
         self._peer_connections = HttpcoreConnectionPool(tls=peer_tls)
         self._forwarders = forwarders
+        self._memory = ResponseMemory(
+            MAX_ANSWER_BYTES, MAX_HELD_ANSWER_BYTES, "bytes of all answers"
+        )
 
     @property
     def connections(self) -> HttpcoreConnectionPool:
@@ -129,9 +137,10 @@
             "offset": offset,
             "gang": {"rank": rank, "size": size},
         }
-        async with self._open_response("POST", target, "/v1/generate", body, None) as response:
-            async for line in _read_lines(response):
-                yield _parse_frame(line)
+        with closing(self._memory.open(target.address)) as held:
+            async with self._open_response("POST", target, "/v1/generate", body, None) as response:
+                async for line in _read_lines(response, held):
+                    yield _parse_frame(line)
 
     async def call_service(
         self, target: TargetAddress, permit: PermitId, attempt: int, payload: Payload
@@ -142,15 +151,10 @@
         """
         body = {"call": str(permit), "attempt": attempt, "body": payload.body}
         path = f"/v1/call/{payload.method}"
-        async with self._open_response("POST", target, path, body, None) as response:
-            content = await _read_body(response, MAX_ANSWER_BYTES)
-        try:
-            answer = decode_json(content)
-            if answer["call"] != str(permit):
-                raise TargetError("the answer belongs to another call", is_unsent=False)
-            return str(answer["body"])
-        except (CodecError, KeyError, TypeError) as error:
-            raise TargetError("the answer is malformed", is_unsent=False) from error
+        with closing(self._memory.open(target.address)) as held:
+            async with self._open_response("POST", target, path, body, None) as response:
+                content = await _read_body(response, MAX_ANSWER_BYTES, held)
+            return _parse_service_answer(content, permit)
 
     async def release_permit(self, target: TargetAddress, permit: PermitId) -> bool:
         """Cancel a permit's stream and delete its KV cache; return whether the target confirmed."""
@@ -274,12 +278,18 @@
     return TargetError(f"the target answered {response.status}", is_unsent=is_unsent)
 
 
-async def _read_body(response: httpcore.Response, max_bytes: int) -> bytes:
+async def _read_body(
+    response: httpcore.Response, max_bytes: int, held: HeldResponse | None = None
+) -> bytes:
+    """Return a body; raise `TargetError` over a bound, of all answers too if it is `held`."""
     chunks: list[bytes] = []
     size = 0
     async for chunk in response.aiter_stream():
         chunks.append(chunk)
         size += len(chunk)
+        if held is not None:
+            with _bounded():
+                held.add(len(chunk))
         if size > max_bytes:
             raise TargetError(f"the answer exceeds {max_bytes} bytes", is_unsent=False)
         if len(chunks) > MAX_ANSWER_CHUNKS:
@@ -287,7 +297,16 @@
     return b"".join(chunks)
 
 
-async def _read_lines(response: httpcore.Response) -> AsyncIterator[bytes]:
+@contextmanager
+def _bounded() -> Iterator[None]:
+    """Raise `TargetError` where the memory of answers is exceeded."""
+    try:
+        yield
+    except ResponseError as error:
+        raise TargetError(f"the answer exceeds {error.limit}", is_unsent=False) from error
+
+
+async def _read_lines(response: httpcore.Response, held: HeldResponse) -> AsyncIterator[bytes]:
     splitter = LineSplitter(MAX_LINE_BYTES, MAX_LINE_CHUNKS)
     async for chunk in response.aiter_stream():
         for line in splitter.feed(chunk):
@@ -296,6 +315,19 @@
             splitter.check()
         except LineTooLongError as error:
             raise TargetError(f"a frame is too long: {error}", is_unsent=False) from error
+        with _bounded():
+            held.begin_event(splitter.incomplete_bytes)
+
+
+def _parse_service_answer(content: bytes, permit: PermitId) -> str:
+    """Return the body of a plain service's answer; raise `TargetError` if it is not this call's."""
+    try:
+        answer = decode_json(content)
+        if answer["call"] != str(permit):
+            raise TargetError("the answer belongs to another call", is_unsent=False)
+        return str(answer["body"])
+    except (CodecError, KeyError, TypeError) as error:
+        raise TargetError("the answer is malformed", is_unsent=False) from error
 
 
 def _parse_frame(line: bytes) -> Frame:
--- a/packages/marigoldarch-node/marigoldarch_node/lines.py
+++ b/packages/marigoldarch-node/marigoldarch_node/lines.py
@@ -24,6 +24,11 @@
         self._incomplete_line = bytearray()
         self._pieces = 0
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Return the size of the incomplete line."""
+        return len(self._incomplete_line)
+
     def feed(self, chunk: bytes) -> list[bytes]:
         """Add a chunk; return the lines that are complete now."""
         lines = chunk.split(b"\n")
--- a/packages/marigoldarch-node/marigoldarch_node/tests/edge/target_client_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/edge/target_client_tests.py
@@ -6,6 +6,7 @@
 import struct
 import time
 import unittest
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import trio
@@ -96,6 +97,41 @@
 
     # Guards against a target that holds the processor with a frame, each of whose chunks was
     # searched together with all bytes before it.
+    def test_incomplete_answers_share_a_bound(self) -> None:
+        """Guards against many answers, each within its bound, that fill a node together."""
+        kept: list[int] = []
+
+        async def talk(stream: trio.SocketStream) -> None:
+            path = await read_until(stream, b"}")
+            size = 900 * 1024 if b"/generate" in path else 15 * 1024 * 1024
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n")
+            await stream.send_all(b"x" * size)
+            kept.append(size)
+            await trio.sleep_forever()
+
+        async def run(call: Callable[..., Awaitable[object]], calls: int) -> int:
+            ended = 0
+
+            async def call_one(client: TargetClient, address: TargetAddress) -> None:
+                nonlocal ended
+                with suppress(TargetError):
+                    await call(client, address)
+                ended += 1
+
+            async with scripted_target(talk) as address, trio.open_nursery() as nursery:
+                client = TargetClient()
+                for _ in range(calls):
+                    nursery.start_soon(call_one, client, TargetAddress("t", "i", address))
+                with trio.move_on_after(LATEST_END_S):
+                    while len(kept) + ended < calls or not ended:
+                        await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+            return ended
+
+        self.assertGreater(trio.run(run, self.call_service, 6), 0)
+        kept.clear()
+        self.assertGreater(trio.run(run, self.generate, 60), 0)
+
     def test_frame_without_end_ends_the_call(self) -> None:
         filler = b"40\r\n" + b"x" * 64 + b"\r\n"
         self.assertLess(self.call_endless_target(filler, self.generate), 5.0)
