Refuse at once what can't end before a stopping entry does

What callers would see: a connection that closes without an answer at the end of a planned stop, for a request that was sent to a target late in the grace time.

Cause: a request that waits was sent until 1 s before the end, however long it would run; and requests were accepted for 3 s, and the stop took as long, whatever the grace time.

Evidence: both new tests failed before. A call of 1.6 s was sent 1.3 s before the end, and a stop with a grace time of 2.4 s took 3.0 s.

Measured: tests of stops (7), of lost links and of waiting requests (18) pass.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/attempt.py
@@ -296,6 +296,10 @@
                 return self._incomplete_outcome(FailureReason.TIMEOUT)
             case Delivered():
                 self._state.health.note_success(self._target_id, now_ms)
+                if self._call.request_info.prompt is None:
+                    self._state.call_durations.record(
+                        self._call.service.name, now_ms - self._sent_ms
+                    )
             case OutcomeUnknown(reason=reason) | StreamBroken(reason=reason) if (
                 reason in CONNECTION_ENDS
             ):
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -31,6 +31,7 @@
     report_recipients,
 )
 from marigoldarch.serving.routing import RoutingTable
+from marigoldarch.serving.stopping import plan_stop
 from marigoldarch.serving.waiting_tickets import Lane
 from marigoldarch.serving.watch import (
     WATCH_MESSAGES,
@@ -60,7 +61,7 @@
     Subscription,
     fetch_body,
 )
-from marigoldarch_node.serving.proxy import ACCEPT_WHILE_STOPPING_MS, Proxy
+from marigoldarch_node.serving.proxy import Proxy
 from marigoldarch_node.serving.stored_declaration import decompress_declaration
 from marigoldarch_node.serving.target_connections import ResponseError, TargetConnectionPool
 from marigoldarch_node.serving.target_paths import TargetPaths
@@ -75,9 +76,6 @@
 FETCH_TIMEOUT_S = 0.6
 FETCH_RETRY_DELAY_S = 0.1
 CONNECTION_CLEANUP_INTERVAL_S = 1.0
-STOP_MARGIN_MS = 400.0
-"""A stopping entry ends this long before its grace time is over, even with open connections."""
-
 SUMMARY_INTERVAL_S = 0.3
 """How often the work that stays in a data centre is summarized for the others."""
 
@@ -148,20 +146,18 @@
     async def stop(self) -> None:
         """Leave the directory, then drain.
 
-        New requests are accepted for `ACCEPT_WHILE_STOPPING_MS`, and running ones may finish until
-        the grace time ends. Those that wait for a target are refused by the proxy before that.
+        New requests are accepted for a time, and running ones may finish until the grace time ends. Those
+        that can't are refused by the proxy before they are sent.
         """
         state = self._state
         began_ms = state.clock.monotonic_ms()
-        state.stop_began_ms = began_ms
-        end_ms = began_ms + self._settings.bounds.stop_grace_ms - STOP_MARGIN_MS
-        state.stop_end_ms = end_ms
+        plan = state.stop_plan = plan_stop(began_ms, self._settings.bounds.stop_grace_ms)
         self._update_entries()
         self._caller_server.announce_closing()
         await self._send_hello(is_change=True)
-        await trio.sleep(ACCEPT_WHILE_STOPPING_MS / 1000.0)
+        await trio.sleep((plan.accept_until_ms - began_ms) / 1000.0)
         self._caller_server.close_idle()
-        while self._has_connections and state.clock.monotonic_ms() < end_ms:
+        while self._has_connections and state.clock.monotonic_ms() < plan.end_ms:
             self._caller_server.close_idle()
             await trio.sleep(0.05)
         log.info(
@@ -252,7 +248,7 @@
             settings.caller_address,
             "",
             state.is_ready,
-            state.stop_began_ms is not None,
+            state.stop_plan is not None,
             DATA_FORMAT,
         )
 
@@ -271,7 +267,7 @@
 
     def _update_entries(self) -> None:
         """Let the entries that are known now own the limits of targets, and be gateways."""
-        is_own = self._state.stop_began_ms is None
+        is_own = self._state.stop_plan is None
         entries = self._known_entries()
         self._state.permissions.set_entries(entries, is_own=is_own)
         self._paths.set_entries(entries - {self._own_node})
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections import deque
 from typing import TYPE_CHECKING
@@ -18,6 +17,7 @@
 from marigoldarch.serving.response_origin import ResponseOrigin, is_from_target
 from marigoldarch.serving.retry_budget import RetryBudgetSettings
 from marigoldarch.serving.returning_callers import ReturningCallers
+from marigoldarch.serving.stopping import CallDurations, StopPlan
 from marigoldarch.serving.target_health import HealthSettings, TargetHealth
 from marigoldarch.serving.target_limits import LimitNews, TargetLimits, TargetLimitSettings
 from marigoldarch.serving.target_links import LinkSettings, TargetLinks
@@ -62,7 +62,7 @@
 class EntryState:
     """State that all requests of an entry share; it begins without declaration and targets.
 
-    A stop sets `stop_began_ms`, and `stop_end_ms`, when the connections end.
+    A stop sets `stop_plan`.
     """
 
     def __init__(self, settings: ServingSettings, start_id: int) -> None:
@@ -130,8 +130,8 @@
             self.evacuations,
         )
         self.limits = LimitHistory(ServerLimits())
-        self.stop_began_ms: Millis | None = None
-        self.stop_end_ms: Millis = math.inf
+        self.stop_plan: StopPlan | None = None
+        self.call_durations = CallDurations()
         self._table: RoutingTable | None = None
         self._has_table = trio.Event()
         self._last_control_message_ms: Millis = 0.0
@@ -144,9 +144,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the directory and health checks should send callers to this entry."""
-        return (
-            self._table is not None and self.stop_began_ms is None and bool(self.target_view.usable)
-        )
+        return self._table is not None and self.stop_plan is None and bool(self.target_view.usable)
 
     @property
     def control_host_silence_ms(self) -> Millis:
@@ -167,6 +165,7 @@
         if table.node_token not in self.node_tokens:
             self.node_tokens.append(table.node_token)
         self.limits.change(_server_limits(table.declaration.limits), self.clock.monotonic_ms())
+        self.call_durations.keep({service.name for service in table.declaration.services})
         self.cold.set_services(table.cold_services, self.target_view.usable.values())
         log.info(
             "declaration in force",
--- a/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/proxy.py
@@ -22,6 +22,7 @@
 )
 from marigoldarch.serving.candidates import cached_name_hash
 from marigoldarch.serving.placement import Placement, Saturated
+from marigoldarch.serving.stopping import can_end_in_time
 from marigoldarch_node.serving.attempt import Delivered
 from marigoldarch_node.serving.attempt_plan import AttemptPlan, EntryContext
 from marigoldarch_node.serving.body_reader import Refusal
@@ -48,14 +49,6 @@
     from marigoldarch_node.serving.http_server import Exchange, Request
     from marigoldarch_node.serving.memory_reservations import MemoryReservation
 
-ACCEPT_WHILE_STOPPING_MS: Millis = 3000.0
-"""How long a stopping entry still accepts new requests. Some callers use a directory response for
-three times its time to live; they have moved to other entries by then."""
-
-REFUSE_BEFORE_STOP_END_MS: Millis = 1000.0
-"""Requests that wait while the entry stops are refused this long before its connections end: the
-refusal takes a round trip, and the caller can still go to another entry."""
-
 FIRST_DECLARATION_TIMEOUT_MS: Millis = 700.0
 """How long a request waits for the first declaration after a start: the longest election timeout of
 the control hosts."""
@@ -180,14 +173,15 @@
 
     def _is_wait_over(self) -> bool:
         """Return whether the entry stops so soon that no request may wait any longer."""
-        return self._now_ms() >= self._state.stop_end_ms - REFUSE_BEFORE_STOP_END_MS
+        plan = self._state.stop_plan
+        return plan is not None and self._now_ms() >= plan.wait_until_ms
 
     def _admit(self, exchange: Exchange, request_info: RequestInfo, table: RoutingTable) -> Call:
         """Choose route, customer and service; raise `RefusalError` if the request is refused."""
         state = self._state
         route, customer = _find_route(request_info, table)
-        stop_ms = state.stop_began_ms
-        if stop_ms is not None and state.clock.monotonic_ms() > stop_ms + ACCEPT_WHILE_STOPPING_MS:
+        plan = state.stop_plan
+        if plan is not None and state.clock.monotonic_ms() > plan.accept_until_ms:
             raise RefusalError(503, "node is stopping", 0.0)
         service = table.choose_service(route, state.rng)
         caller_timeout_ms = request_info.caller_timeout_ms or DEFAULT_CALLER_TIMEOUT_MS
@@ -253,6 +247,7 @@
                 self._check_links(call)
                 self._check_evacuation(call)
                 placement = self._rooms.find_room(call, ticket)
+                self._check_stop(call, placement)
                 if isinstance(placement, Placement):
                     permitted_until_ms = await self._acquire_permission(call, placement)
                     if permitted_until_ms is not None:
@@ -294,6 +289,25 @@
             )
         return permitted_until_ms
 
+    def _check_stop(self, call: Call, placement: Placement | Saturated) -> None:
+        """Refuse a request that has not run and can't end before the entry stops."""
+        plan = self._state.stop_plan
+        if plan is None or call.history.may_have_run or call.exchange.is_head_sent:
+            return
+        now_ms = self._now_ms()
+        left_ms = call.deadline_ms - now_ms
+        expected_ms = self._rooms.expected_ms(call, placement)
+        if can_end_in_time(plan, now_ms, expected_ms, left_ms):
+            return
+        log.info(
+            "cannot end before the stop",
+            request=call.request_id,
+            expected_ms=round(expected_ms),
+            left_ms=round(left_ms),
+            stop_in_ms=round(plan.end_ms - now_ms),
+        )
+        self._raise_unplaced(call, "node is stopping", 0.0)
+
     def _check_quarantine(self, call: Call) -> None:
         """End a request that crashes targets; log the crashes on which that is based.
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/room_finder.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/room_finder.py
@@ -10,6 +10,8 @@
 
 from marigoldarch.serving.abandonment import abandon_ms
 from marigoldarch.serving.attempts import MIN_ATTEMPT_TIME_MS
+from marigoldarch.serving.candidates import cached_name_hash
+from marigoldarch.serving.engine_formula import answer_ms
 from marigoldarch.serving.free_places import find_place
 from marigoldarch.serving.placement import (
     EnginePlacer,
@@ -20,6 +22,7 @@
     choose_least_loaded,
     refusal_retry_after_ms,
 )
+from marigoldarch.serving.pool_view import TargetLoad
 from marigoldarch.serving.waiting_tickets import Lane, RequestTimes
 from marigoldarch.serving.waiting_tickets import new_ticket as make_ticket
 from marigoldarch.serving.waiting_turns import leave_limited_to_earlier, next_turn_ms
@@ -162,6 +165,17 @@
         share = MAX_TURN_SHARE if placement.is_turn else MAX_WAIT_SHARE
         return placement.retry_after_ms > left_ms * share
 
+    def expected_ms(self, call: Call, placement: Placement | Saturated) -> Millis:
+        """Return how long a request takes from now on, at least, if it is placed so or soon."""
+        prompt, service = call.request_info.prompt, call.service
+        if service.engine is None or prompt is None:
+            return self._state.call_durations.expected_ms(service.name, call.route.goal_ms)
+        if isinstance(placement, Saturated):
+            return answer_ms(service.engine, prompt, TargetLoad())
+        first = cached_name_hash(placement.targets[0].target_id)
+        load = self._state.workload.view.load_of(first)
+        return placement.first_token_ms + answer_ms(service.engine, prompt, load)
+
     def order_fields(self, call: Call, ticket: Ticket | None) -> dict[str, object]:
         """Return the log fields that tell the place of a request among the waiting ones."""
         if ticket is None:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/tunnel_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/tunnel_server.py
@@ -121,7 +121,7 @@
         state = self._state
         if not self._is_allowed(ask.token):
             return TunnelOutcome.NOT_ALLOWED
-        if state.stop_began_ms is not None or self._open > MAX_TUNNELS:
+        if state.stop_plan is not None or self._open > MAX_TUNNELS:
             return TunnelOutcome.BUSY
         target = state.target_view.usable.get(ask.target_id)
         if target is None or (target.born_ms, target.address) != (ask.born_ms, ask.address):
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/entry_stop_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/entry_stop_tests.py
@@ -9,9 +9,10 @@
 import logbook
 import trio
 
+from marigoldarch.serving import stopping
 from marigoldarch.serving.declaration import RepeatRule, WeightedService
 from marigoldarch.serving.routing import RoutingTable
-from marigoldarch.tests.serving.support import declaration, route, target
+from marigoldarch.tests.serving.support import call_once, declaration, route, target
 from marigoldarch_node.serving import entry_host
 from marigoldarch_node.serving.entry_host import EntryHost
 from marigoldarch_node.serving.entry_state import EntryState
@@ -94,7 +95,7 @@
                     await stream.aclose()
             return response, elapsed_ms
 
-        with self.log, patch.object(entry_host, "ACCEPT_WHILE_STOPPING_MS", 100.0):
+        with self.log, patch.object(stopping, "ACCEPT_WHILE_STOPPING_MS", 100.0):
             return trio.run(run)
 
     async def create_host(self, grace_ms: float) -> tuple[EntryHost, str]:
@@ -170,6 +171,75 @@
         self.assertLess(elapsed_ms, 350.0)
         self.assertEqual(self.outcomes(), ["refused: node is stopping"])
 
+    def test_request_that_gets_room_too_late_is_refused_as_not_run(self) -> None:
+        """Guards against requests that are sent in the grace time and cut at its end.
+
+        The target answers each call after 1.6 s. A call waits until it is back, 0.7 s after the begin of the stop, which
+        ends 1.3 s later.
+        """
+        ran: list[bytes] = []
+
+        async def answer_slowly(stream: trio.SocketStream) -> None:
+            ran.append(await read_until(stream, b"\r\n\r\n"))
+            await trio.sleep(1.6)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab")
+
+        async def run() -> tuple[bytes, bytes, float]:
+            host, caller_address = await self.create_host(STOP_GRACE_MS)
+            self.state.apply_table(RoutingTable(declaration(SAFE, call_once(is_public=True))))
+            async with scripted_target(answer_slowly) as address, trio.open_nursery() as nursery:
+                view, slow = self.state.target_view, target("t", address=address)
+                view.connect("c1")
+                view.mark_complete("c1")
+                view.update_target("c1", slow)
+                nursery.start_soon(host.run)
+                await trio.sleep(0.1)
+                first = await self.call(caller_address)
+                view.remove_target("c1", "t")
+                stop_s = trio.current_time()
+                nursery.start_soon(self.stop, host, nursery.cancel_scope)
+
+                async def return_target() -> None:
+                    await trio.sleep(0.7)
+                    view.update_target("c1", slow)
+
+                nursery.start_soon(return_target)
+                with trio.CancelScope(shield=True):
+                    second = await self.call(caller_address)
+                return first, second, (trio.current_time() - stop_s) * 1000.0
+
+        with self.log:
+            first, second, elapsed_ms = trio.run(run)
+        self.assertTrue(first.endswith(b"ab"))
+        self.assertEqual(second.split(b"\r\n")[0], b"HTTP/1.1 503 ")
+        self.assertLess(elapsed_ms, LATEST_REFUSAL_MS)
+        self.assertEqual(len(ran), 1)
+
+    def test_stop_ends_within_a_short_grace_time(self) -> None:
+        """Guards against requests that are taken for 3 s although the process is killed after 2.4 s."""
+
+        async def run() -> float:
+            host, _ = await self.create_host(STOP_GRACE_MS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(host.run)
+                await trio.sleep(0.1)
+                began_s = trio.current_time()
+                await self.stop(host, nursery.cancel_scope)
+            return (trio.current_time() - began_s) * 1000.0
+
+        self.assertLess(trio.run(run), STOP_GRACE_MS)
+
+    async def call(self, address: str) -> bytes:
+        """Return the response to a call that may run once."""
+        stream = await open_stream(address)
+        await stream.send_all(
+            b"POST /post/x HTTP/1.1\r\nhost: desk.example\r\nconnection: close\r\n\r\n"
+        )
+        try:
+            return await read_all(stream)
+        finally:
+            await stream.aclose()
+
     def test_attempt_in_progress_goes_on_to_the_end(self) -> None:
         async def respond_late(stream: trio.SocketStream) -> None:
             await read_until(stream, b"\r\n\r\n")
--- a/packages/marigoldarch/marigoldarch/serving/engine_formula.py
+++ b/packages/marigoldarch/marigoldarch/serving/engine_formula.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from marigoldarch.clock import Millis
     from marigoldarch.serving.declaration import EngineSpec
+    from marigoldarch.serving.pool_view import TargetLoad
+    from marigoldarch.serving.routing import PromptSize
 
 
 def prefill_ms(engine: EngineSpec, tokens: int) -> Millis:
@@ -29,6 +32,12 @@
     return step_ms * engine.steps_per_pass
 
 
+def answer_ms(engine: EngineSpec, prompt: PromptSize, load: TargetLoad) -> Millis:
+    """Return the time in which a target with a load writes the longest answer to a prompt."""
+    passes = math.ceil(prompt.answer_tokens / engine.steps_per_pass)
+    return passes * decode_pass_ms(engine, load.active + 1, load.context_tokens + prompt.tokens)
+
+
 def has_all_tokens(engine: EngineSpec, events: int, max_tokens: int) -> bool:
     """Return whether a stream has as many events as the longest answer to its request.
 
