Treat an address that is none like a dead host

What callers would see: a node ends, again after each start, as another one tells it of a target or node with a port out of range.

Cause: connecting to it, or sending a datagram, raised OverflowError or ValueError; whoever does that expects OSError. Announcements are checked, messages of nodes and files were not.

Evidence: the new test failed before with ValueError.

Change: `split_address` raises OSError. One function tells what an address is, for announcements too.

Measured: tests of sockets, datagrams, nodes, announcements and odd messages pass.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/sockets.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import select
 import socket
@@ -13,6 +14,8 @@
 
 import trio
 
+from marigoldarch.addresses import is_address
+
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 
@@ -152,9 +155,18 @@
     return int.from_bytes(answer, "little")
 
 
+MAX_SHOWN_CHARACTERS = 60
+"""How much of an odd address a log line shows."""
+
+
 @lru_cache(maxsize=4096)
 def split_address(address: str) -> tuple[str, int]:
-    """Return IP and port of `IP:PORT`."""
+    """Return IP and port of `IP:PORT`; raise `OSError` for any other text.
+
+    Addresses come from other nodes and targets, and whoever connects expects that this fails.
+    """
+    if not is_address(address):
+        raise OSError(errno.EINVAL, f"not IP:PORT: {address[:MAX_SHOWN_CHARACTERS]!r}")
     host, _, port = address.rpartition(":")
     return host, int(port)
 
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/sockets_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/sockets_tests.py
@@ -1,4 +1,4 @@
-"""Tests of how long connections outlast a silent peer."""
+"""Tests of connections: how long they outlast a silent peer, and odd addresses."""
 
 from __future__ import annotations
 
@@ -11,10 +11,14 @@
 
 from marigoldarch.clock import ManualClock
 from marigoldarch.serving.memory_leases import MAX_UNHEARD_MS, MAX_UNUSED_MS
+from marigoldarch.serving.presence import HostsKnown
+from marigoldarch.tests.addresses_tests import ODD_ADDRESSES
 from marigoldarch_node.serving import peer_stream, sockets
+from marigoldarch_node.serving.datagrams import DatagramSocket
 from marigoldarch_node.serving.peer_stream import fetch_body
+from marigoldarch_node.serving.sockets import connect
 from marigoldarch_node.serving.target_connections import TargetConnectionPool, TargetRequest
-from marigoldarch_node.tests.serving.support import read_until, scripted_target
+from marigoldarch_node.tests.serving.support import free_address, read_until, scripted_target
 
 if TYPE_CHECKING:
     from marigoldarch_node.serving.sockets import Connection
@@ -149,3 +153,19 @@
         with patch.object(peer_stream, "connect", connect):
             trio.run(run)
         self.assertEqual(bounds, [PEER_BOUND_MS])
+
+
+class OddAddressTests(unittest.TestCase):
+    """Load pattern: a node is told of a target or a node with an address that is none."""
+
+    def test_connecting_and_sending_fail_like_those_to_a_dead_host(self) -> None:
+        """Guards against processes that end, again after each start, as the port is out of range."""
+
+        async def run() -> None:
+            datagrams = await DatagramSocket.open(await free_address(), HostsKnown)
+            for address in ODD_ADDRESSES:
+                with self.assertRaises(OSError):
+                    await connect(address, 1000.0)
+                await datagrams.send(HostsKnown(()), address)
+
+        trio.run(run)
