Let one odd entry cost no other target, in lists and files

What callers would see: a control host that ends, again after each start, or nodes that know no target, as another node tells of one target with an odd value, or a file holds one.

Cause: lists of targets were decoded whole, and numbers were received that no file can hold.

Those of deep nesting passed before.

Change: each entry is read by itself and dropped if it names no target to use; hosts and entries check what other nodes tell.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -32,6 +32,7 @@
 )
 from marigoldarch.serving.routing import RoutingTable
 from marigoldarch.serving.stopping import plan_stop
+from marigoldarch.serving.target_lists import is_sound
 from marigoldarch.serving.waiting_tickets import Lane
 from marigoldarch.serving.watch import (
     WATCH_MESSAGES,
@@ -383,6 +384,9 @@
                 self._state.target_view.remove_target(host, target_id)
 
     def _update_target(self, host: str, target: Target) -> None:
+        if not is_sound(target):
+            log.warning("odd target ignored", peer=host, target=target.target_id[:60])
+            return
         self._state.target_view.update_target(host, target)
         self._state.note_target(target)
 
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_registrar.py
@@ -12,6 +12,7 @@
 
 from marigoldarch.exceptions import StorageError
 from marigoldarch.serving.cold_news import ColdNews, ColdRegistry, TargetsCold
+from marigoldarch.serving.target_lists import is_sound
 from marigoldarch.serving.targets import TARGET_SILENCE_MS, Target, TargetRegistry
 from marigoldarch.serving.watch import TargetSilent, TargetTold, pack_targets
 from marigoldarch.store.messages import TargetsHeard, TargetsNoted
@@ -199,9 +200,12 @@
                 if changes:
                     self._entry_subscribers.send_optional(TargetsCold(changes))
             case TargetsHeard(batch=batch, targets=targets):
-                for target in targets:
+                sound = [target for target in targets if is_sound(target)]
+                for target in sound:
                     self._register(target)
-                if batch:
+                if len(sound) < len(targets):
+                    log.warning("odd targets ignored", peer=peer, odd=len(targets) - len(sound))
+                elif batch:
                     self._departures.record_for(peer, batch, targets)
             case TargetsNoted(batch=batch):
                 self._departures.receive_confirmation(peer, batch)
--- a/packages/marigoldarch-node/marigoldarch_node/storage/departure_file.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/departure_file.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from marigoldarch.exceptions import StorageError
-from marigoldarch.serving.targets import Target
+from marigoldarch.serving.target_lists import read_targets
 from marigoldarch_node.storage.files import replace_file_durably, sync_directory, write_all
 from marigoldarch_node.storage.frames import (
     HEADER_BYTES,
@@ -27,6 +27,8 @@
     from collections.abc import Iterable
     from pathlib import Path
 
+    from marigoldarch.serving.targets import Target
+
 FILE_NAME = "departures"
 
 MIN_REWRITE_BYTES = 64 * 1024
@@ -69,8 +71,8 @@
             end = find_frame_end(data, position)
             try:
                 payload = data[position + HEADER_BYTES : end]
-                targets += msgspec.msgpack.decode(payload, type=list[Target])
-            except msgspec.MsgspecError:
+                targets += read_targets(msgspec.msgpack.decode(payload, type=list))
+            except (msgspec.MsgspecError, RecursionError):
                 pass  # Of an incompatible build; the other frames hold.
             position = find_intact_frame(data, end)
         return targets
--- a/packages/marigoldarch-node/marigoldarch_node/storage/target_file.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/target_file.py
@@ -14,15 +14,20 @@
 import msgspec
 
 from marigoldarch.exceptions import StorageError
-from marigoldarch.serving.targets import Target
+from marigoldarch.serving.target_lists import read_targets
+from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.storage.files import replace_file_durably
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from marigoldarch.serving.targets import Target
+
 FILE_NAME = "targets"
 CHECKSUM_BYTES = 4
 
+log = EventLog("targets")
+
 
 class TargetFile:
     """A checksummed file of targets in a control host's data folder."""
@@ -39,7 +44,7 @@
             raise StorageError(f"cannot write the target file: {error}") from error
 
     def load(self) -> list[Target]:
-        """Return the saved targets, or an empty list if there is no file.
+        """Return the sound ones of the saved targets, or an empty list if there is no file.
 
         Raises `StorageError` if the file is unreadable, damaged, or of an incompatible build.
         """
@@ -53,11 +58,15 @@
         if data[:CHECKSUM_BYTES] != _checksum(body):
             raise StorageError("the target file is damaged: its checksum does not match")
         try:
-            return msgspec.msgpack.decode(body, type=list[Target])
-        except msgspec.MsgspecError as error:
-            raise StorageError(
-                f"the target file was written by an incompatible build: {error}"
-            ) from error
+            plain = msgspec.msgpack.decode(body, type=list)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise StorageError(f"the target file cannot be decoded: {error}") from error
+        targets = read_targets(plain)
+        if plain and not targets:
+            raise StorageError("the target file was written by an incompatible build")
+        if len(targets) < len(plain):
+            log.warning("odd targets in the file", odd=len(plain) - len(targets))
+        return targets
 
 
 def _checksum(body: bytes) -> bytes:
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
@@ -16,6 +16,7 @@
 
 from marigoldarch.exceptions import StorageError
 from marigoldarch.serving.targets import TARGET_SILENCE_MS, Target
+from marigoldarch.store.messages import TargetsHeard
 from marigoldarch.tests.serving.support import target
 from marigoldarch_node.clock import SystemClock
 from marigoldarch_node.serving.departure_recorder import ControlHosts
@@ -246,6 +247,26 @@
         self.assertEqual(self.run_cluster(repeat), [200, 200, 200])
 
 
+class OddEntryTests(DepartureTestCase):
+    """Load pattern: a control host of another build tells of a target that names none to use."""
+
+    def test_odd_target_is_neither_registered_nor_saved(self) -> None:
+        """Guards against a host that ends as its file can't hold a number, again after each start."""
+        odd = [
+            target("u", serial=2**70),
+            target("v", address="10.0.0.1:99999"),
+            target("w", slots=-1),
+        ]
+
+        async def hear(cluster: Cluster) -> list[str]:
+            host = cluster.hosts["c1"]
+            host.receive("c2", TargetsHeard(0, (*odd, target("t"))))
+            host._file.save(host.targets)
+            return [item.target_id for item in host.targets]
+
+        self.assertEqual(self.run_cluster(hear), ["t"])
+
+
 class UnknownDepartureTests(DepartureTestCase):
     """Load pattern: a target leaves by way of a control host that has just started with an old file."""
 
--- a/packages/marigoldarch-node/marigoldarch_node/tests/storage/target_file_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/storage/target_file_tests.py
@@ -4,6 +4,7 @@
 
 import tempfile
 import unittest
+import zlib
 from pathlib import Path
 
 from marigoldarch.exceptions import StorageError
@@ -46,6 +47,31 @@
         with self.assertRaises(StorageError):
             self.file.load()
 
+    def test_odd_entry_costs_no_other_target(self) -> None:
+        """Guards against a host that knows no target after a start, as another writer left one odd entry."""
+        odd = [
+            TARGETS[0]._replace(target_id="i-3", address="10.0.0.1:99999"),
+            TARGETS[0]._replace(target_id="i-4", serial=-1),
+            TARGETS[0]._replace(target_id="i-5", born_ms=2**64 - 1),
+            TARGETS[0]._replace(target_id="i-6", slots="many"),
+            TARGETS[0]._replace(target_id="i-7", data_centre=None),
+            ("i-8",),
+            7,
+        ]
+        self.file.save([*odd, *TARGETS, *odd])
+        self.assertEqual(self.file.load(), TARGETS)
+
+    def test_entry_that_is_nested_too_deeply_raises_storage_error(self) -> None:
+        nested = []
+        for _ in range(900):
+            nested = [nested]
+        self.file.save([TARGETS[0], nested])
+        body = (self.folder / FILE_NAME).read_bytes()[4:]
+        body = body.replace(b"\x91" * 800, b"\x91" * 200_000)
+        (self.folder / FILE_NAME).write_bytes(zlib.crc32(body).to_bytes(4, "big") + body)
+        with self.assertRaises(StorageError):
+            self.file.load()
+
     def test_failed_write_raises_storage_error_and_keeps_the_old_file(self) -> None:
         self.file.save(TARGETS)
         (self.folder / "targets.new").mkdir()
--- a/packages/marigoldarch/marigoldarch/serving/watch.py
+++ b/packages/marigoldarch/marigoldarch/serving/watch.py
@@ -14,6 +14,7 @@
 from marigoldarch.serving.cold_news import TargetsCold
 from marigoldarch.serving.evacuations import Evacuations
 from marigoldarch.serving.report_recipients import EntryNode
+from marigoldarch.serving.target_lists import read_targets
 from marigoldarch.serving.targets import Target
 
 if TYPE_CHECKING:
@@ -100,9 +101,9 @@
 
 
 def unpack_targets(message: TargetsTold) -> list[Target]:
-    """Return the targets of a message; raise `CodecError` if its text cannot be decoded."""
+    """Return the sound targets of a message; raise `CodecError` if its text cannot be decoded."""
     try:
         data = zlib.decompress(base64.b85decode(message.text))
-        return msgspec.json.decode(data, type=list[Target])
-    except (ValueError, zlib.error, msgspec.MsgspecError) as error:
+        return read_targets(msgspec.json.decode(data, type=list))
+    except (ValueError, zlib.error, msgspec.MsgspecError, RecursionError) as error:
         raise CodecError(f"targets of a control host cannot be decoded: {error}") from error
--- a/packages/marigoldarch/marigoldarch/tests/serving/support.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/support.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 from marigoldarch.serving.declaration import (
     CallerLimits,
     Customer,
@@ -77,7 +79,9 @@
 
 def target(name: str, **changes: object) -> Target:
     """Return a target that accepts requests."""
-    plain = Target(name, 1000, 1, "engines", f"{name}:80", "dc1", 8, is_leaving=False)
+    first, second, third = zlib.crc32(name.encode()).to_bytes(4, "big")[1:]
+    address = f"10.{first}.{second}.{third}:80"
+    plain = Target(name, 1000, 1, "engines", address, "dc1", 8, is_leaving=False)
     return plain._replace(**changes)
 
 
