Go on with a stored declaration that can't be decompressed

What callers would see: a control host that ends at each start, or entries that end as they fetch the document, once another writer has left one that is no compressed text.

Cause: the text was decompressed without regard to errors or size.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/control_host.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from marigoldarch.exceptions import DamagedLogError
+from marigoldarch.exceptions import CodecError, DamagedLogError
 from marigoldarch.serving.cold_news import TargetsCold
 from marigoldarch.serving.declaration import (
     ServingDeclaration,
@@ -401,7 +401,11 @@
         """Learn from a declaration of which services' targets entries must know cold phases."""
         if not document.version:
             return
-        declaration = self._dialect.read_declaration(decompress_declaration(document))
+        try:
+            declaration = self._dialect.read_declaration(decompress_declaration(document))
+        except CodecError as error:
+            log.error("stored declaration cannot be decoded", reason=str(error))
+            return
         if isinstance(declaration, ServingDeclaration):
             self._targets.cold_services = frozenset(
                 service.name for service in declaration.services if service.cold is not None
@@ -459,7 +463,13 @@
             log.warning("read refused", reason="no majority" if document is None else "empty")
             await exchange.answer(503, JSON_HEADERS, b"{}")
             return
-        await exchange.answer(200, JSON_HEADERS, self._encoded_declaration(document))
+        try:
+            body = self._encoded_declaration(document)
+        except CodecError as error:
+            log.error("read refused", reason=str(error))
+            await exchange.answer(503, JSON_HEADERS, b"{}")
+            return
+        await exchange.answer(200, JSON_HEADERS, body)
 
     def _encoded_declaration(self, document: Document) -> bytes:
         """Return the declaration of a document; callers that read the same one share its bytes."""
--- a/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/entry_host.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from marigoldarch.exceptions import CodecError
 from marigoldarch.serving.candidates import cached_name_hash
 from marigoldarch.serving.cold_news import TargetsCold
 from marigoldarch.serving.declaration import ServingDeclaration
@@ -80,6 +81,16 @@
 SUMMARY_INTERVAL_S = 0.3
 """How often the work that stays in a data centre is summarized for the others."""
 
+UNFETCHED = (
+    OSError,
+    trio.TooSlowError,
+    ResponseError,
+    msgspec.MsgspecError,
+    RecursionError,
+    CodecError,
+)
+"""Why a declaration is not fetched from a control host, which may hold one that cannot be decoded."""
+
 EntryMessage = WorkReport | PoolSummary | RelayedReport | HostsKnown | LimitAsk | LimitAnswer
 """The datagrams that an entry receives."""
 
@@ -431,12 +442,12 @@
         """Fetch the declaration of a control host and put it in force; return False on failure."""
         try:
             body = await fetch_body(host, DOCUMENT_PATH, FETCH_TIMEOUT_S)
-            document = msgspec.json.decode(body, type=Document)
-        except (OSError, trio.TooSlowError, ResponseError, msgspec.MsgspecError) as error:
+            stored = decompress_declaration(msgspec.json.decode(body, type=Document))
+        except UNFETCHED as error:
             log.warning("declaration not fetched", peer=host, reason=type(error).__name__)
             self._versions_by_host.pop(host, None)
             return False
-        match self._dialect.read_declaration(decompress_declaration(document)):
+        match self._dialect.read_declaration(stored):
             case ServingDeclaration() as declaration:
                 self._state.apply_table(RoutingTable(declaration))
                 return True
