Keep the connections of orders apart from those of requests

Cause: orders shared the kept connections with requests. Their answers have no id, and an answer without one counted as that to the request.

Change: a connection that has carried an order is kept for orders alone, tunnels too.

Tests of reservations, connections and unreachable targets pass (20).

--- a/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/memory_reservations.py
@@ -201,7 +201,7 @@
         """
         with trio.move_on_after(ORDER_TIMEOUT_MS / 1000.0):
             try:
-                connection = await self._paths.acquire(target, must_be_new=False)
+                connection = await self._paths.acquire(target, must_be_new=False, for_orders=True)
             except UnreachableError:
                 return 0
             head: ResponseHead | None = None
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -138,6 +138,8 @@
 
     `opened_ms` is the monotonic time at which it was opened, and `gateway` the entry through which it goes,
     empty for a direct one.
+    One `for_orders` is never kept for requests, nor the other way round: answers to orders have no id, so that a
+    second copy of one can't be told from the answer to a request.
     `is_encoded` is set once the request is ready to be sent; nothing is read before that. `is_sent`
     is true once the whole request was sent, `has_received_bytes` once any byte of a response has
     arrived, `has_ended` once the target has closed the connection.
@@ -149,6 +151,7 @@
     is_reused: bool
     opened_ms: Millis = 0.0
     gateway: str = ""
+    for_orders: bool = False
     is_sent: bool = False
     has_received_bytes: bool = False
     has_ended: bool = False
@@ -252,6 +255,13 @@
         return FailureReason.CUT if self.has_received_bytes else FailureReason.RESET
 
 
+class _PoolKey(NamedTuple):
+    """Which requests a kept connection may carry."""
+
+    address: str
+    for_orders: bool
+
+
 class _KeptConnection(NamedTuple):
     """A kept connection, which may be reused until a monotonic time."""
 
@@ -267,12 +277,15 @@
     def __init__(self, clock: Clock, open_connection: OpenConnection | None = None) -> None:
         self._clock = clock
         self._open_connection = open_connection
-        self._direct: dict[str, list[_KeptConnection]] = {}
-        self._tunnels: dict[str, list[_KeptConnection]] = {}
+        self._direct: dict[_PoolKey, list[_KeptConnection]] = {}
+        self._tunnels: dict[_PoolKey, list[_KeptConnection]] = {}
 
-    async def acquire(self, address: str, *, must_be_new: bool) -> TargetConnection:
+    async def acquire(
+        self, address: str, *, must_be_new: bool, for_orders: bool = False
+    ) -> TargetConnection:
         """Return a kept or new direct connection; raise `UnreachableError` if none can be opened."""
-        kept = None if must_be_new else self._take_kept(self._direct, address, lambda _: True)
+        key = _PoolKey(address, for_orders)
+        kept = None if must_be_new else self._take_kept(self._direct, key, lambda _: True)
         if kept is not None:
             return kept
         try:
@@ -287,10 +300,10 @@
         return await open_connection(address, CONNECT_TIMEOUT_MS, TARGET_BOUNDS)
 
     def take_kept_tunnel(
-        self, address: str, is_usable: Callable[[str], bool]
+        self, address: str, is_usable: Callable[[str], bool], *, for_orders: bool = False
     ) -> TargetConnection | None:
         """Return a kept tunnel to an address through a usable gateway, None if there is none."""
-        return self._take_kept(self._tunnels, address, is_usable)
+        return self._take_kept(self._tunnels, _PoolKey(address, for_orders), is_usable)
 
     def wrap(self, address: str, connection: Connection) -> TargetConnection:
         """Return a new direct connection for its first request."""
@@ -302,7 +315,8 @@
 
     def release(self, used: TargetConnection, head: ResponseHead | None) -> None:
         """Keep a connection for reuse, or close it; without `head` its response is incomplete."""
-        kept = (self._tunnels if used.gateway else self._direct).setdefault(used.address, [])
+        key = _PoolKey(used.address, used.for_orders)
+        kept = (self._tunnels if used.gateway else self._direct).setdefault(key, [])
         is_kept = head is not None and used.is_reusable and len(kept) < MAX_IDLE_PER_TARGET
         if not is_kept or "close" in head.header(b"connection").lower():
             used.connection.close()
@@ -327,24 +341,24 @@
 
     def _take_kept(
         self,
-        pool: dict[str, list[_KeptConnection]],
-        address: str,
+        pool: dict[_PoolKey, list[_KeptConnection]],
+        key: _PoolKey,
         is_usable: Callable[[str], bool],
     ) -> TargetConnection | None:
-        kept = pool.get(address, [])
+        kept = pool.get(key, [])
         while kept:
             item = kept.pop()
             is_current = self._clock.monotonic_ms() < item.usable_until_ms
             if is_current and is_usable(item.gateway) and not item.connection.has_input():
-                return _wrap(address, item.connection, True, item.opened_ms, item.gateway)
+                return _wrap(key.address, item.connection, True, item.opened_ms, item.gateway)
             item.connection.close()
         return None
 
 
 def _close_unless(
-    pool: dict[str, list[_KeptConnection]], is_kept: Callable[[_KeptConnection], bool]
+    pool: dict[_PoolKey, list[_KeptConnection]], is_kept: Callable[[_KeptConnection], bool]
 ) -> None:
-    for address, items in list(pool.items()):
+    for key, items in list(pool.items()):
         kept: list[_KeptConnection] = []
         for item in items:
             if is_kept(item):
@@ -352,9 +366,9 @@
             else:
                 item.connection.close()
         if kept:
-            pool[address] = kept
+            pool[key] = kept
         else:
-            del pool[address]
+            del pool[key]
 
 
 def _wrap(
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_paths.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_paths.py
@@ -81,12 +81,25 @@
             return None
         return max(self._tunnels.wait_ms, self._state.links.probe_interval_ms / 2.0)
 
-    async def acquire(self, target: Target, *, must_be_new: bool) -> TargetConnection:
+    async def acquire(
+        self, target: Target, *, must_be_new: bool, for_orders: bool = False
+    ) -> TargetConnection:
         """Return a kept or new connection; raise `UnreachableError` if none can be opened."""
+        kept = None
+        if self._uses_gateways and self._state.links.is_lost(target) and not must_be_new:
+            kept = self._tunnels.take_kept(target, for_orders=for_orders)
+        connection = kept or await self._open(target, must_be_new, for_orders)
+        connection.for_orders = for_orders
+        return connection
+
+    async def _open(self, target: Target, must_be_new: bool, for_orders: bool) -> TargetConnection:
+        """Return a new tunnel, or a kept or new direct connection."""
         if self._uses_gateways and self._state.links.is_lost(target):
-            return await self._acquire_tunnel(target, must_be_new=must_be_new)
+            return await self._open_tunnel(target)
         try:
-            return await self._connections.acquire(target.address, must_be_new=must_be_new)
+            return await self._connections.acquire(
+                target.address, must_be_new=must_be_new, for_orders=for_orders
+            )
         except UnreachableError as error:
             if not self._uses_gateways or self._checks.is_down(target):
                 raise
@@ -137,11 +150,8 @@
         elif not (self._state.links.is_lost(target) or self._state.evacuations.include(target)):
             self._checks.verify_suspension(target)
 
-    async def _acquire_tunnel(self, target: Target, *, must_be_new: bool) -> TargetConnection:
-        """Return a kept or new tunnel to a target whose own link is lost."""
-        kept = None if must_be_new else self._tunnels.take_kept(target)
-        if kept is not None:
-            return kept
+    async def _open_tunnel(self, target: Target) -> TargetConnection:
+        """Return a new tunnel to a target whose own link is lost."""
         outcomes: list[TunnelOutcome] = []
         for gateway in self._tunnels.choose_gateways():
             try:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/tunnel_client.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/tunnel_client.py
@@ -83,9 +83,11 @@
         """Return the entries to ask for one tunnel, in this order."""
         return self._gateways.choose(self._now_ms())
 
-    def take_kept(self, target: Target) -> TargetConnection | None:
+    def take_kept(self, target: Target, *, for_orders: bool) -> TargetConnection | None:
         """Return a kept tunnel to a target, None if there is none."""
-        kept = self._connections.take_kept_tunnel(target.address, self._is_usable)
+        kept = self._connections.take_kept_tunnel(
+            target.address, self._is_usable, for_orders=for_orders
+        )
         if kept is not None:
             self._in_use[kept.gateway] += 1
         return kept
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/memory_reservations_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/memory_reservations_tests.py
@@ -43,6 +43,30 @@
         self.assertEqual(received, [])
 
 
+class KeptConnectionTests(unittest.TestCase):
+    """Helpers that keep the connections of orders open."""
+
+    def test_connection_of_an_order_carries_no_request(self) -> None:
+        """Guards against a caller that gets the second copy of an answer to an order, which has no id."""
+
+        async def talk(stream: trio.SocketStream) -> None:
+            while await read_until(stream, b"\r\n\r\n"):
+                await stream.send_all(OK + b"\r\n")
+
+        async def run() -> tuple[bool, bool]:
+            state = EntryState(SETTINGS, 1)
+            paths = TargetPaths(state, PlainDialect(), TargetConnectionPool(state.clock))
+            manager = ReservationManager(state, PlainDialect(), paths)
+            async with scripted_target(talk) as address:
+                helper = target("t", address=address)
+                await manager.reserve(manager.create([helper], 1000))
+                request = await paths.acquire(helper, must_be_new=False)
+                order = await paths.acquire(helper, must_be_new=False, for_orders=True)
+                return request.is_reused, order.is_reused
+
+        self.assertEqual(trio.run(run), (False, True))
+
+
 class FaultyHelperTests(unittest.TestCase):
     """Helpers whose responses no sound target sends."""
 
