Count parsed heads in the memory of requests

Cause: the account of requests counted nothing of a parsed head, and the parser's event kept the fields a second time.

The new test of the account needs the new function.

Change: a parsed head counts from then on until its request has ended, and is no part of the rate at which a body arrives. The event is dropped.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/body_reader.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/body_reader.py
@@ -39,6 +39,10 @@
     headers: Headers
 
 
+FIELD_BYTES = 200
+"""The memory of a parsed header field beside its text."""
+
+
 class ByteSource(Protocol):
     """The connection from which a body is read."""
 
@@ -67,6 +71,11 @@
     return Refusal(413, "body too large", [])
 
 
+def parsed_bytes(headers: Headers) -> int:
+    """Return about how much memory the fields of a parsed head take."""
+    return sum(len(name) + len(value) + FIELD_BYTES for name, value in headers)
+
+
 def announced_length(request: Request) -> int:
     """Return the announced length of a body, 0 if there is none."""
     value = request.header(b"content-length")
@@ -92,7 +101,10 @@
         self._memory.free(self.held)
 
     def check(self) -> Refusal | None:
-        """Return why the request is refused by its announced length, None if it is not."""
+        """Return why the request is refused by its head, None if it is not."""
+        head_bytes = parsed_bytes(self._request.headers)
+        if not self._memory.add_head(self.held, head_bytes, self._clock.monotonic_ms()):
+            return no_memory()
         if self._length > self._max_bytes:
             return too_large()
         return self._check_large(self._length)
--- a/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/http_server.py
@@ -424,6 +424,8 @@
             b"",
             received_ms,
         )
+        # The event has the fields once more, as they were sent.
+        del event
         return await self._read_body(request, limits)
 
     async def _wait_for_input(self) -> bool:
--- a/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/target_connections.py
@@ -18,6 +18,7 @@
 from marigoldarch.decimals import parse_whole_number
 from marigoldarch.exceptions import MarigoldarchError
 from marigoldarch.serving.attempts import FailureReason
+from marigoldarch_node.serving.body_reader import parsed_bytes
 from marigoldarch_node.serving.sockets import TARGET_BOUNDS, connect
 
 if TYPE_CHECKING:
@@ -53,9 +54,6 @@
 MAX_HEAD_FIELDS = 256
 """How many header fields a response may have; parsed, each takes many times its bytes."""
 
-FIELD_BYTES = 200
-"""The memory of a parsed header field beside its text."""
-
 MAX_INFORMATIONAL_RESPONSES = 16
 """How many responses with a status below 200 may precede the final one."""
 
@@ -124,7 +122,7 @@
     @property
     def memory_bytes(self) -> int:
         """Return about how much memory the head takes."""
-        return sum(len(name) + len(value) + FIELD_BYTES for name, value in self.headers)
+        return parsed_bytes(self.headers)
 
     @property
     def is_framed(self) -> bool:
--- a/packages/marigoldarch/marigoldarch/serving/request_memory.py
+++ b/packages/marigoldarch/marigoldarch/serving/request_memory.py
@@ -56,7 +56,7 @@
 
 @dataclass(eq=False)
 class HeldRequest:
-    """What a node holds of one request: its bytes so far.
+    """What a node holds of one request: its bytes so far, of which `head_bytes` are its parsed head.
 
     `refuse` ends the reading of a request that is not complete.
     """
@@ -64,13 +64,15 @@
     begun_ms: Millis
     refuse: Callable[[], None]
     size: int = 0
+    head_bytes: int = 0
     is_large: bool = False
     is_refused: bool = False
 
     def is_slow(self, now_ms: Millis) -> bool:
         """Return whether the request arrives slower than any sound link sends."""
         age_ms = now_ms - self.begun_ms
-        return age_ms > SLOW_GRACE_MS and self.size < MIN_BODY_BYTES_PER_S * age_ms / 1000.0
+        body_bytes = self.size - self.head_bytes
+        return age_ms > SLOW_GRACE_MS and body_bytes < MIN_BODY_BYTES_PER_S * age_ms / 1000.0
 
 
 class RequestMemory:
@@ -98,6 +100,14 @@
         self._incomplete[request] = None
         return request
 
+    def add_head(self, request: HeldRequest, size: int, now_ms: Millis) -> bool:
+        """Count the parsed head of a request; return False if there is no memory for it.
+
+        Parsed, a head of many short fields takes twenty times its bytes.
+        """
+        request.head_bytes = size
+        return self.add(request, size, now_ms)
+
     def add(self, request: HeldRequest, size: int, now_ms: Millis) -> bool:
         """Count `size` more bytes of a request; return False if there is no memory for them.
 
@@ -127,7 +137,7 @@
         self._held_bytes -= request.size
         if request.is_large:
             self._large_bytes -= request.size
-        request.size, request.is_large = 0, False
+        request.size, request.head_bytes, request.is_large = 0, 0, False
 
     def refuse_slow(self, now_ms: Millis) -> bool:
         """Refuse a slow request, as its connection is needed; return False if there is none."""
--- a/packages/marigoldarch/marigoldarch/tests/serving/request_memory_tests.py
+++ b/packages/marigoldarch/marigoldarch/tests/serving/request_memory_tests.py
@@ -20,6 +20,20 @@
 ORDINARY_BYTES = 30_000
 
 
+class ParsedHeadTests(unittest.TestCase):
+    """Load pattern: hundreds of callers send heads of many short fields and bodies that arrive slowly."""
+
+    def test_heads_take_memory_and_do_not_make_a_slow_body_look_fast(self) -> None:
+        memory = RequestMemory(MemoryLimits(1_000_000))
+        refused: list[str] = []
+        slow = memory.begin(0.0, lambda: refused.append("slow"))
+        self.assertTrue(memory.add_head(slow, 600_000, 0.0))
+        other = memory.begin(SLOW_GRACE_MS, lambda: refused.append("other"))
+        self.assertFalse(memory.add_head(other, 600_000, SLOW_GRACE_MS))
+        self.assertTrue(memory.add_head(other, 600_000, SLOW_GRACE_MS + 1.0))
+        self.assertEqual((refused, memory.held_bytes), (["slow"], 600_000))
+
+
 class RequestMemoryTests(unittest.TestCase):
     """Replays of loads against 40 MiB, the memory of a small host."""
 
