--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -101,11 +101,18 @@
 
 
 async def free_address() -> str:
-    """Return a loopback address on which nothing listens."""
-    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
-    port = listener.socket.getsockname()[1]
-    await listener.aclose()
-    return f"127.0.0.1:{port}"
+    """Return a loopback address on which nothing listens, nor receives datagrams."""
+    while True:
+        listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        address = listener.socket.getsockname()
+        try:
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+                datagrams.bind(address)
+        except OSError:
+            continue
+        finally:
+            await listener.aclose()
+        return f"127.0.0.1:{address[1]}"
 
 
 @asynccontextmanager
