Let an order whose caller has gone have no effect at the leader either

Cause: the end of a connection cancels the call from another task; the leader reads and proposes without letting that task run.

Change: an order waits 20 ms for the end of its caller's connection.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/evacuation_orders.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/evacuation_orders.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
+import trio
+
 from marigoldarch_node.serving.event_log import EventLog
 from marigoldarch_node.serving.http_server import JSON_HEADERS
 
@@ -16,6 +18,10 @@
     from marigoldarch_node.serving.metrics import ServingMetrics
     from marigoldarch_node.serving.store_runtime import StoreRuntime
 
+CALLER_END_MS: Millis = 20.0
+"""How long an order waits for the end of its caller's connection: an operator that has gone has asked
+another control host, and perhaps ordered something else since."""
+
 log = EventLog("control")
 
 
@@ -87,7 +93,9 @@
         carried out later, after another order, has no effect. It is acknowledged only after a change
         of revision, so that copies of earlier orders have none either.
         """
-        end_ms = self._clock.monotonic_ms() + self._timeout_ms
+        # The end of a connection follows bytes that were held up; it cancels this call.
+        await trio.sleep(CALLER_END_MS / 1000.0)
+        end_ms = self._clock.monotonic_ms() + self._timeout_ms - CALLER_END_MS
         if await self._store.read(self._timeout_ms) is None:
             return False
         evacuations = self._store.store.evacuations
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/evacuation_orders_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/evacuation_orders_tests.py
@@ -39,12 +39,16 @@
         self.store.evacuations = max(self.store.evacuations, self.found_by_read)
         return Document()
 
+    async def read_at_once(self, timeout_ms: float) -> Document:
+        """Return a document as the leader does for its own read."""
+        return Document()
+
     async def order(self, order: EvacuationOrder, timeout_ms: float) -> Evacuations | None:
         """Apply the next earlier order, if any, and this one if it is not based on an older state."""
+        self.bases.append(order.base_revision)
         await trio.lowlevel.checkpoint()
         if not self.is_answering:
             return None
-        self.bases.append(order.base_revision)
         if self.earlier_orders:
             self.store.evacuations = self.earlier_orders.pop(0)
         index = self.store.evacuations.revision + 1
@@ -73,6 +77,28 @@
         trio.run(run)
         return statuses[0]
 
+    def test_late_order_whose_caller_has_gone_has_no_effect(self) -> None:
+        """Guards against an order that arrives seconds late with the end of its connection, at the leader.
+
+        The leader answers its own read at once, before the task that watches the connection has run.
+        """
+        store = FakeStore(Evacuations(3, ("dc1",)))
+        store.read = store.read_at_once
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+
+                async def watch_connection() -> None:
+                    await trio.sleep(0)
+                    nursery.cancel_scope.cancel()
+
+                nursery.start_soon(watch_connection)
+                orders = EvacuationOrders(store, ManualClock(), ServingMetrics(), TIMEOUT_MS)
+                await orders.handle(None, "dc1", KNOWN, is_withdrawn=True)
+
+        trio.run(run)
+        self.assertEqual(store.bases, [])
+
     def test_order_is_based_on_what_is_in_force_after_its_arrival(self) -> None:
         store = FakeStore(Evacuations(3))
         store.found_by_read = Evacuations(8, ("dc2",))
