--- a/packages/marigoldarch-node/marigoldarch_node/config/options.py
+++ b/packages/marigoldarch-node/marigoldarch_node/config/options.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any, Generic, TypeVar
 
+from marigoldarch.addresses import is_address
 from marigoldarch.exceptions import ConfigurationError
 from marigoldarch.identifiers import NodeAddress
 
@@ -16,7 +17,6 @@
 ENVIRONMENT_PREFIX = "MARIGOLDARCH_"
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}\Z")
-_ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})\Z")
 
 
 class Option(Generic[T]):
@@ -176,12 +176,3 @@
         if value is None:
             raise self.error("use true or false")
         return value
-
-
-def is_address(text: str) -> bool:
-    """Return whether the text is an IPv4 address and a port."""
-    match = _ADDRESS.match(text)
-    if not match:
-        return False
-    octets = [int(part) for part in match.group(1).split(".")]
-    return max(octets) <= 255 and 0 < int(match.group(2)) <= 65_535
--- a/packages/marigoldarch-node/marigoldarch_node/edge/targets.py
+++ b/packages/marigoldarch-node/marigoldarch_node/edge/targets.py
@@ -7,10 +7,10 @@
 import msgspec
 from expression import Result
 
+from marigoldarch.addresses import is_address
 from marigoldarch.events import CacheEventsArrived, TargetAnnounced
 from marigoldarch.identifiers import PoolId
 from marigoldarch.targets import Announcement, has_identity_conflict, parse_announcement
-from marigoldarch_node.config.options import is_address
 from marigoldarch_node.edge.http import OVERLOAD_RETRY_AFTER_MS, HttpError, HttpRequest, Route
 from marigoldarch_node.security.keys import Role
 
--- a/packages/marigoldarch-node/marigoldarch_node/storage/departure_file.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/departure_file.py
@@ -71,7 +71,7 @@
             end = find_frame_end(data, position)
             try:
                 payload = data[position + HEADER_BYTES : end]
-                targets += read_targets(msgspec.msgpack.decode(payload, type=list))
+                targets += read_targets(payload, msgspec.msgpack.decode).targets
             except (msgspec.MsgspecError, RecursionError):
                 pass  # Of an incompatible build; the other frames hold.
             position = find_intact_frame(data, end)
--- a/packages/marigoldarch-node/marigoldarch_node/storage/target_file.py
+++ b/packages/marigoldarch-node/marigoldarch_node/storage/target_file.py
@@ -58,15 +58,14 @@
         if data[:CHECKSUM_BYTES] != _checksum(body):
             raise StorageError("the target file is damaged: its checksum does not match")
         try:
-            plain = msgspec.msgpack.decode(body, type=list)
+            saved = read_targets(body, msgspec.msgpack.decode)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise StorageError(f"the target file cannot be decoded: {error}") from error
-        targets = read_targets(plain)
-        if plain and not targets:
+        if saved.odd and not saved.targets:
             raise StorageError("the target file was written by an incompatible build")
-        if len(targets) < len(plain):
-            log.warning("odd targets in the file", odd=len(plain) - len(targets))
-        return targets
+        if saved.odd:
+            log.warning("odd targets in the file", odd=saved.odd)
+        return saved.targets
 
 
 def _checksum(body: bytes) -> bytes:
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/departure_recorder_tests.py
@@ -20,11 +20,11 @@
 from marigoldarch.tests.serving.support import target
 from marigoldarch_node.clock import SystemClock
 from marigoldarch_node.serving.departure_recorder import ControlHosts
-from marigoldarch_node.serving.http_server import Request
 from marigoldarch_node.serving.metrics import ServingMetrics
 from marigoldarch_node.serving.target_registrar import TargetFiles, TargetRegistrar
 from marigoldarch_node.storage.departure_file import DepartureFile
 from marigoldarch_node.storage.target_file import TargetFile
+from marigoldarch_node.tests.serving.support import RecordingExchange
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -101,18 +101,6 @@
         """Return that nothing is said of a cold phase."""
 
 
-class RecordingExchange:
-    """An exchange whose status is recorded."""
-
-    def __init__(self, body: bytes) -> None:
-        self.request = Request("PUT", "/", [], body, 0.0)
-        self.status = 0
-
-    async def answer(self, status: int, headers: object, body: bytes = b"") -> None:
-        """Record the status."""
-        self.status = status
-
-
 class DepartureTestCase(unittest.TestCase):
     """Control hosts that are killed by the end of a run, and read their folders in the next one."""
 
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/support.py
@@ -14,7 +14,7 @@
 from marigoldarch_node.serving.attempt_plan import EntryContext
 from marigoldarch_node.serving.dialect import RequestInfo, ResponseInfo
 from marigoldarch_node.serving.entry_state import EntryState
-from marigoldarch_node.serving.http_server import HttpServer, ServerLimits, ServerState
+from marigoldarch_node.serving.http_server import HttpServer, Request, ServerLimits, ServerState
 from marigoldarch_node.serving.limit_history import LimitHistory
 from marigoldarch_node.serving.memory_reservations import ReservationManager
 from marigoldarch_node.serving.proxy import Proxy
@@ -29,7 +29,7 @@
     from marigoldarch.serving.declaration import Route
     from marigoldarch.serving.targets import Target
     from marigoldarch_node.serving.dialect import ForwardingInfo
-    from marigoldarch_node.serving.http_server import Exchange, Headers, Request
+    from marigoldarch_node.serving.http_server import Exchange, Headers
     from marigoldarch_node.serving.target_connections import ResponseHead
 
 READ_TIMEOUT_S = 3.0
@@ -175,3 +175,15 @@
         while chunk := await stream.receive_some(65_536):
             data += chunk
     return data
+
+
+class RecordingExchange:
+    """An exchange whose answer is recorded."""
+
+    def __init__(self, body: bytes) -> None:
+        self.request = Request("PUT", "/", [], body, 0.0)
+        self.status = 0
+
+    async def answer(self, status: int, headers: object, body: bytes = b"") -> None:
+        """Record the status."""
+        self.status = status
--- a/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_registrar_tests.py
+++ b/packages/marigoldarch-node/marigoldarch_node/tests/serving/target_registrar_tests.py
@@ -16,11 +16,11 @@
 from marigoldarch.store.messages import TargetsHeard
 from marigoldarch.tests.serving.support import target
 from marigoldarch_node.serving.departure_recorder import ControlHosts
-from marigoldarch_node.serving.http_server import Request
 from marigoldarch_node.serving.metrics import ServingMetrics
 from marigoldarch_node.serving.target_registrar import TargetFiles, TargetRegistrar
 from marigoldarch_node.storage.departure_file import DepartureFile
 from marigoldarch_node.storage.target_file import TargetFile
+from marigoldarch_node.tests.serving.support import RecordingExchange
 
 
 class RecordingSubscribers:
@@ -170,15 +170,3 @@
     def read_cold_ms(self, body: bytes) -> float | None:
         """Return how long the target stays cold."""
         return msgspec.json.decode(body)[2]
-
-
-class RecordingExchange:
-    """An exchange whose answer is recorded."""
-
-    def __init__(self, body: bytes) -> None:
-        self.request = Request("PUT", "/", [], body, 0.0)
-        self.status = 0
-
-    async def answer(self, status: int, headers: object, body: bytes = b"") -> None:
-        """Record the status."""
-        self.status = status
--- a/packages/marigoldarch/marigoldarch/addresses.py
+++ b/packages/marigoldarch/marigoldarch/addresses.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from ipaddress import AddressValueError, IPv4Address
-
-from marigoldarch.decimals import parse_whole_number
+import re
 
 MAX_PORT = 65_535
 
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_ADDRESS = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}:([0-9]{{1,5}})")
+
 
 def is_address(text: str) -> bool:
     """Return whether a text is an IPv4 address and a port that can be connected to."""
-    host, _, port = text.rpartition(":")
-    try:
-        IPv4Address(host)
-    except AddressValueError:
-        return False
-    return bool(parse_whole_number(port, MAX_PORT))
+    match = _ADDRESS.fullmatch(text)
+    return match is not None and 0 < int(match.group(1)) <= MAX_PORT
--- a/packages/marigoldarch/marigoldarch/serving/target_lists.py
+++ b/packages/marigoldarch/marigoldarch/serving/target_lists.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
@@ -16,7 +16,14 @@
 from marigoldarch.serving.targets import Target
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable
+
+
+class TargetList(NamedTuple):
+    """The sound targets of a list, in its order, and the number of its odd entries."""
+
+    targets: list[Target]
+    odd: int
 
 
 def is_sound(target: Target) -> bool:
@@ -26,14 +33,23 @@
     return is_bounded and is_address(target.address) and is_header_value(target.target_id)
 
 
-def read_targets(plain: Iterable[Any]) -> list[Target]:
-    """Return the sound targets of a decoded list, in its order."""
-    targets: list[Target] = []
-    for item in plain:
-        try:
-            target = msgspec.convert(item, Target)
-        except msgspec.ValidationError:
-            continue
-        if is_sound(target):
-            targets.append(target)
-    return targets
+def read_targets(data: bytes, decode: Callable[..., Any]) -> TargetList:
+    """Return the sound targets of an encoded list, and how many others it has.
+
+    `decode` is that of `msgspec.json` or `msgspec.msgpack`. Raises `msgspec.DecodeError`, or `RecursionError` if
+    the list is nested too deeply.
+    """
+    try:
+        told = decode(data, type=list[Target])
+    except msgspec.ValidationError:
+        # Much slower, and rarely needed: each entry is read by itself.
+        told = [_read_target(item) for item in decode(data, type=list)]
+    sound = [target for target in told if target is not None and is_sound(target)]
+    return TargetList(sound, len(told) - len(sound))
+
+
+def _read_target(item: Any) -> Target | None:
+    try:
+        return msgspec.convert(item, Target)
+    except msgspec.ValidationError:
+        return None
--- a/packages/marigoldarch/marigoldarch/serving/watch.py
+++ b/packages/marigoldarch/marigoldarch/serving/watch.py
@@ -104,6 +104,6 @@
     """Return the sound targets of a message; raise `CodecError` if its text cannot be decoded."""
     try:
         data = zlib.decompress(base64.b85decode(message.text))
-        return read_targets(msgspec.json.decode(data, type=list))
+        return read_targets(data, msgspec.json.decode).targets
     except (ValueError, zlib.error, msgspec.MsgspecError, RecursionError) as error:
         raise CodecError(f"targets of a control host cannot be decoded: {error}") from error
