Targets: put private functions last, and name the result of a check

Read as a newcomer: an inner function and its result had one name, and private methods stood among the public ones. Nothing else changes; tests of targets pass.

--- a/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
+++ b/packages/marigoldarch-node/marigoldarch_node/serving/crash_check.py
@@ -76,9 +76,9 @@
 
     async def check(target: Target) -> None:
         states[target.target_id] = ListenerState.UNKNOWN
-        check = await _check_target(context, target)
-        states[target.target_id] = check.listener
-        crashed.extend(check.crashed)
+        found = await _check_target(context, target)
+        states[target.target_id] = found.listener
+        crashed.extend(found.crashed)
 
     # A caller that leaves meanwhile must not take the evidence along.
     with trio.move_on_after(MAX_CHECK_MS / 1000.0, shield=True):
--- a/packages/marigoldarch/marigoldarch/serving/targets.py
+++ b/packages/marigoldarch/marigoldarch/serving/targets.py
@@ -97,15 +97,15 @@
         """Return every target that is not silent, including those that have left."""
         return [heard.target for heard in self._heard.values() if not heard.is_silent]
 
-    def __contains__(self, target_id: str) -> bool:
-        """Return whether a target is remembered."""
-        return target_id in self._heard
-
     @property
     def departures(self) -> list[Target]:
         """Return every target that leaves or has left, silent or not, as long as it is remembered."""
         return [heard.target for heard in self._heard.values() if heard.target.is_leaving]
 
+    def __contains__(self, target_id: str) -> bool:
+        """Return whether a target is remembered."""
+        return target_id in self._heard
+
     def record_announcement(self, target: Target, now_ms: Millis) -> bool:
         """Store an announcement; return whether it must be passed on to the other nodes at once."""
         heard = self._heard.get(target.target_id)
@@ -241,10 +241,6 @@
         """
         return target.start in self._departed
 
-    def _is_draining(self, start: TargetStart) -> bool:
-        newest = self._newest_announcements.get(start.target_id)
-        return self._is_listed(start) and newest.is_leaving and not newest.is_gone
-
     def mark_leaving(self, start: TargetStart, now_ms: Millis) -> bool:
         """Record that a target has said in a response that it is leaving; return whether it is new.
 
@@ -263,10 +259,6 @@
                 del self._leaving_since_ms[start]
         self._departed = {start for start in self._departed if self._is_listed(start)}
 
-    def _is_listed(self, start: TargetStart) -> bool:
-        newest = self._newest_announcements.get(start.target_id)
-        return newest is not None and newest.start == start
-
     def connect(self, host: str) -> None:
         """Start an empty view of a control host, which replaces any earlier one."""
         self._views[host] = HostView()
@@ -341,5 +333,13 @@
         if not is_listed and self.has_complete_view:
             self._newest_announcements.pop(target_id, None)
 
+    def _is_draining(self, start: TargetStart) -> bool:
+        newest = self._newest_announcements.get(start.target_id)
+        return self._is_listed(start) and newest.is_leaving and not newest.is_gone
+
+    def _is_listed(self, start: TargetStart) -> bool:
+        newest = self._newest_announcements.get(start.target_id)
+        return newest is not None and newest.start == start
+
     def _accepts_requests(self, target: Target) -> bool:
         return not target.is_leaving and not self.is_leaving(target)
