--- a/review/standins-3/ordinary.py
+++ b/review/standins-3/ordinary.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import time
 from typing import TYPE_CHECKING
 
 from peers import HOST, KEY, encode_request, read_answer
@@ -22,6 +24,7 @@
         self._port = int(port)
         self.sent = self.answered = 0
         self.cut_ids: list[str] = []
+        self.waits_s: list[float] = []  # until the answer or the end of the connection, else infinite
 
     async def run(self) -> None:
         while True:
@@ -50,16 +53,19 @@
                 "Authorization": f"Bearer {KEY}",
             }
             self._record.add("sent", request=request_id, kept=is_kept)
+            sent_s = time.monotonic()
             writer.write(encode_request("GET", "/look/x", headers))
             answer = None
             try:
                 async with asyncio.timeout(PATIENCE_S):
                     answer = await read_answer(reader)
             except TimeoutError:
+                self.waits_s.append(math.inf)
                 self._record.add("gave up", request=request_id)
                 return
             except OSError:
                 pass
+            self.waits_s.append(time.monotonic() - sent_s)
             if answer is None or not answer.is_whole:
                 self._record.add("ended without an answer", request=request_id, kept=is_kept)
                 if is_kept:
